Serve a request end to end through fabric, balancer, agent and backend server

The first thin path: sealed owner ids as QUIC connection ids, Maglev placement of first packets, PROXY v2 between fabric and balancer, rmp-serde frames between balancer and agent, HTTP/3 ended at the agent, HTTP/1.1 to the backend server, signed announcements to seeds.

--- /dev/null
+++ b/src/agent.rs
@@ -0,0 +1,225 @@
+//! The agent: ends callers' flows beside a backend server and runs their requests.
+
+use std::{net::SocketAddrV4, sync::Arc, time::Duration};
+
+use quinn::{
+    ConnectionId, ConnectionIdGenerator, Endpoint, EndpointConfig, IdleTimeout, MtuDiscoveryConfig,
+    ServerConfig, TransportConfig, crypto::rustls::QuicServerConfig,
+};
+use quinn_proto::InvalidCid;
+use rustls::pki_types::{CertificateDer, PrivateKeyDer};
+use snafu::{ResultExt, Snafu};
+use tokio::net::UdpSocket;
+
+use crate::{
+    config::tree::RequestPlan,
+    consts::{IDLE_TIMEOUT, KEEP_ALIVE, OWNER_ID_BYTES, QUIC_MTU_BYTES},
+    kernel::{Kernel, KernelError},
+    owner_id::{FleetKey, Keyring, Owner, Purpose},
+};
+
+pub mod http;
+pub mod intake;
+pub mod ledger;
+pub mod socket;
+pub mod upstream;
+
+use socket::FrameSocket;
+
+/// An error at the start of an agent.
+#[derive(Debug, Snafu)]
+pub enum AgentError {
+    /// The certificate or the private key does not fit.
+    #[snafu(display("certificate: {source}"))]
+    Certificate {
+        /// The library's error.
+        source: rustls::Error,
+    },
+    /// The cipher suites do not fit QUIC.
+    #[snafu(display("cipher suites: {source}"))]
+    Suites {
+        /// The library's error.
+        source: quinn::crypto::rustls::NoInitialCipherSuite,
+    },
+    /// The QUIC endpoint can't start.
+    #[snafu(display("endpoint: {source}"))]
+    Endpoint {
+        /// The system's error.
+        source: std::io::Error,
+    },
+    /// A service of the kernel is missing.
+    #[snafu(display("{source}"))]
+    Kernel {
+        /// The kernel's error.
+        source: KernelError,
+    },
+}
+
+/// Certificate chain and private key of a service.
+#[derive(Debug)]
+pub struct Identity {
+    /// Certificate chain.
+    pub chain: Vec<CertificateDer<'static>>,
+    /// Private key.
+    pub key: PrivateKeyDer<'static>,
+}
+
+/// What an agent is started with.
+#[derive(Debug)]
+pub struct AgentOptions {
+    /// The agent as connection ids name it.
+    pub owner: Owner,
+    /// Name of the service.
+    pub service: String,
+    /// Request types of the service.
+    pub plans: Vec<RequestPlan>,
+    /// Address of the backend server.
+    pub server: std::net::SocketAddr,
+    /// Fleet keys; the first one seals.
+    pub keys: Vec<FleetKey>,
+    /// Certificate and key of the service.
+    pub identity: Identity,
+}
+
+/// A running agent, under the name [`Agent::NAME`].
+#[derive(Debug)]
+pub struct Agent {
+    endpoint: Endpoint,
+    handler: Arc<http::Handler>,
+    socket: Arc<FrameSocket>,
+}
+
+impl Agent {
+    /// Name of the service in the kernel's registry.
+    pub const NAME: &'static str = "agent";
+
+    /// Hands new flows on, and tells callers of open ones to go elsewhere.
+    pub fn drain(&self) {
+        self.socket.drain();
+        self.handler.drain();
+    }
+
+    /// Waits until no connection is open.
+    pub async fn drained(&self) {
+        self.endpoint.wait_idle().await;
+    }
+}
+
+/// Starts an agent on its data socket and publishes it.
+///
+/// # Errors
+///
+/// Fails if the certificate does not fit or if the endpoint can't start.
+pub fn start(kernel: &Kernel, socket: UdpSocket, options: AgentOptions) -> Result<(), AgentError> {
+    let keyring = Keyring::new(&options.keys, Purpose::Connection);
+    let owner = options.owner;
+    let socket = Arc::new(FrameSocket::new(
+        socket,
+        owner.address,
+        owner.service,
+        owner.incarnation,
+        keyring.clone(),
+    ));
+    let handler = Arc::new(http::Handler::new(kernel.clock(), &options));
+    let endpoint = Endpoint::new_with_abstract_socket(
+        endpoint_config(&options.keys, keyring, owner),
+        Some(server_config(options.identity)?),
+        socket.clone(),
+        Arc::new(quinn::TokioRuntime),
+    )
+    .context(EndpointSnafu)?;
+    kernel.publish(
+        Agent::NAME,
+        Arc::new(Agent {
+            endpoint: endpoint.clone(),
+            handler: handler.clone(),
+            socket,
+        }),
+    );
+    kernel.spawn(http::serve(endpoint, handler, kernel.stop_signal()));
+    Ok(())
+}
+
+fn endpoint_config(keys: &[FleetKey], keyring: Keyring, owner: Owner) -> EndpointConfig {
+    let secret = keys[0].derive(Purpose::Reset);
+    let reset_key = ring::hmac::Key::new(ring::hmac::HMAC_SHA256, &secret);
+    let mut config = EndpointConfig::new(Arc::new(reset_key));
+    config.cid_generator(move || Box::new(OwnerIds::new(keyring.clone(), owner)));
+    config
+}
+
+fn server_config(identity: Identity) -> Result<ServerConfig, AgentError> {
+    let mut tls = rustls::ServerConfig::builder_with_provider(Arc::new(
+        rustls::crypto::ring::default_provider(),
+    ))
+    .with_protocol_versions(&[&rustls::version::TLS13])
+    .context(CertificateSnafu)?
+    .with_no_client_auth()
+    .with_single_cert(identity.chain, identity.key)
+    .context(CertificateSnafu)?;
+    tls.alpn_protocols = vec![b"h3".to_vec()];
+    let crypto = QuicServerConfig::try_from(tls).context(SuitesSnafu)?;
+    let mut config = ServerConfig::with_crypto(Arc::new(crypto));
+    config.transport_config(Arc::new(transport_config()));
+    Ok(config)
+}
+
+/// Returns the QUIC transport settings that agents and callers share.
+pub fn transport_config() -> TransportConfig {
+    let mut config = TransportConfig::default();
+    config.initial_mtu(QUIC_MTU_BYTES);
+    config.min_mtu(QUIC_MTU_BYTES);
+    let mut discovery = MtuDiscoveryConfig::default();
+    discovery.upper_bound(QUIC_MTU_BYTES);
+    config.mtu_discovery_config(Some(discovery));
+    config.keep_alive_interval(Some(KEEP_ALIVE));
+    let idle = IdleTimeout::try_from(IDLE_TIMEOUT).expect("timeout fits");
+    config.max_idle_timeout(Some(idle));
+    config
+}
+
+/// Generates connection ids that carry their owner.
+#[derive(Debug)]
+pub struct OwnerIds {
+    keyring: Keyring,
+    owner: Owner,
+}
+
+impl OwnerIds {
+    /// Returns the generator of an agent.
+    pub fn new(keyring: Keyring, owner: Owner) -> Self {
+        Self { keyring, owner }
+    }
+}
+
+impl ConnectionIdGenerator for OwnerIds {
+    fn generate_cid(&mut self) -> ConnectionId {
+        ConnectionId::new(&self.keyring.seal(&self.owner, rand::random()))
+    }
+
+    fn validate(&self, id: &ConnectionId) -> Result<(), InvalidCid> {
+        let opened = self.keyring.open(id);
+        let own = opened.is_some_and(|(owner, _)| owner.service == self.owner.service);
+        if own { Ok(()) } else { Err(InvalidCid) }
+    }
+
+    fn cid_len(&self) -> usize {
+        OWNER_ID_BYTES
+    }
+
+    fn cid_lifetime(&self) -> Option<Duration> {
+        None
+    }
+}
+
+/// Returns the address that a data socket is bound to.
+///
+/// # Errors
+///
+/// Fails if the socket is not bound to an IPv4 address.
+pub fn bound_address(socket: &UdpSocket) -> std::io::Result<SocketAddrV4> {
+    match socket.local_addr()? {
+        std::net::SocketAddr::V4(address) => Ok(address),
+        std::net::SocketAddr::V6(_) => Err(std::io::Error::other("not an IPv4 address")),
+    }
+}
--- /dev/null
+++ b/src/cli/print.rs
@@ -0,0 +1,55 @@
+//! What the tool prints.
+
+use crate::{
+    caller::Reply,
+    dev::{Report, fleet::Fleet},
+};
+
+/// Returns the report as aligned lines.
+pub fn report_text(report: &Report) -> String {
+    let value = serde_json::to_value(report).unwrap_or_default();
+    let mut text = String::new();
+    for (name, value) in value.as_object().into_iter().flatten() {
+        text.push_str(&format!("{name:<16}{value}\n"));
+    }
+    text
+}
+
+/// Returns the report as one JSON object in one line.
+pub fn report_json(report: &Report) -> String {
+    serde_json::to_string(report).unwrap_or_default()
+}
+
+/// Returns where a site can be reached and how.
+pub fn fleet_text(fleet: &Fleet) -> String {
+    let mut text = String::new();
+    for (name, service) in &fleet.tree.services {
+        text.push_str(&format!("service {name} at {}\n", service.address));
+        for request in service.requests.values() {
+            let feed = if request.policy.feed == Some(true) {
+                " --feed 5"
+            } else {
+                ""
+            };
+            text.push_str(&format!(
+                "  berylvalve call --root {} --service {name}{feed} {} {} {}\n",
+                fleet.certificate.certificate.display(),
+                service.address,
+                request.method,
+                request.path,
+            ));
+        }
+    }
+    text
+}
+
+/// Returns an answer's head for people.
+pub fn reply_text(reply: &Reply) -> String {
+    format!(
+        "{} {} {} bytes from {}",
+        reply.status,
+        reply.outcome.as_str(),
+        reply.body.len(),
+        reply.server.as_deref().unwrap_or("-"),
+    )
+}
--- /dev/null
+++ b/src/cli/run.rs
@@ -0,0 +1,114 @@
+//! Runs the commands of the tool.
+
+use std::{fs::File, io::BufReader, path::Path, process::ExitCode};
+
+use bytes::Bytes;
+use rustls::pki_types::CertificateDer;
+use tokio::time::Instant;
+
+use super::{CallOptions, Command, DevOptions, EXIT_FAILURE, EXIT_USAGE, print};
+use crate::{
+    agent::http::Outcome,
+    caller::{Call, Caller},
+    dev::{self, DevError, RunOptions},
+};
+
+/// Runs a command and returns the exit status.
+pub async fn run(command: Command) -> ExitCode {
+    match command {
+        Command::Help(text) => {
+            print!("{text}");
+            ExitCode::SUCCESS
+        }
+        Command::Dev(options) => run_dev(options).await.unwrap_or_else(dev_failure),
+        Command::Call(options) => match run_call(options).await {
+            Ok(code) => code,
+            Err(message) => failure(&message),
+        },
+    }
+}
+
+fn failure(message: &str) -> ExitCode {
+    eprintln!("berylvalve: {message}");
+    ExitCode::from(EXIT_FAILURE)
+}
+
+fn dev_failure(error: DevError) -> ExitCode {
+    eprintln!("berylvalve: {error}");
+    let usage = matches!(
+        error,
+        DevError::Settings { .. } | DevError::UnknownSite { .. }
+    );
+    ExitCode::from(if usage { EXIT_USAGE } else { EXIT_FAILURE })
+}
+
+async fn run_dev(options: DevOptions) -> Result<ExitCode, DevError> {
+    let site = dev::site(&options.site)?;
+    let Some(time) = options.time else {
+        let fleet = dev::start(&site, options.seed).await?;
+        print!("{}", print::fleet_text(&fleet));
+        println!("serving until interrupted");
+        let _ = tokio::signal::ctrl_c().await;
+        fleet.stop().await;
+        return Ok(ExitCode::SUCCESS);
+    };
+    let run_options = RunOptions {
+        time,
+        faults: options.faults,
+        seed: options.seed,
+    };
+    let report = dev::run(&site, run_options).await?;
+    if options.json {
+        println!("{}", print::report_json(&report));
+    } else {
+        print!("{}", print::report_text(&report));
+    }
+    Ok(if report.kept() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::from(EXIT_FAILURE)
+    })
+}
+
+async fn run_call(options: CallOptions) -> Result<ExitCode, String> {
+    let roots =
+        read_roots(&options.root).map_err(|e| format!("{}: {e}", options.root.display()))?;
+    let caller =
+        Caller::new(options.address, &options.service, &roots).map_err(|e| e.to_string())?;
+    if let Some(events) = options.feed {
+        let mut feed = caller
+            .feed(&options.path, None)
+            .await
+            .map_err(|e| e.to_string())?;
+        for _ in 0..events {
+            let event = feed.next().await.ok_or("the feed ended")?;
+            println!("{} {}", event.id, event.data);
+        }
+        caller.close().await;
+        return Ok(ExitCode::SUCCESS);
+    }
+    let call = Call {
+        idempotent: matches!(options.method.as_str(), "GET" | "HEAD"),
+        method: options.method,
+        path: options.path,
+        id: format!("call-{:08x}", rand::random::<u32>()),
+        body: Bytes::from(options.body),
+        deadline: Instant::now() + options.timeout,
+    };
+    let reply = caller
+        .call(&call)
+        .await
+        .ok_or("no answer before the deadline")?;
+    println!("{}", print::reply_text(&reply));
+    caller.close().await;
+    let answered = reply.outcome == Outcome::Answered;
+    Ok(if answered {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::from(EXIT_FAILURE)
+    })
+}
+
+fn read_roots(file: &Path) -> std::io::Result<Vec<CertificateDer<'static>>> {
+    rustls_pemfile::certs(&mut BufReader::new(File::open(file)?)).collect()
+}
--- /dev/null
+++ b/src/clock.rs
@@ -0,0 +1,72 @@
+//! Time as the state machines see it: a count that tests can set.
+
+use std::{
+    ops::{Add, Sub},
+    time::Duration,
+};
+
+use serde::{Deserialize, Serialize};
+
+/// A point in time, in microseconds since the clock's origin.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct Time(pub u64);
+
+impl Time {
+    /// Returns the point `millis` milliseconds after the origin.
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis * 1000)
+    }
+
+    /// Returns whole milliseconds since the origin.
+    pub const fn as_millis(self) -> u64 {
+        self.0 / 1000
+    }
+
+    /// Returns the time from `earlier` to `self`, zero if `earlier` is later.
+    pub const fn since(self, earlier: Time) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for Time {
+    type Output = Time;
+
+    fn add(self, rhs: Duration) -> Time {
+        Time(self.0.saturating_add(rhs.as_micros() as u64))
+    }
+}
+
+impl Sub<Duration> for Time {
+    type Output = Time;
+
+    fn sub(self, rhs: Duration) -> Time {
+        Time(self.0.saturating_sub(rhs.as_micros() as u64))
+    }
+}
+
+/// Reads the monotonic clock of the process.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    origin: tokio::time::Instant,
+}
+
+impl Clock {
+    /// Returns a clock whose origin is now.
+    pub fn start() -> Self {
+        Self {
+            origin: tokio::time::Instant::now(),
+        }
+    }
+
+    /// Returns the current time.
+    pub fn now(&self) -> Time {
+        Time(self.origin.elapsed().as_micros() as u64)
+    }
+
+    /// Returns the runtime's instant for `time`, for timers.
+    pub fn instant(&self, time: Time) -> tokio::time::Instant {
+        self.origin + Duration::from_micros(time.0)
+    }
+}
--- /dev/null
+++ b/src/daemon.rs
@@ -0,0 +1,218 @@
+//! A whole daemon process: its kernel and the services of its role.
+
+use std::{
+    fs::File,
+    io::{self, BufReader},
+    net::SocketAddrV4,
+    path::Path,
+    sync::Arc,
+    time::{SystemTime, UNIX_EPOCH},
+};
+
+use rustls::pki_types::{CertificateDer, PrivateKeyDer};
+use snafu::{ResultExt, Snafu};
+use tokio::net::UdpSocket;
+
+use crate::{
+    agent::{self, Agent, AgentError, AgentOptions, Identity, bound_address},
+    balancer,
+    config::daemon::{AgentSettings, BalancerSettings, DaemonSettings},
+    kernel::{Kernel, KernelError},
+    member::{Directory, MemberState, Record, Role},
+    membership::{self, LocalRecord, Signer},
+    owner_id::{Incarnation, Keyring, Owner, Purpose, ServiceTag},
+};
+
+/// An error at the start of a daemon.
+#[derive(Debug, Snafu)]
+pub enum DaemonError {
+    /// An agent can't start.
+    #[snafu(display("agent: {source}"))]
+    Agent {
+        /// The agent's error.
+        source: AgentError,
+    },
+    /// A socket can't be opened.
+    #[snafu(display("socket {address}: {source}"))]
+    Bind {
+        /// The address.
+        address: SocketAddrV4,
+        /// The system's error.
+        source: io::Error,
+    },
+    /// A certificate or key file can't be read.
+    #[snafu(display("{file}: {source}"))]
+    Identity {
+        /// The file.
+        file: String,
+        /// The system's error.
+        source: io::Error,
+    },
+    /// A service of the kernel is missing.
+    #[snafu(display("{source}"))]
+    Kernel {
+        /// The kernel's error.
+        source: KernelError,
+    },
+}
+
+/// A running daemon.
+#[derive(Debug)]
+pub struct Daemon {
+    /// The kernel, for its registry.
+    pub kernel: Kernel,
+    /// Address of the data socket.
+    pub data: SocketAddrV4,
+    /// Address of the control socket.
+    pub control: SocketAddrV4,
+}
+
+impl Daemon {
+    /// Starts the services of a role.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a socket, a certificate or a service can't be opened.
+    pub async fn start(settings: &DaemonSettings) -> Result<Self, DaemonError> {
+        let kernel = Kernel::new();
+        let (data_socket, data) = bind(settings.data).await?;
+        let (control_socket, control) = bind(settings.control).await?;
+        let service = served_tag(settings);
+        let record = Record {
+            address: data,
+            control,
+            incarnation: new_incarnation(),
+            domain: settings.domain.clone(),
+            role: settings.role,
+            service,
+            state: MemberState::Ready,
+            weight: 100,
+            version: 0,
+            revision: 0,
+        };
+        let owner = Owner {
+            address: data,
+            service,
+            incarnation: record.incarnation,
+        };
+        kernel.publish(Directory::NAME, Arc::new(Directory::default()));
+        kernel.publish(LocalRecord::NAME, Arc::new(LocalRecord::new(record)));
+        let signer = Signer::new(&settings.fleet_keys());
+        membership::start(&kernel, control_socket, signer, settings.seeds.clone())
+            .context(KernelSnafu)?;
+        if let (Role::Balancer, Some(balancer)) = (settings.role, &settings.balancer) {
+            start_balancer(&kernel, data_socket, data, settings, balancer)?;
+        } else if let Some(agent) = &settings.agent {
+            start_agent(&kernel, data_socket, owner, settings, agent)?;
+        }
+        tracing::info!(event = "started", role = ?settings.role, %data, %control, domain = settings.domain);
+        Ok(Self {
+            kernel,
+            data,
+            control,
+        })
+    }
+
+    /// Takes no new work, waits until nothing is open, and stops.
+    pub async fn shut_down(&self) {
+        let local = self.kernel.find::<LocalRecord>(LocalRecord::NAME);
+        if let Ok(local) = &local {
+            local.update(|record| record.state = MemberState::Draining);
+        }
+        tracing::info!(event = "draining", data = %self.data);
+        if let Ok(agent) = self.kernel.find::<Agent>(Agent::NAME) {
+            agent.drain();
+            agent.drained().await;
+        }
+        if let Ok(local) = &local {
+            local.update(|record| record.state = MemberState::Left);
+        }
+        tokio::time::sleep(2 * crate::consts::ANNOUNCE_INTERVAL).await;
+        self.kernel.stop().await;
+        tracing::info!(event = "stopped", data = %self.data);
+    }
+
+    /// Stops at once, as if the VM had died.
+    pub async fn kill(&self) {
+        self.kernel.stop().await;
+    }
+}
+
+fn start_balancer(
+    kernel: &Kernel,
+    socket: UdpSocket,
+    own: SocketAddrV4,
+    settings: &DaemonSettings,
+    balancer: &BalancerSettings,
+) -> Result<(), DaemonError> {
+    let keyring = Keyring::new(&settings.fleet_keys(), Purpose::Connection);
+    balancer::start(
+        kernel,
+        socket,
+        own,
+        balancer.fabric,
+        keyring,
+        &settings.tree,
+    )
+    .context(KernelSnafu)
+}
+
+fn start_agent(
+    kernel: &Kernel,
+    socket: UdpSocket,
+    owner: Owner,
+    settings: &DaemonSettings,
+    agent: &AgentSettings,
+) -> Result<(), DaemonError> {
+    let options = AgentOptions {
+        owner,
+        service: agent.service.clone(),
+        plans: settings.tree.plans(&agent.service),
+        server: agent.server,
+        keys: settings.fleet_keys(),
+        identity: read_identity(&agent.certificate, &agent.private_key)?,
+    };
+    agent::start(kernel, socket, options).context(AgentSnafu)
+}
+
+fn served_tag(settings: &DaemonSettings) -> ServiceTag {
+    let name = settings.agent.as_ref().map(|agent| agent.service.as_str());
+    let service = name.and_then(|name| settings.tree.services.get(name));
+    service.map_or(ServiceTag(0), |service| service.tag)
+}
+
+async fn bind(address: SocketAddrV4) -> Result<(UdpSocket, SocketAddrV4), DaemonError> {
+    let socket = UdpSocket::bind(address)
+        .await
+        .context(BindSnafu { address })?;
+    let bound = bound_address(&socket).context(BindSnafu { address })?;
+    Ok((socket, bound))
+}
+
+/// Returns an incarnation that grows with the wall clock, in tenths of a second.
+fn new_incarnation() -> Incarnation {
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    Incarnation((since.as_millis() / 100) as u32)
+}
+
+fn read_identity(certificate: &Path, private_key: &Path) -> Result<Identity, DaemonError> {
+    let open = |path: &Path| -> Result<BufReader<File>, DaemonError> {
+        let file = path.display().to_string();
+        Ok(BufReader::new(
+            File::open(path).context(IdentitySnafu { file })?,
+        ))
+    };
+    let file = certificate.display().to_string();
+    let chain: Result<Vec<CertificateDer<'static>>, _> =
+        rustls_pemfile::certs(&mut open(certificate)?).collect();
+    let chain = chain.context(IdentitySnafu { file })?;
+    let file = private_key.display().to_string();
+    let key: Option<PrivateKeyDer<'static>> = rustls_pemfile::private_key(&mut open(private_key)?)
+        .context(IdentitySnafu { file: file.clone() })?;
+    let key = key
+        .ok_or_else(|| io::Error::other("no private key"))
+        .context(IdentitySnafu { file })?;
+    Ok(Identity { chain, key })
+}
--- /dev/null
+++ b/src/dev/fleet.rs
@@ -0,0 +1,253 @@
+//! The processes of a site: balancers, backend servers with their agents, and the fabric.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use snafu::ResultExt;
+use tokio::net::UdpSocket;
+
+use super::{DevError, StandInSnafu, StartSnafu, certificate::DevCertificate};
+use crate::{
+    config::{
+        daemon::{AgentSettings, BalancerSettings, DaemonSettings, KeySettings},
+        site::{ServerGroup, Site},
+        tree::Region,
+    },
+    consts::ANNOUNCE_INTERVAL,
+    daemon::Daemon,
+    kernel::Kernel,
+    member::{Directory, MemberState, Role},
+    standin::{
+        fabric::Fabric,
+        server::{Server, ServerOptions},
+    },
+};
+
+const DEV_SECRET: &str = "00112233445566778899aabbccddeeff";
+const LOOPBACK: &str = "127.0.0.1:0";
+const JOIN_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// A backend server with the agent beside it.
+#[derive(Clone, Debug)]
+pub struct Place {
+    /// The agent.
+    pub agent: Arc<Daemon>,
+    /// The backend server.
+    pub server: Arc<Server>,
+    /// Index of the server's group in the site.
+    pub group: usize,
+    /// Index of the server in its group.
+    pub index: usize,
+}
+
+/// The running processes of a site.
+#[derive(Debug)]
+pub struct Fleet {
+    /// Balancers now in use.
+    pub balancers: Mutex<Vec<Arc<Daemon>>>,
+    /// Backend servers now in use.
+    pub places: Mutex<Vec<Place>>,
+    /// Every backend server there ever was, with its group.
+    pub servers: Mutex<Vec<(usize, Arc<Server>)>>,
+    /// Certificate of the services.
+    pub certificate: DevCertificate,
+    /// Settings with the addresses that are bound.
+    pub tree: Region,
+    fabric: Fabric,
+    kernel: Kernel,
+    site: Site,
+}
+
+impl Fleet {
+    /// Starts all processes and waits until the balancers know all agents.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a process or a stand-in can't start.
+    pub async fn start(site: &Site, seed: u64) -> Result<Self, DevError> {
+        let kernel = Kernel::new();
+        let mut tree = site.tree.clone();
+        let mut sockets = Vec::with_capacity(tree.services.len());
+        for service in tree.services.values_mut() {
+            let socket = UdpSocket::bind(service.address)
+                .await
+                .context(StandInSnafu)?;
+            service.address = socket.local_addr().context(StandInSnafu)?;
+            sockets.push(socket);
+        }
+        let fabric = Fabric::start(&kernel, sockets, seed)
+            .await
+            .context(StandInSnafu)?;
+        let certificate = DevCertificate::make(tree.services.keys().cloned().collect())?;
+        let fleet = Self {
+            balancers: Mutex::default(),
+            places: Mutex::default(),
+            servers: Mutex::default(),
+            certificate,
+            tree,
+            fabric,
+            kernel,
+            site: site.clone(),
+        };
+        for index in 0..site.balancers {
+            let balancer = fleet.start_balancer(index).await?;
+            fleet
+                .balancers
+                .lock()
+                .expect("balancers lock")
+                .push(balancer);
+        }
+        for (group, settings) in site.servers.iter().enumerate() {
+            for index in 0..settings.service_ms.len() {
+                let place = fleet.start_place(group, index).await?;
+                fleet.places.lock().expect("places lock").push(place);
+            }
+        }
+        fleet.wait_joined().await;
+        fleet.publish_balancers();
+        Ok(fleet)
+    }
+
+    /// Returns the address of a service.
+    pub fn address(&self, service: &str) -> Option<SocketAddr> {
+        self.tree.services.get(service).map(|s| s.address)
+    }
+
+    /// Starts a balancer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process can't start.
+    pub async fn start_balancer(&self, index: usize) -> Result<Arc<Daemon>, DevError> {
+        let mut settings = self.settings(Role::Balancer, index);
+        let fabric = self.fabric.address().context(StandInSnafu)?;
+        settings.balancer = Some(BalancerSettings { fabric });
+        let daemon = Daemon::start(&settings).await.context(StartSnafu)?;
+        Ok(Arc::new(daemon))
+    }
+
+    /// Starts a backend server and its agent.
+    ///
+    /// # Errors
+    ///
+    /// Fails if one of them can't start.
+    pub async fn start_place(&self, group: usize, index: usize) -> Result<Place, DevError> {
+        let group_settings = &self.site.servers[group];
+        let options = self.server_options(group_settings, index);
+        let server = Server::start(&self.kernel, options)
+            .await
+            .context(StandInSnafu)?;
+        let mut settings = self.settings(Role::Agent, index);
+        settings.agent = Some(AgentSettings {
+            service: group_settings.service.clone(),
+            server: server.address(),
+            slots: group_settings.slots,
+            connections: group_settings.connections,
+            certificate: self.certificate.certificate.clone(),
+            private_key: self.certificate.private_key.clone(),
+        });
+        let agent = Arc::new(Daemon::start(&settings).await.context(StartSnafu)?);
+        self.servers
+            .lock()
+            .expect("servers lock")
+            .push((group, server.clone()));
+        Ok(Place {
+            agent,
+            server,
+            group,
+            index,
+        })
+    }
+
+    /// Tells the fabric which balancers are in use.
+    pub fn publish_balancers(&self) {
+        let balancers = self.balancers.lock().expect("balancers lock");
+        self.fabric
+            .set_balancers(balancers.iter().map(|b| b.data).collect());
+    }
+
+    /// Stops all processes.
+    pub async fn stop(&self) {
+        let balancers = std::mem::take(&mut *self.balancers.lock().expect("balancers lock"));
+        let places = std::mem::take(&mut *self.places.lock().expect("places lock"));
+        for place in places {
+            place.agent.kill().await;
+        }
+        for balancer in balancers {
+            balancer.kill().await;
+        }
+        self.kernel.stop().await;
+    }
+
+    async fn wait_joined(&self) {
+        let deadline = tokio::time::Instant::now() + JOIN_TIMEOUT;
+        let agents = self.places.lock().expect("places lock").len();
+        while tokio::time::Instant::now() < deadline {
+            let balancers = self.balancers.lock().expect("balancers lock").clone();
+            if balancers.iter().all(|b| known_agents(b) >= agents) {
+                return;
+            }
+            tokio::time::sleep(ANNOUNCE_INTERVAL / 5).await;
+        }
+    }
+
+    fn settings(&self, role: Role, index: usize) -> DaemonSettings {
+        let domains = &self.site.domains;
+        let balancers = self.balancers.lock().expect("balancers lock");
+        DaemonSettings {
+            role,
+            domain: domains[index % domains.len()].clone(),
+            data: LOOPBACK.parse().expect("valid address"),
+            control: LOOPBACK.parse().expect("valid address"),
+            seeds: balancers.iter().map(|b| b.control).collect(),
+            keys: vec![KeySettings {
+                id: 1,
+                secret: DEV_SECRET.to_owned(),
+            }],
+            tree: self.tree.clone(),
+            agent: None,
+            balancer: None,
+        }
+    }
+
+    fn server_options(&self, group: &ServerGroup, index: usize) -> ServerOptions {
+        let mut answers = Vec::new();
+        let mut feeds = Vec::new();
+        let requests = &self.tree.services[&group.service].requests;
+        for entry in self
+            .site
+            .mix
+            .iter()
+            .filter(|entry| entry.service == group.service)
+        {
+            let path = requests[&entry.request].path.clone();
+            if requests[&entry.request].policy.feed == Some(true) {
+                feeds.push(path);
+            } else {
+                answers.push((path, entry.answer_bytes));
+            }
+        }
+        ServerOptions {
+            service: group.service.clone(),
+            work: Duration::from_millis(group.service_ms[index]),
+            slots: group.slots as usize,
+            answers,
+            feeds,
+        }
+    }
+}
+
+fn known_agents(daemon: &Daemon) -> usize {
+    let Ok(directory) = daemon.kernel.find::<Directory>(Directory::NAME) else {
+        return 0;
+    };
+    let view = directory.view();
+    let ready = view
+        .members
+        .values()
+        .filter(|r| r.role == Role::Agent && r.state == MemberState::Ready);
+    ready.count()
+}
--- /dev/null
+++ b/src/dev/mix.rs
@@ -0,0 +1,254 @@
+//! The callers of a site: feeds held open, and requests at a rate.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::Method;
+use quinn::Endpoint;
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use snafu::ResultExt;
+use tokio::{
+    sync::watch,
+    task::JoinSet,
+    time::{Instant, sleep, timeout},
+};
+
+use super::{ClientSnafu, DevError, RunOptions, fleet::Fleet};
+use crate::{
+    agent::http::Outcome,
+    caller::{Call, Caller, client_endpoint},
+    config::site::{MixEntry, Site},
+    standin::body::answer_body,
+};
+
+const ENDPOINTS: usize = 8;
+const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+const FEED_SILENCE: Duration = Duration::from_secs(3);
+const FEED_RETRY: Duration = Duration::from_millis(100);
+
+/// What became of one request, as its caller saw it.
+#[derive(Clone, Debug)]
+pub struct Observed {
+    /// Name of the request.
+    pub id: String,
+    /// Service that it was meant for.
+    pub service: String,
+    /// Whether it must run at most once.
+    pub once: bool,
+    /// Its end; `None` if no word came by its deadline.
+    pub outcome: Option<Outcome>,
+    /// Whether the whole body was the right one.
+    pub intact: bool,
+    /// Time to the end.
+    pub latency: Duration,
+}
+
+/// What all callers saw.
+#[derive(Debug, Default)]
+pub struct Seen {
+    /// Requests by end.
+    pub requests: Mutex<Vec<Observed>>,
+    /// Feeds opened.
+    pub flows: AtomicU64,
+    /// Feeds that ended or lost events.
+    pub broken: AtomicU64,
+}
+
+/// Running callers.
+#[derive(Debug)]
+pub struct Mix {
+    seen: Arc<Seen>,
+    stop: watch::Sender<()>,
+    tasks: JoinSet<()>,
+}
+
+struct Source {
+    callers: Vec<Arc<Caller>>,
+    entry: MixEntry,
+    idempotent: bool,
+    method: Method,
+    path: String,
+    seen: Arc<Seen>,
+}
+
+impl Mix {
+    /// Starts the callers.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no socket can be opened.
+    pub async fn start(site: &Site, fleet: &Fleet, options: RunOptions) -> Result<Self, DevError> {
+        let seen = Arc::new(Seen::default());
+        let (stop, _) = watch::channel(());
+        let mut tasks = JoinSet::new();
+        let roots = [fleet.certificate.root.clone()];
+        let mut endpoints = Vec::with_capacity(ENDPOINTS);
+        for _ in 0..ENDPOINTS {
+            endpoints.push(client_endpoint(&roots).context(ClientSnafu)?);
+        }
+        for (index, entry) in site.mix.iter().enumerate() {
+            let source = Arc::new(source(fleet, &endpoints, entry, &seen));
+            let seed = options.seed.wrapping_mul(1000) + index as u64;
+            if entry.open > 0 {
+                for _ in 0..entry.open {
+                    tasks.spawn(hold_feed(
+                        source.clone(),
+                        endpoints.clone(),
+                        stop.subscribe(),
+                    ));
+                }
+                continue;
+            }
+            let random = SmallRng::seed_from_u64(seed);
+            tasks.spawn(send_requests(
+                source,
+                endpoints.clone(),
+                random,
+                stop.subscribe(),
+            ));
+        }
+        Ok(Self { seen, stop, tasks })
+    }
+
+    /// Sends nothing new, waits for what is open, and returns what was seen.
+    pub async fn finish(mut self, settle: Duration) -> Arc<Seen> {
+        drop(self.stop);
+        let _ = timeout(settle, async {
+            while self.tasks.join_next().await.is_some() {}
+        })
+        .await;
+        self.seen
+    }
+}
+
+fn source(fleet: &Fleet, endpoints: &[Endpoint], entry: &MixEntry, seen: &Arc<Seen>) -> Source {
+    let plans = fleet.tree.plans(&entry.service);
+    let plan = plans
+        .iter()
+        .find(|plan| plan.name == entry.request)
+        .expect("checked mix");
+    let target = fleet.tree.services[&entry.service].address;
+    let mut callers = Vec::with_capacity(endpoints.len());
+    for endpoint in endpoints {
+        callers.push(Arc::new(Caller::with_endpoint(
+            endpoint.clone(),
+            target,
+            &entry.service,
+        )));
+    }
+    Source {
+        callers,
+        entry: entry.clone(),
+        idempotent: plan.idempotent,
+        method: plan.method.parse().expect("checked method"),
+        path: plan.path.clone(),
+        seen: seen.clone(),
+    }
+}
+
+impl Source {
+    /// Returns a caller with no open connection.
+    fn new_caller(&self, number: usize) -> Arc<Caller> {
+        Arc::new(self.callers[number % self.callers.len()].fresh())
+    }
+}
+
+async fn send_requests(
+    source: Arc<Source>,
+    _endpoints: Vec<Endpoint>,
+    mut random: SmallRng,
+    mut stop: watch::Receiver<()>,
+) {
+    let mut tasks = JoinSet::new();
+    let mut number = 0;
+    loop {
+        // Exponential gaps make a Poisson process.
+        let uniform: f64 = random.random_range(f64::EPSILON..1.0);
+        let gap = Duration::from_secs_f64(-uniform.ln() / source.entry.rate);
+        tokio::select! {
+            _ = stop.changed() => break,
+            () = sleep(gap) => {}
+        }
+        number += 1;
+        tasks.spawn(send_one(source.clone(), number));
+        while tasks.try_join_next().is_some() {}
+    }
+    while tasks.join_next().await.is_some() {}
+}
+
+async fn send_one(source: Arc<Source>, number: usize) {
+    let id = format!("{}-{}-{number}", source.entry.service, source.entry.request);
+    let caller = source.new_caller(number);
+    let start = Instant::now();
+    let call = Call {
+        method: source.method.clone(),
+        path: source.path.clone(),
+        id: id.clone(),
+        body: if source.idempotent {
+            Bytes::new()
+        } else {
+            Bytes::from(id.clone())
+        },
+        deadline: start + CALL_TIMEOUT,
+        idempotent: source.idempotent,
+    };
+    let reply = caller.call(&call).await;
+    let expected = answer_body(&id, source.entry.answer_bytes);
+    let observed = Observed {
+        service: source.entry.service.clone(),
+        once: !source.idempotent,
+        outcome: reply.as_ref().map(|r| r.outcome),
+        intact: reply
+            .as_ref()
+            .is_none_or(|r| r.outcome != Outcome::Answered || r.body == expected),
+        latency: start.elapsed(),
+        id,
+    };
+    source
+        .seen
+        .requests
+        .lock()
+        .expect("requests lock")
+        .push(observed);
+    caller.disconnect().await;
+}
+
+async fn hold_feed(source: Arc<Source>, endpoints: Vec<Endpoint>, mut stop: watch::Receiver<()>) {
+    let number = source.seen.flows.fetch_add(1, Ordering::Relaxed) as usize % endpoints.len();
+    let caller = source.new_caller(number);
+    tokio::select! {
+        _ = stop.changed() => {}
+        () = follow(&source, &caller) => {}
+    }
+    caller.disconnect().await;
+}
+
+/// Follows a feed for ever; an end, a silence or a gap counts as a broken flow.
+async fn follow(source: &Source, caller: &Caller) {
+    let mut last: Option<u64> = None;
+    loop {
+        let Ok(mut feed) = caller.feed(&source.path, last).await else {
+            sleep(FEED_RETRY).await;
+            continue;
+        };
+        while let Ok(Some(event)) = timeout(FEED_SILENCE, feed.next()).await {
+            if last.is_some_and(|last| event.id != last + 1) {
+                source.seen.broken.fetch_add(1, Ordering::Relaxed);
+            }
+            last = Some(event.id);
+        }
+        source.seen.broken.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+/// Returns the requests by name.
+pub fn by_id(requests: &[Observed]) -> HashMap<&str, &Observed> {
+    requests.iter().map(|r| (r.id.as_str(), r)).collect()
+}
--- /dev/null
+++ b/src/dev/report.rs
@@ -0,0 +1,123 @@
+//! The judgement of a development run, from what callers saw and what backend servers wrote down.
+
+use std::{collections::HashMap, sync::atomic::Ordering};
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+use super::{
+    fleet::Fleet,
+    mix::{Seen, by_id},
+};
+use crate::{agent::http::Outcome, config::site::Site};
+
+const MAX_LATENCY_US: u64 = 60_000_000;
+const SIGNIFICANT_DIGITS: u8 = 3;
+
+/// What came of a run.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Report {
+    /// Requests sent.
+    pub sent: u64,
+    /// Requests answered by a backend server.
+    pub answered: u64,
+    /// Requests refused without running.
+    pub refused: u64,
+    /// Requests that may have run.
+    pub unknown: u64,
+    /// Requests without a word by their deadline.
+    pub lost: u64,
+    /// Requests that ran more than once and must not.
+    pub doubled: u64,
+    /// Requests that ran at another service.
+    pub misrouted: u64,
+    /// Requests told "not run" that ran.
+    pub false_refusals: u64,
+    /// Answers whose body was not the right one.
+    pub damaged: u64,
+    /// Feeds held open.
+    pub flows: u64,
+    /// Feeds that ended, fell silent or lost events.
+    pub broken_flows: u64,
+    /// Highest use of capacity among a service's servers over the mean.
+    pub imbalance: f64,
+    /// Median time to an answer, in milliseconds.
+    pub p50_ms: f64,
+    /// 99th percentile of the time to an answer, in milliseconds.
+    pub p99_ms: f64,
+}
+
+impl Report {
+    /// Returns whether every promise was kept.
+    pub fn kept(&self) -> bool {
+        let faults = [
+            self.lost,
+            self.doubled,
+            self.misrouted,
+            self.false_refusals,
+            self.damaged,
+            self.broken_flows,
+        ];
+        faults.iter().all(|count| *count == 0)
+    }
+}
+
+/// Compares what callers saw with what backend servers wrote down.
+pub fn judge(site: &Site, fleet: &Fleet, seen: &Seen) -> Report {
+    let requests = seen.requests.lock().expect("requests lock");
+    let mut report = Report {
+        sent: requests.len() as u64,
+        flows: seen.flows.load(Ordering::Relaxed),
+        broken_flows: seen.broken.load(Ordering::Relaxed),
+        imbalance: imbalance(site, fleet),
+        ..Report::default()
+    };
+    let mut latency = Histogram::<u64>::new_with_bounds(1, MAX_LATENCY_US, SIGNIFICANT_DIGITS)
+        .expect("valid histogram bounds");
+    for request in requests.iter() {
+        match request.outcome {
+            Some(Outcome::Answered) => {
+                report.answered += 1;
+                latency.saturating_record(request.latency.as_micros() as u64);
+            }
+            Some(Outcome::NotRun) => report.refused += 1,
+            Some(Outcome::Unknown) => report.unknown += 1,
+            None => report.lost += 1,
+        }
+        report.damaged += u64::from(!request.intact);
+    }
+    let known = by_id(&requests);
+    let mut runs: HashMap<String, u64> = HashMap::new();
+    for (_, server) in fleet.servers.lock().expect("servers lock").iter() {
+        for run in server.journal() {
+            if let Some(request) = known.get(run.id.as_str()) {
+                report.misrouted += u64::from(request.service != run.service);
+            }
+            *runs.entry(run.id).or_default() += 1;
+        }
+    }
+    for request in requests.iter() {
+        let ran = runs.get(&request.id).copied().unwrap_or(0);
+        report.doubled += u64::from(request.once && ran > 1);
+        report.false_refusals += u64::from(request.outcome == Some(Outcome::NotRun) && ran > 0);
+    }
+    report.p50_ms = latency.value_at_quantile(0.5) as f64 / 1000.0;
+    report.p99_ms = latency.value_at_quantile(0.99) as f64 / 1000.0;
+    report
+}
+
+fn imbalance(site: &Site, fleet: &Fleet) -> f64 {
+    let mut worst: f64 = 1.0;
+    let servers = fleet.servers.lock().expect("servers lock");
+    for group in 0..site.servers.len() {
+        let mut uses = Vec::new();
+        for (_, server) in servers.iter().filter(|(of, _)| *of == group) {
+            uses.push(server.busy().as_secs_f64() / server.slots() as f64);
+        }
+        let mean = uses.iter().sum::<f64>() / uses.len().max(1) as f64;
+        if mean > 0.0 {
+            worst = worst.max(uses.iter().copied().fold(0.0, f64::max) / mean);
+        }
+    }
+    worst
+}
--- /dev/null
+++ b/src/frame.rs
@@ -0,0 +1,65 @@
+//! The header that wraps a datagram between a balancer and an agent.
+
+use std::net::{SocketAddr, SocketAddrV4};
+
+use serde::{Deserialize, Serialize};
+use snafu::{ResultExt, Snafu};
+
+use crate::owner_id::ServiceTag;
+
+/// An error of the frame codec.
+#[derive(Debug, Snafu)]
+pub enum FrameError {
+    /// The header can't be read.
+    #[snafu(display("damaged frame: {source}"))]
+    Damaged {
+        /// The codec's error.
+        source: rmp_serde::decode::Error,
+    },
+    /// The header can't be written.
+    #[snafu(display("frame can't be written: {source}"))]
+    Unwritable {
+        /// The codec's error.
+        source: rmp_serde::encode::Error,
+    },
+}
+
+/// Header of a wrapped datagram, in either direction.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Header {
+    /// Address of the caller at the other end of the flow.
+    pub caller: SocketAddr,
+    /// Service that the caller addressed.
+    pub service: ServiceTag,
+    /// Version of the sender's placement table.
+    pub version: u64,
+    /// Balancer that takes the answers.
+    pub balancer: SocketAddrV4,
+    /// Agents to hand the datagram to if the receiver does not take it.
+    pub others: [Option<SocketAddrV4>; 2],
+    /// How often the datagram was handed on.
+    pub hops: u8,
+}
+
+/// Writes a header and a payload to `buffer`, in place of what it held.
+///
+/// # Errors
+///
+/// Fails if the codec does.
+pub fn encode(header: &Header, payload: &[u8], buffer: &mut Vec<u8>) -> Result<(), FrameError> {
+    buffer.clear();
+    rmp_serde::encode::write(buffer, header).context(UnwritableSnafu)?;
+    buffer.extend_from_slice(payload);
+    Ok(())
+}
+
+/// Reads a header and returns it with the payload behind it.
+///
+/// # Errors
+///
+/// Fails if the bytes are not a header.
+pub fn decode(frame: &[u8]) -> Result<(Header, &[u8]), FrameError> {
+    let mut rest = frame;
+    let header = rmp_serde::decode::from_read(&mut rest).context(DamagedSnafu)?;
+    Ok((header, rest))
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,21 @@
+//! A layer-4 load balancer fleet for small operators.
+
+pub mod agent;
+pub mod balancer;
+pub mod caller;
+pub mod cli;
+pub mod clock;
+pub mod config;
+pub mod consts;
+pub mod daemon;
+pub mod dev;
+pub mod frame;
+pub mod kernel;
+pub mod member;
+pub mod membership;
+pub mod owner_id;
+pub mod packet;
+pub mod placement;
+pub mod proxy_header;
+pub mod standin;
+pub mod steering;
--- /dev/null
+++ b/src/standin/fabric.rs
@@ -0,0 +1,110 @@
+//! A stand-in for the fabric: sprays each datagram over the balancers.
+
+use std::{
+    collections::HashMap,
+    io,
+    net::{SocketAddr, SocketAddrV4},
+    sync::{Arc, RwLock},
+};
+
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use tokio::net::UdpSocket;
+
+use crate::{
+    consts::DATAGRAM_BYTES,
+    kernel::Kernel,
+    proxy_header::{self, Ends},
+};
+
+/// A running fabric.
+#[derive(Debug)]
+pub struct Fabric {
+    balancers: Arc<RwLock<Vec<SocketAddrV4>>>,
+    inside: Arc<UdpSocket>,
+}
+
+impl Fabric {
+    /// Opens the socket that balancers answer to.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the socket can't be opened.
+    pub async fn start(kernel: &Kernel, services: Vec<UdpSocket>, seed: u64) -> io::Result<Self> {
+        let inside = Arc::new(UdpSocket::bind("127.0.0.1:0").await?);
+        let balancers = Arc::new(RwLock::new(Vec::new()));
+        let mut sockets = HashMap::new();
+        for (index, socket) in services.into_iter().enumerate() {
+            let address = socket.local_addr()?;
+            let socket = Arc::new(socket);
+            sockets.insert(address, socket.clone());
+            let random = SmallRng::seed_from_u64(seed + index as u64);
+            kernel.spawn(spray(
+                socket,
+                address,
+                inside.clone(),
+                balancers.clone(),
+                random,
+            ));
+        }
+        kernel.spawn(give_back(inside.clone(), sockets));
+        Ok(Self { balancers, inside })
+    }
+
+    /// Returns the address that balancers send answers to.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the socket is gone.
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.inside.local_addr()
+    }
+
+    /// Sets the balancers that get datagrams from now.
+    pub fn set_balancers(&self, balancers: Vec<SocketAddrV4>) {
+        *self.balancers.write().expect("balancers lock") = balancers;
+    }
+}
+
+async fn spray(
+    socket: Arc<UdpSocket>,
+    address: SocketAddr,
+    inside: Arc<UdpSocket>,
+    balancers: Arc<RwLock<Vec<SocketAddrV4>>>,
+    mut random: SmallRng,
+) {
+    let mut buffer = vec![0; DATAGRAM_BYTES];
+    loop {
+        let Ok((length, source)) = socket.recv_from(&mut buffer).await else {
+            continue;
+        };
+        let chosen = {
+            let balancers = balancers.read().expect("balancers lock");
+            if balancers.is_empty() {
+                continue;
+            }
+            balancers[random.random_range(0..balancers.len())]
+        };
+        let ends = Ends {
+            source,
+            target: address,
+        };
+        let datagram = proxy_header::wrap(ends, &buffer[..length]);
+        let _ = inside.send_to(&datagram, chosen).await;
+    }
+}
+
+async fn give_back(inside: Arc<UdpSocket>, sockets: HashMap<SocketAddr, Arc<UdpSocket>>) {
+    let mut buffer = vec![0; 2 * DATAGRAM_BYTES];
+    loop {
+        let Ok((length, _)) = inside.recv_from(&mut buffer).await else {
+            continue;
+        };
+        let Some((ends, payload)) = proxy_header::unwrap(&buffer[..length]) else {
+            continue;
+        };
+        let Some(socket) = sockets.get(&ends.source) else {
+            continue;
+        };
+        let _ = socket.send_to(payload, ends.target).await;
+    }
+}
