--- a/src/agent.rs
+++ b/src/agent.rs
@@ -12,15 +12,21 @@
 use tokio::net::UdpSocket;
 
 use crate::{
-    config::tree::RequestPlan,
     consts::{IDLE_TIMEOUT, KEEP_ALIVE, OWNER_ID_BYTES, QUIC_MTU_BYTES},
     kernel::{Kernel, KernelError},
     owner_id::{FleetKey, Keyring, Owner, Purpose},
+    settings::InForce,
 };
 
+pub mod answer;
+pub mod feed;
 pub mod http;
 pub mod intake;
+pub mod job;
 pub mod ledger;
+pub mod once;
+pub mod pressure;
+pub mod runner;
 pub mod socket;
 pub mod upstream;
 
@@ -71,8 +77,6 @@
     pub owner: Owner,
     /// Name of the service.
     pub service: String,
-    /// Request types of the service.
-    pub plans: Vec<RequestPlan>,
     /// Address of the backend server.
     pub server: std::net::SocketAddr,
     /// Fleet keys; the first one seals.
@@ -120,7 +124,11 @@
         owner.incarnation,
         keyring.clone(),
     ));
-    let handler = Arc::new(http::Handler::new(kernel.clock(), &options));
+    let handler = Arc::new(http::Handler::new(
+        kernel.clock(),
+        kernel.find(InForce::NAME).context(KernelSnafu)?,
+        &options,
+    ));
     let endpoint = Endpoint::new_with_abstract_socket(
         endpoint_config(&options.keys, keyring, owner),
         Some(server_config(options.identity)?),
--- /dev/null
+++ b/src/agent/answer.rs
@@ -0,0 +1,62 @@
+//! The answers that an agent gives.
+
+use bytes::Bytes;
+use http::StatusCode;
+use serde::{Deserialize, Serialize};
+
+/// How a request ended, for the caller.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Outcome {
+    /// The backend server's answer.
+    Answered,
+    /// The request did not run.
+    NotRun,
+    /// The request may have run.
+    Unknown,
+}
+
+impl Outcome {
+    /// Returns the header's value.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Outcome::Answered => "answered",
+            Outcome::NotRun => "not-run",
+            Outcome::Unknown => "unknown",
+        }
+    }
+}
+
+/// A whole answer of the agent.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Answer {
+    /// Whole body.
+    pub body: Bytes,
+    /// How the request ended.
+    pub outcome: Outcome,
+    /// Backend server that ran the request.
+    pub server: Option<String>,
+    /// HTTP status.
+    pub status: StatusCode,
+}
+
+impl Answer {
+    /// Returns the answer to a request that did not run.
+    pub fn not_run(status: StatusCode, why: &'static str) -> Self {
+        Self {
+            body: Bytes::from_static(why.as_bytes()),
+            outcome: Outcome::NotRun,
+            server: None,
+            status,
+        }
+    }
+
+    /// Returns the answer to a request that may have run.
+    pub fn unknown() -> Self {
+        Self {
+            body: Bytes::from_static(b"the request may have run"),
+            outcome: Outcome::Unknown,
+            server: None,
+            status: StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+}
--- a/src/agent/ledger.rs
+++ b/src/agent/ledger.rs
@@ -2,21 +2,9 @@
 
 use std::collections::HashMap;
 
-use bytes::Bytes;
-
+use super::answer::Answer;
 use crate::clock::Time;
 
-/// The recorded answer of a request.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Recorded {
-    /// HTTP status.
-    pub status: u16,
-    /// Whole body.
-    pub body: Bytes,
-    /// Backend server that ran the request.
-    pub server: String,
-}
-
 /// What the ledger says about a key.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Begin {
@@ -25,14 +13,14 @@
     /// The request of this key is running.
     Running,
     /// The request of this key has ended.
-    Ended(Recorded),
+    Ended(Answer),
     /// The request of this key may have run; its answer is not known.
     Unknown,
 }
 
 #[derive(Clone, Debug)]
 enum Entry {
-    Ended(Recorded),
+    Ended(Answer),
     Running,
     Unknown,
 }
@@ -53,13 +41,13 @@
             }
             Some((_, Entry::Running)) => Begin::Running,
             Some((_, Entry::Unknown)) => Begin::Unknown,
-            Some((_, Entry::Ended(recorded))) => Begin::Ended(recorded.clone()),
+            Some((_, Entry::Ended(answer))) => Begin::Ended(answer.clone()),
         }
     }
 
     /// Records the answer of a running request.
-    pub fn end(&mut self, key: u32, recorded: Recorded, now: Time) {
-        self.entries.insert(key, (now, Entry::Ended(recorded)));
+    pub fn end(&mut self, key: u32, answer: Answer, now: Time) {
+        self.entries.insert(key, (now, Entry::Ended(answer)));
     }
 
     /// Records that a request may have run.
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -1,7 +1,6 @@
 //! The balancer: hands each datagram of a flow to its agent and relays the answers.
 
 use std::{
-    collections::HashMap,
     net::{SocketAddr, SocketAddrV4},
     sync::Arc,
 };
@@ -9,13 +8,13 @@
 use tokio::net::UdpSocket;
 
 use crate::{
-    config::tree::Region,
     consts::DATAGRAM_BYTES,
     frame::{self, Header},
     kernel::{Kernel, KernelError},
     member::Directory,
-    owner_id::{Keyring, ServiceTag},
+    owner_id::Keyring,
     proxy_header::{self, Ends},
+    settings::InForce,
     steering,
 };
 
@@ -26,44 +25,35 @@
 ///
 /// # Errors
 ///
-/// Fails if the directory is not published.
+/// Fails if the directory or the settings are not published.
 pub fn start(
     kernel: &Kernel,
     socket: UdpSocket,
     own: SocketAddrV4,
     fabric: SocketAddr,
     keyring: Keyring,
-    tree: &Region,
 ) -> Result<(), KernelError> {
-    let mut tags = HashMap::new();
-    let mut addresses = HashMap::new();
-    for service in tree.services.values() {
-        tags.insert(service.address, service.tag);
-        addresses.insert(service.tag, service.address);
-    }
     let balancer = Balancer {
-        addresses,
         directory: kernel.find(Directory::NAME)?,
         fabric,
         frame: Vec::with_capacity(DATAGRAM_BYTES),
         keyring,
         own,
+        settings: kernel.find(InForce::NAME)?,
         socket,
-        tags,
     };
     kernel.spawn(balancer.run());
     Ok(())
 }
 
 struct Balancer {
-    addresses: HashMap<ServiceTag, SocketAddr>,
     directory: Arc<Directory>,
     fabric: SocketAddr,
     frame: Vec<u8>,
     keyring: Keyring,
     own: SocketAddrV4,
+    settings: Arc<InForce>,
     socket: UdpSocket,
-    tags: HashMap<SocketAddr, ServiceTag>,
 }
 
 impl Balancer {
@@ -87,7 +77,7 @@
             tracing::debug!(event = "dropped", reason = "damaged_proxy_header");
             return;
         };
-        let Some(service) = self.tags.get(&ends.target).copied() else {
+        let Some(service) = self.settings.plan().tags.get(&ends.target).copied() else {
             tracing::debug!(event = "dropped", reason = "unknown_address", target = %ends.target);
             return;
         };
@@ -125,7 +115,8 @@
             tracing::debug!(event = "dropped", reason = "damaged_frame");
             return;
         };
-        let Some(address) = self.addresses.get(&header.service) else {
+        let plan = self.settings.plan();
+        let Some(address) = plan.addresses.get(&header.service) else {
             return;
         };
         let ends = Ends {
--- a/src/caller.rs
+++ b/src/caller.rs
@@ -16,7 +16,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
-    agent::{http::Outcome, transport_config},
+    agent::{answer::Outcome, transport_config},
     consts::{
         KEY_HEADER, NEXT_KEY_HEADER, OUTCOME_HEADER, REQUEST_ID_HEADER, SERVED_BY_HEADER,
         TIMEOUT_HEADER,
--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -8,7 +8,7 @@
 
 use super::{CallOptions, Command, DevOptions, EXIT_FAILURE, EXIT_USAGE, print};
 use crate::{
-    agent::http::Outcome,
+    agent::answer::Outcome,
     caller::{Call, Caller},
     dev::{self, DevError, RunOptions},
 };
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -11,18 +11,24 @@
 
 use rustls::pki_types::{CertificateDer, PrivateKeyDer};
 use snafu::{ResultExt, Snafu};
-use tokio::net::UdpSocket;
+use tokio::net::{TcpListener, UdpSocket};
 
 use crate::{
     agent::{self, Agent, AgentError, AgentOptions, Identity, bound_address},
     balancer,
     config::daemon::{AgentSettings, BalancerSettings, DaemonSettings},
+    control,
     kernel::{Kernel, KernelError},
     member::{Directory, MemberState, Record, Role},
     membership::{self, LocalRecord, Signer},
+    metrics::Metrics,
     owner_id::{Incarnation, Keyring, Owner, Purpose, ServiceTag},
+    settings::{InForce, Plan},
 };
 
+/// Attempts to find a port that is free for TCP and UDP.
+const BIND_ATTEMPTS: u32 = 20;
+
 /// An error at the start of a daemon.
 #[derive(Debug, Snafu)]
 pub enum DaemonError {
@@ -76,7 +82,7 @@
     pub async fn start(settings: &DaemonSettings) -> Result<Self, DaemonError> {
         let kernel = Kernel::new();
         let (data_socket, data) = bind(settings.data).await?;
-        let (control_socket, control) = bind(settings.control).await?;
+        let (listener, control_socket, control) = bind_control(settings.control).await?;
         let service = served_tag(settings);
         let record = Record {
             address: data,
@@ -97,7 +103,11 @@
         };
         kernel.publish(Directory::NAME, Arc::new(Directory::default()));
         kernel.publish(LocalRecord::NAME, Arc::new(LocalRecord::new(record)));
+        kernel.publish(Metrics::NAME, Arc::new(Metrics::default()));
+        let plan = Plan::resolve(settings.tree.clone(), 0);
+        kernel.publish(InForce::NAME, Arc::new(InForce::new(plan)));
         let signer = Signer::new(&settings.fleet_keys());
+        control::start(&kernel, listener, signer.clone()).context(KernelSnafu)?;
         membership::start(&kernel, control_socket, signer, settings.seeds.clone())
             .context(KernelSnafu)?;
         if let (Role::Balancer, Some(balancer)) = (settings.role, &settings.balancer) {
@@ -146,15 +156,7 @@
     balancer: &BalancerSettings,
 ) -> Result<(), DaemonError> {
     let keyring = Keyring::new(&settings.fleet_keys(), Purpose::Connection);
-    balancer::start(
-        kernel,
-        socket,
-        own,
-        balancer.fabric,
-        keyring,
-        &settings.tree,
-    )
-    .context(KernelSnafu)
+    balancer::start(kernel, socket, own, balancer.fabric, keyring).context(KernelSnafu)
 }
 
 fn start_agent(
@@ -167,7 +169,6 @@
     let options = AgentOptions {
         owner,
         service: agent.service.clone(),
-        plans: settings.tree.plans(&agent.service),
         server: agent.server,
         keys: settings.fleet_keys(),
         identity: read_identity(&agent.certificate, &agent.private_key)?,
@@ -189,6 +190,23 @@
     Ok((socket, bound))
 }
 
+/// Binds the control address for TCP and UDP; both get the same port.
+async fn bind_control(
+    address: SocketAddrV4,
+) -> Result<(TcpListener, UdpSocket, SocketAddrV4), DaemonError> {
+    let mut attempts = 0;
+    loop {
+        let (socket, bound) = bind(address).await?;
+        match TcpListener::bind(bound).await {
+            Ok(listener) => return Ok((listener, socket, bound)),
+            Err(source) if address.port() != 0 || attempts == BIND_ATTEMPTS => {
+                return Err(DaemonError::Bind { address, source });
+            }
+            Err(_) => attempts += 1,
+        }
+    }
+}
+
 /// Returns an incarnation that grows with the wall clock, in tenths of a second.
 fn new_incarnation() -> Incarnation {
     let since = SystemTime::now()
--- a/src/dev/mix.rs
+++ b/src/dev/mix.rs
@@ -22,7 +22,7 @@
 
 use super::{ClientSnafu, DevError, RunOptions, fleet::Fleet};
 use crate::{
-    agent::http::Outcome,
+    agent::answer::Outcome,
     caller::{Call, Caller, client_endpoint},
     config::site::{MixEntry, Site},
     standin::body::answer_body,
--- a/src/dev/report.rs
+++ b/src/dev/report.rs
@@ -9,7 +9,7 @@
     fleet::Fleet,
     mix::{Seen, by_id},
 };
-use crate::{agent::http::Outcome, config::site::Site};
+use crate::{agent::answer::Outcome, config::site::Site};
 
 const MAX_LATENCY_US: u64 = 60_000_000;
 const SIGNIFICANT_DIGITS: u8 = 3;
