--- a/src/bin/berylvalve.rs
+++ b/src/bin/berylvalve.rs
@@ -2,16 +2,11 @@
 
 use std::process::ExitCode;
 
-use berylvalve::cli;
-use tracing_subscriber::EnvFilter;
+use berylvalve::{cli, log};
 
 #[tokio::main]
 async fn main() -> ExitCode {
-    let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("warn"));
-    tracing_subscriber::fmt()
-        .with_env_filter(filter)
-        .with_writer(std::io::stderr)
-        .init();
+    log::start("warn");
     match cli::parse(pico_args::Arguments::from_env()) {
         Ok(command) => cli::run::run(command).await,
         Err(error) => {
--- a/src/bin/berylvalved.rs
+++ b/src/bin/berylvalved.rs
@@ -6,9 +6,9 @@
     cli::{EXIT_FAILURE, EXIT_USAGE},
     config,
     daemon::Daemon,
+    log,
 };
 use tokio::signal::unix::{SignalKind, signal};
-use tracing_subscriber::EnvFilter;
 
 const HELP: &str = "\
 berylvalved: a balancer or an agent of a berylvalve fleet
@@ -31,11 +31,7 @@
         Ok(file) => file,
         Err(error) => return fail(EXIT_USAGE, &error),
     };
-    let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("info"));
-    tracing_subscriber::fmt()
-        .with_env_filter(filter)
-        .with_writer(std::io::stderr)
-        .init();
+    log::start("info");
     let settings = match config::load(&file) {
         Ok(settings) => settings,
         Err(error) => return fail(EXIT_USAGE, &error),
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,6 +1,6 @@
 //! The command line of `berylvalve` and `berylvalved`: definition and parsing.
 
-use std::{ffi::OsString, net::SocketAddr, path::PathBuf, time::Duration};
+use std::{ffi::OsString, net::SocketAddr, path::PathBuf, str::FromStr, time::Duration};
 
 use pico_args::Arguments;
 use snafu::Snafu;
@@ -9,6 +9,7 @@
 
 pub mod print;
 pub mod run;
+pub mod stand_in;
 
 /// Exit status of a bad command line or bad settings.
 pub const EXIT_USAGE: u8 = 2;
@@ -23,8 +24,11 @@
   berylvalve COMMAND [OPTIONS]
 
 COMMANDS:
-  dev    start a whole site on loopback, or measure one
-  call   send one request as a caller
+  dev       start a whole site on loopback, or measure one
+  call      send one request as a caller
+  check     check a settings file
+  stand-in  run one stand-in of the platform as a process
+  trial     measure a decision on its state machine
 
 Run 'berylvalve COMMAND --help' for the options of a command.
 ";
@@ -65,6 +69,44 @@
   berylvalve call --root root.pem --service wind 127.0.0.1:4433 POST /checkin 'kite 7'
 ";
 
+/// Help of `check`.
+pub const HELP_CHECK: &str = "\
+berylvalve check: check a settings file without starting anything
+
+USAGE:
+  berylvalve check [--kind daemon|site|tree] FILE
+
+EXAMPLE:
+  berylvalve check balancer.json
+";
+
+/// Help of `stand-in`.
+pub const HELP_STAND_IN: &str = "\
+berylvalve stand-in: run one stand-in of the platform as a process, for tests
+
+USAGE:
+  berylvalve stand-in fabric SERVICES    spray datagrams for a number of services
+  berylvalve stand-in server FILE        run a backend server with options in JSON
+
+The stand-in prints its addresses on standard output. The fabric reads its balancers from standard
+input, one list of addresses separated by spaces a line, and ends with its input.
+
+EXAMPLE:
+  berylvalve stand-in server server.json
+";
+
+/// Help of `trial`.
+pub const HELP_TRIAL: &str = "\
+berylvalve trial: measure a decision on its state machine
+
+USAGE:
+  berylvalve trial                    list the trials
+  berylvalve trial NAME [--seed S]    run one and print its figures as JSON
+
+EXAMPLE:
+  berylvalve trial flows --seed 7
+";
+
 /// An error in the command line.
 #[derive(Debug, Snafu)]
 pub enum UsageError {
@@ -130,6 +172,42 @@
     pub feed: Option<u64>,
 }
 
+/// Kind of a settings file.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum FileKind {
+    /// Settings of `berylvalved`.
+    #[default]
+    Daemon,
+    /// A site for development.
+    Site,
+    /// The operators' tree.
+    Tree,
+}
+
+impl FromStr for FileKind {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        match text {
+            "daemon" => Ok(FileKind::Daemon),
+            "site" => Ok(FileKind::Site),
+            "tree" => Ok(FileKind::Tree),
+            _ => Err(format!(
+                "no kind named {text}; there are daemon, site and tree"
+            )),
+        }
+    }
+}
+
+/// A stand-in to run as a process.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum StandIn {
+    /// The fabric, for a number of services.
+    Fabric(usize),
+    /// A backend server, with its options in a file.
+    Server(PathBuf),
+}
+
 /// A parsed command line.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Command {
@@ -139,6 +217,12 @@
     Dev(DevOptions),
     /// Send one request.
     Call(CallOptions),
+    /// Check a settings file.
+    Check(FileKind, PathBuf),
+    /// List the trials, or run one with a seed.
+    Trial(Option<String>, u64),
+    /// Run a stand-in.
+    StandIn(StandIn),
 }
 
 /// Parses the arguments of `berylvalve`.
@@ -154,6 +238,12 @@
         Some("dev") => Command::Dev(parse_dev(&mut args)?),
         Some("call") if help => Command::Help(HELP_CALL),
         Some("call") => Command::Call(parse_call(&mut args)?),
+        Some("check") if help => Command::Help(HELP_CHECK),
+        Some("check") => parse_check(&mut args)?,
+        Some("stand-in") if help => Command::Help(HELP_STAND_IN),
+        Some("stand-in") => Command::StandIn(parse_stand_in(&mut args)?),
+        Some("trial") if help => Command::Help(HELP_TRIAL),
+        Some("trial") => parse_trial(&mut args)?,
         Some(name) => return CommandSnafu { name }.fail(),
     };
     match args.finish().into_iter().next() {
@@ -188,3 +278,24 @@
         body: args.opt_free_from_str()?.unwrap_or_default(),
     })
 }
+
+fn parse_check(args: &mut Arguments) -> Result<Command, UsageError> {
+    let kind = args.opt_value_from_str("--kind")?.unwrap_or_default();
+    Ok(Command::Check(kind, args.free_from_str()?))
+}
+
+fn parse_stand_in(args: &mut Arguments) -> Result<StandIn, UsageError> {
+    match args.subcommand()?.as_deref() {
+        Some("fabric") => Ok(StandIn::Fabric(args.free_from_str()?)),
+        Some("server") => Ok(StandIn::Server(args.free_from_str()?)),
+        other => CommandSnafu {
+            name: format!("stand-in {}", other.unwrap_or_default()),
+        }
+        .fail(),
+    }
+}
+
+fn parse_trial(args: &mut Arguments) -> Result<Command, UsageError> {
+    let seed = args.opt_value_from_str("--seed")?.unwrap_or(1);
+    Ok(Command::Trial(args.opt_free_from_str()?, seed))
+}
--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -6,11 +6,15 @@
 use rustls::pki_types::CertificateDer;
 use tokio::time::Instant;
 
-use super::{CallOptions, Command, DevOptions, EXIT_FAILURE, EXIT_USAGE, print};
+use super::{
+    CallOptions, Command, DevOptions, EXIT_FAILURE, EXIT_USAGE, FileKind, print, stand_in,
+};
 use crate::{
     agent::answer::Outcome,
     caller::{Call, Caller},
+    config::{self, daemon::DaemonSettings, site::Site, tree::Region},
     dev::{self, DevError, RunOptions},
+    trial,
 };
 
 /// Runs a command and returns the exit status.
@@ -21,6 +25,12 @@
             ExitCode::SUCCESS
         }
         Command::Dev(options) => run_dev(options).await.unwrap_or_else(dev_failure),
+        Command::Check(kind, file) => run_check(kind, &file),
+        Command::StandIn(stand_in) => match stand_in::run(stand_in).await {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(message) => failure(&message),
+        },
+        Command::Trial(name, seed) => run_trial(name.as_deref(), seed),
         Command::Call(options) => match run_call(options).await {
             Ok(code) => code,
             Err(message) => failure(&message),
@@ -42,6 +52,39 @@
     ExitCode::from(if usage { EXIT_USAGE } else { EXIT_FAILURE })
 }
 
+fn run_check(kind: FileKind, file: &Path) -> ExitCode {
+    let checked = match kind {
+        FileKind::Daemon => config::load::<DaemonSettings>(file).map(|_| ()),
+        FileKind::Site => config::load::<Site>(file).map(|_| ()),
+        FileKind::Tree => config::load::<Region>(file).map(|_| ()),
+    };
+    match checked {
+        Ok(()) => {
+            println!("{}: accepted", file.display());
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("berylvalve: {error}");
+            ExitCode::from(EXIT_USAGE)
+        }
+    }
+}
+
+fn run_trial(name: Option<&str>, seed: u64) -> ExitCode {
+    let Some(name) = name else {
+        for trial in trial::TRIALS {
+            println!("{:<12} {}", trial.name, trial.about);
+        }
+        return ExitCode::SUCCESS;
+    };
+    let Some(trial) = trial::find(name) else {
+        eprintln!("berylvalve: no trial named {name}; 'berylvalve trial' lists them");
+        return ExitCode::from(EXIT_USAGE);
+    };
+    println!("{}", (trial.run)(seed));
+    ExitCode::SUCCESS
+}
+
 async fn run_dev(options: DevOptions) -> Result<ExitCode, DevError> {
     let site = dev::site(&options.site)?;
     let Some(time) = options.time else {
--- a/src/dev/fleet.rs
+++ b/src/dev/fleet.rs
@@ -232,7 +232,7 @@
         }
         ServerOptions {
             service: group.service.clone(),
-            work: Duration::from_millis(group.service_ms[index]),
+            work_ms: group.service_ms[index],
             slots: group.slots as usize,
             answers,
             feeds,
--- /dev/null
+++ b/src/log.rs
@@ -0,0 +1,84 @@
+//! The log: one line of key=value pairs for each event.
+
+use std::fmt;
+
+use tracing::{
+    Event, Subscriber,
+    field::{Field, Visit},
+};
+use tracing_subscriber::{
+    EnvFilter,
+    fmt::{
+        FmtContext, FormatEvent, FormatFields,
+        format::Writer,
+        time::{FormatTime, SystemTime},
+    },
+    registry::LookupSpan,
+};
+
+/// Starts the log of a process on standard error; `RUST_LOG` overrides the level.
+pub fn start(level: &str) {
+    let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new(level));
+    tracing_subscriber::fmt()
+        .event_format(KeyValues)
+        .with_env_filter(filter)
+        .with_writer(std::io::stderr)
+        .init();
+}
+
+/// Formats an event as `time=… level=… event=… key=value …`.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct KeyValues;
+
+impl<S, N> FormatEvent<S, N> for KeyValues
+where
+    S: Subscriber + for<'a> LookupSpan<'a>,
+    N: for<'a> FormatFields<'a> + 'static,
+{
+    fn format_event(
+        &self,
+        _: &FmtContext<'_, S, N>,
+        mut writer: Writer<'_>,
+        event: &Event<'_>,
+    ) -> fmt::Result {
+        writer.write_str("time=")?;
+        SystemTime.format_time(&mut writer)?;
+        let level = event.metadata().level().as_str().to_ascii_lowercase();
+        write!(writer, " level={level}")?;
+        let mut pairs = Pairs {
+            result: Ok(()),
+            writer: &mut writer,
+        };
+        event.record(&mut pairs);
+        pairs.result?;
+        writeln!(writer)
+    }
+}
+
+struct Pairs<'a, 'b> {
+    result: fmt::Result,
+    writer: &'a mut Writer<'b>,
+}
+
+impl Pairs<'_, '_> {
+    fn pair(&mut self, name: &str, value: &str) {
+        if self.result.is_err() {
+            return;
+        }
+        let plain = !value.is_empty() && !value.contains([' ', '"', '=', '\n']);
+        self.result = match plain {
+            true => write!(self.writer, " {name}={value}"),
+            false => write!(self.writer, " {name}={value:?}"),
+        };
+    }
+}
+
+impl Visit for Pairs<'_, '_> {
+    fn record_str(&mut self, field: &Field, value: &str) {
+        self.pair(field.name(), value);
+    }
+
+    fn record_debug(&mut self, field: &Field, value: &dyn fmt::Debug) {
+        self.pair(field.name(), &format!("{value:?}"));
+    }
+}
--- a/src/standin/server.rs
+++ b/src/standin/server.rs
@@ -35,12 +35,13 @@
 type Body = BoxBody<Bytes, Infallible>;
 
 /// What a backend server is started with.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
 pub struct ServerOptions {
     /// Name of the service.
     pub service: String,
-    /// Time that a request takes.
-    pub work: Duration,
+    /// Time that a request takes, in milliseconds.
+    pub work_ms: u64,
     /// Requests worked on at once; more are shed.
     pub slots: usize,
     /// Length of answers by path.
@@ -149,9 +150,10 @@
             path: path.to_owned(),
         };
         self.journal.lock().expect("journal lock").push(run);
-        tokio::time::sleep(self.options.work).await;
+        let work = Duration::from_millis(self.options.work_ms);
+        tokio::time::sleep(work).await;
         self.busy_us
-            .fetch_add(self.options.work.as_micros() as u64, Ordering::Relaxed);
+            .fetch_add(work.as_micros() as u64, Ordering::Relaxed);
     }
 }
 
--- /dev/null
+++ b/src/trial.rs
@@ -0,0 +1,22 @@
+//! Measurements of the decisions, run on the state machines by `berylvalve trial NAME`.
+
+use serde_json::Value;
+
+/// A measurement that anyone can run again.
+#[derive(Clone, Copy)]
+pub struct Trial {
+    /// Name on the command line.
+    pub name: &'static str,
+    /// What is compared, in one line.
+    pub about: &'static str,
+    /// Runs the measurement with a seed and returns its figures.
+    pub run: fn(u64) -> Value,
+}
+
+/// All measurements.
+pub const TRIALS: &[Trial] = &[];
+
+/// Returns the measurement of a name.
+pub fn find(name: &str) -> Option<&'static Trial> {
+    TRIALS.iter().find(|trial| trial.name == name)
+}
