--- a/src/agent.rs
+++ b/src/agent.rs
@@ -30,6 +30,7 @@
 pub mod socket;
 pub mod upstream;
 
+use pressure::Pressure;
 use socket::FrameSocket;
 
 /// An error at the start of an agent.
@@ -136,6 +137,7 @@
         Arc::new(quinn::TokioRuntime),
     )
     .context(EndpointSnafu)?;
+    kernel.publish(Pressure::NAME, Arc::new(Pressure::default()));
     kernel.publish(
         Agent::NAME,
         Arc::new(Agent {
