--- a/src/caller.rs
+++ b/src/caller.rs
@@ -5,7 +5,7 @@
     sync::{Arc, Mutex},
 };
 
-use bytes::{Buf, Bytes};
+use bytes::Bytes;
 use h3::client::RequestStream;
 use http::{Method, Request};
 use quinn::{ClientConfig, Endpoint, crypto::rustls::QuicClientConfig};
