Route in batches, with frames of one size and bounded decision logging

Cause: a balancer took one system call for each datagram in and out.

Change: quinn-udp batches for the balancer's socket; addresses in frames are byte strings of fixed length behind a length byte.

Decisions are logged for the first datagram of a flow at each balancer, at most 1,000 lines a second; the rest is counted. Log lines are written by a thread of their own; lost lines are counted.

--- /dev/null
+++ b/benches/route.rs
@@ -0,0 +1,126 @@
+//! Nanoseconds of a balancer's decisions and codecs.
+
+use std::{
+    collections::BTreeMap,
+    hint::black_box,
+    net::{Ipv4Addr, SocketAddr, SocketAddrV4},
+};
+
+use berylvalve::{
+    clock::Time,
+    decision::DecisionFilter,
+    frame::{self, Header},
+    member::{MemberState, Record, Role, View},
+    owner_id::{FleetKey, Incarnation, Keyring, Owner, Purpose, ServiceTag},
+    proxy_header::{self, Ends},
+    steering,
+};
+use criterion::{Criterion, criterion_group, criterion_main};
+
+const SERVICE: ServiceTag = ServiceTag(1);
+const FLEETS: [u32; 2] = [11, 23_000];
+
+fn keyring() -> Keyring {
+    let key = FleetKey {
+        id: 1,
+        secret: vec![5; 16],
+    };
+    Keyring::new(&[key], Purpose::Connection)
+}
+
+fn address(index: u32) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::from(0x0A00_0000 + index), 4433)
+}
+
+fn view(agents: u32) -> View {
+    let mut members = BTreeMap::new();
+    for index in 0..agents {
+        let record = Record {
+            address: address(index),
+            control: address(index),
+            incarnation: Incarnation(1),
+            domain: "nk-a".to_owned(),
+            role: Role::Agent,
+            service: SERVICE,
+            state: MemberState::Ready,
+            weight: 100,
+            version: 0,
+            revision: 0,
+        };
+        members.insert(record.address, record);
+    }
+    View::default().next(members)
+}
+
+fn established(keyring: &Keyring) -> Vec<u8> {
+    let owner = Owner {
+        address: address(3),
+        service: SERVICE,
+        incarnation: Incarnation(1),
+    };
+    let mut datagram = vec![0x40];
+    datagram.extend_from_slice(&keyring.seal(&owner, 9));
+    datagram.resize(1100, 7);
+    datagram
+}
+
+fn opening() -> Vec<u8> {
+    let mut datagram = vec![0xC0, 0, 0, 0, 1, 20];
+    datagram.extend_from_slice(&[9; 20]);
+    datagram.resize(1200, 0);
+    datagram
+}
+
+fn routes(c: &mut Criterion) {
+    let keyring = keyring();
+    let (old, new) = (established(&keyring), opening());
+    for agents in FLEETS {
+        let view = view(agents);
+        c.bench_function(&format!("route established, {agents} servers"), |b| {
+            b.iter(|| steering::steer(&view, &keyring, SERVICE, black_box(&old)));
+        });
+        c.bench_function(&format!("place new, {agents} servers"), |b| {
+            b.iter(|| steering::steer(&view, &keyring, SERVICE, black_box(&new)));
+        });
+    }
+}
+
+fn codecs(c: &mut Criterion) {
+    let payload = established(&keyring());
+    let caller = SocketAddr::from(([10, 0, 0, 7], 4000));
+    let ends = Ends {
+        source: caller,
+        target: SocketAddr::from(([10, 9, 9, 9], 443)),
+    };
+    let mut buffer = Vec::with_capacity(4096);
+    proxy_header::wrap(ends, &payload, &mut buffer);
+    let wrapped = buffer.clone();
+    c.bench_function("read PROXY header", |b| {
+        b.iter(|| proxy_header::unwrap(black_box(&wrapped)));
+    });
+    c.bench_function("write PROXY header", |b| {
+        b.iter(|| proxy_header::wrap(black_box(ends), &payload, &mut buffer));
+    });
+    let header = Header {
+        caller,
+        service: SERVICE,
+        version: 7,
+        balancer: address(1),
+        others: [None, None],
+        hops: 0,
+    };
+    c.bench_function("write frame", |b| {
+        b.iter(|| frame::encode(black_box(&header), &payload, &mut buffer));
+    });
+    let framed = buffer.clone();
+    c.bench_function("read frame", |b| {
+        b.iter(|| frame::decode(black_box(&framed)).map(|(h, _)| h));
+    });
+    let mut filter = DecisionFilter::default();
+    c.bench_function("filter decision", |b| {
+        b.iter(|| filter.judge(black_box(&payload[1..18]), Time(1)));
+    });
+}
+
+criterion_group!(benches, routes, codecs);
+criterion_main!(benches);
--- a/src/bin/berylvalve.rs
+++ b/src/bin/berylvalve.rs
@@ -6,7 +6,7 @@
 
 #[tokio::main]
 async fn main() -> ExitCode {
-    log::start("warn");
+    let _log = log::start("warn");
     match cli::parse(pico_args::Arguments::from_env()) {
         Ok(command) => cli::run::run(command).await,
         Err(error) => {
--- a/src/bin/berylvalved.rs
+++ b/src/bin/berylvalved.rs
@@ -31,7 +31,7 @@
         Ok(file) => file,
         Err(error) => return fail(EXIT_USAGE, &error),
     };
-    log::start("info");
+    let _log = log::start("info");
     let settings = match config::load(&file) {
         Ok(settings) => settings,
         Err(error) => return fail(EXIT_USAGE, &error),
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -15,9 +15,10 @@
 
 use crate::{
     agent::{self, Agent, AgentError, AgentOptions, Identity, bound_address},
-    balancer,
+    balancer::{self, BalancerError, BalancerOptions},
     config::daemon::{AgentSettings, BalancerSettings, DaemonSettings},
     control,
+    decision::Decisions,
     kernel::{Kernel, KernelError},
     member::{Directory, MemberState, Record, Role},
     membership::{self, LocalRecord, Signer},
@@ -38,6 +39,12 @@
         /// The agent's error.
         source: AgentError,
     },
+    /// A balancer can't start.
+    #[snafu(display("balancer: {source}"))]
+    Balancer {
+        /// The balancer's error.
+        source: BalancerError,
+    },
     /// A socket can't be opened.
     #[snafu(display("socket {address}: {source}"))]
     Bind {
@@ -103,7 +110,12 @@
         };
         kernel.publish(Directory::NAME, Arc::new(Directory::default()));
         kernel.publish(LocalRecord::NAME, Arc::new(LocalRecord::new(record)));
-        kernel.publish(Metrics::NAME, Arc::new(Metrics::default()));
+        let metrics = Arc::new(Metrics::default());
+        let decisions = Arc::new(Decisions::default());
+        let help = "Decisions that were not logged because the rate was used up";
+        metrics.register("decisions_not_logged", help, decisions.dropped().clone());
+        kernel.publish(Metrics::NAME, metrics);
+        kernel.publish(Decisions::NAME, decisions);
         let plan = Plan::resolve(settings.tree.clone(), 0);
         kernel.publish(InForce::NAME, Arc::new(InForce::new(plan)));
         let signer = Signer::new(&settings.fleet_keys());
@@ -155,8 +167,12 @@
     settings: &DaemonSettings,
     balancer: &BalancerSettings,
 ) -> Result<(), DaemonError> {
-    let keyring = Keyring::new(&settings.fleet_keys(), Purpose::Connection);
-    balancer::start(kernel, socket, own, balancer.fabric, keyring).context(KernelSnafu)
+    let options = BalancerOptions {
+        own,
+        fabric: balancer.fabric,
+        keyring: Keyring::new(&settings.fleet_keys(), Purpose::Connection),
+    };
+    balancer::start(kernel, socket, options).context(BalancerSnafu)
 }
 
 fn start_agent(
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,8 @@
 pub mod consts;
 pub mod control;
 pub mod daemon;
+pub mod datagram;
+pub mod decision;
 pub mod dev;
 pub mod frame;
 pub mod kernel;
--- a/src/log.rs
+++ b/src/log.rs
@@ -6,6 +6,7 @@
     Event, Subscriber,
     field::{Field, Visit},
 };
+use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::{
     EnvFilter,
     fmt::{
@@ -16,14 +17,42 @@
     registry::LookupSpan,
 };
 
+/// Lines that wait for the writer; more are lost and counted.
+const BUFFERED_LINES: usize = 8192;
+
+/// Keeps the log's writer running; what is left is written when it is dropped.
+#[derive(Debug)]
+pub struct LogGuard {
+    _worker: WorkerGuard,
+    lost: ErrorCounter,
+}
+
+impl LogGuard {
+    /// Returns the number of lines lost because the reader of the log was too slow.
+    pub fn lost_lines(&self) -> usize {
+        self.lost.dropped_lines()
+    }
+}
+
 /// Starts the log of a process on standard error; `RUST_LOG` overrides the level.
-pub fn start(level: &str) {
+///
+/// Lines are written by a thread of their own, so that a slow reader never holds up the work.
+pub fn start(level: &str) -> LogGuard {
     let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new(level));
+    let (writer, worker) = NonBlockingBuilder::default()
+        .buffered_lines_limit(BUFFERED_LINES)
+        .lossy(true)
+        .finish(std::io::stderr());
+    let lost = writer.error_counter();
     tracing_subscriber::fmt()
         .event_format(KeyValues)
         .with_env_filter(filter)
-        .with_writer(std::io::stderr)
+        .with_writer(writer)
         .init();
+    LogGuard {
+        _worker: worker,
+        lost,
+    }
 }
 
 /// Formats an event as `time=… level=… event=… key=value …`.
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -67,6 +67,21 @@
         registry.register(name, help, metric);
     }
 
+    /// Counts a routed datagram.
+    pub fn count_route(&self, reason: &'static str) {
+        self.routed.get_or_create(&[("reason", reason)]).inc();
+    }
+
+    /// Counts a dropped datagram.
+    pub fn count_drop(&self, reason: &'static str) {
+        self.dropped.get_or_create(&[("reason", reason)]).inc();
+    }
+
+    /// Counts an ended request.
+    pub fn count_request(&self, outcome: &'static str) {
+        self.requests.get_or_create(&[("outcome", outcome)]).inc();
+    }
+
     /// Returns all metrics as text.
     pub fn text(&self) -> String {
         let registry = self.registry.lock().expect("registry lock");
--- a/src/proxy_header.rs
+++ b/src/proxy_header.rs
@@ -13,14 +13,15 @@
     pub target: SocketAddr,
 }
 
-/// Returns the datagram with a header in front.
-pub fn wrap(ends: Ends, payload: &[u8]) -> Vec<u8> {
+/// Writes a header and a payload to `buffer`, in place of what it held.
+pub fn wrap(ends: Ends, payload: &[u8], buffer: &mut Vec<u8>) {
     let addresses = Addresses::from((ends.source, ends.target));
-    let builder =
-        Builder::with_addresses(Version::Two | Command::Proxy, Protocol::Datagram, addresses);
-    let mut datagram = builder.build().expect("addresses fit a header");
-    datagram.extend_from_slice(payload);
-    datagram
+    let version = Version::Two | Command::Proxy;
+    let builder = Builder::with_addresses(version, Protocol::Datagram, addresses);
+    let header = builder.build().expect("addresses fit a header");
+    buffer.clear();
+    buffer.extend_from_slice(&header);
+    buffer.extend_from_slice(payload);
 }
 
 /// Returns the ends and the payload of a datagram; `None` if the header is damaged.
--- a/src/standin/fabric.rs
+++ b/src/standin/fabric.rs
@@ -73,6 +73,7 @@
     mut random: SmallRng,
 ) {
     let mut buffer = vec![0; DATAGRAM_BYTES];
+    let mut datagram = Vec::with_capacity(2 * DATAGRAM_BYTES);
     loop {
         let Ok((length, source)) = socket.recv_from(&mut buffer).await else {
             continue;
@@ -88,7 +89,7 @@
             source,
             target: address,
         };
-        let datagram = proxy_header::wrap(ends, &buffer[..length]);
+        proxy_header::wrap(ends, &buffer[..length], &mut datagram);
         let _ = inside.send_to(&datagram, chosen).await;
     }
 }
--- a/src/trial.rs
+++ b/src/trial.rs
@@ -2,6 +2,8 @@
 
 use serde_json::Value;
 
+pub mod relay;
+
 /// A measurement that anyone can run again.
 #[derive(Clone, Copy)]
 pub struct Trial {
@@ -14,7 +16,11 @@
 }
 
 /// All measurements.
-pub const TRIALS: &[Trial] = &[];
+pub const TRIALS: &[Trial] = &[Trial {
+    name: "relay",
+    about: "a balancer's datagrams a second and memory against a bare UDP relay",
+    run: relay::run,
+}];
 
 /// Returns the measurement of a name.
 pub fn find(name: &str) -> Option<&'static Trial> {
