Add status, drain, explain-flow and completions to the tool

The control server answers signed requests for members, decisions and a graceful stop; a stranger with another key is refused and changes nothing (tests/processes/operations.rs). Fleet keys of one number are refused: a balancer could not tell which one sealed an id.

--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -13,7 +13,7 @@
     clock::{Clock, Time},
     consts::{DATAGRAM_BYTES, OWNER_ID_BYTES},
     datagram::{BatchSocket, Outbox},
-    decision::{Decision, DecisionFilter, Decisions, Verdict},
+    decision::{Decision, DecisionFilter, Decisions, Verdict, unix_ms},
     frame::{self, Header},
     kernel::{Kernel, KernelError},
     member::{Directory, View},
@@ -186,7 +186,7 @@
             Verdict::Seen => return,
         }
         self.decisions.record(Decision {
-            at: moment.now,
+            unix_ms: unix_ms(),
             event: "routed".to_owned(),
             caller,
             service,
--- a/src/bin/berylvalved.rs
+++ b/src/bin/berylvalved.rs
@@ -49,6 +49,7 @@
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
+        () = daemon.drain_requested() => {}
     }
     daemon.shut_down().await;
     ExitCode::SUCCESS
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,12 +1,20 @@
 //! The command line of `berylvalve` and `berylvalved`: definition and parsing.
 
-use std::{ffi::OsString, net::SocketAddr, path::PathBuf, str::FromStr, time::Duration};
+use std::{
+    ffi::OsString,
+    net::{SocketAddr, SocketAddrV4},
+    path::PathBuf,
+    str::FromStr,
+    time::Duration,
+};
 
 use pico_args::Arguments;
 use snafu::Snafu;
 
 use crate::dev::Faults;
 
+pub mod fleet;
+pub mod help;
 pub mod print;
 pub mod run;
 pub mod stand_in;
@@ -16,97 +24,6 @@
 /// Exit status of a failed command.
 pub const EXIT_FAILURE: u8 = 1;
 
-/// Help of the tool.
-pub const HELP: &str = "\
-berylvalve: drives and inspects a berylvalve fleet
-
-USAGE:
-  berylvalve COMMAND [OPTIONS]
-
-COMMANDS:
-  dev       start a whole site on loopback, or measure one
-  call      send one request as a caller
-  check     check a settings file
-  stand-in  run one stand-in of the platform as a process
-  trial     measure a decision on its state machine
-
-Run 'berylvalve COMMAND --help' for the options of a command.
-";
-
-/// Help of `dev`.
-pub const HELP_DEV: &str = "\
-berylvalve dev: start a whole site on loopback with stand-ins
-
-USAGE:
-  berylvalve dev [--site NAME]                start a site and serve until interrupted
-  berylvalve dev [--site NAME] --seconds N    send the site's mix for N seconds and report
-
-OPTIONS:
-  --site NAME     haverkamp or dolbom (default: haverkamp)
-  --seconds N     time in which requests are sent
-  --faults KIND   none or rolling (default: none)
-  --seed S        seed of the fabric and of the callers (default: 1)
-  --json          print the report as one JSON object on the last line
-
-EXAMPLE:
-  berylvalve dev --site dolbom --seconds 10 --faults rolling --json
-";
-
-/// Help of `call`.
-pub const HELP_CALL: &str = "\
-berylvalve call: send one request as a caller
-
-USAGE:
-  berylvalve call --root FILE --service NAME ADDRESS METHOD PATH [BODY]
-
-OPTIONS:
-  --root FILE      certificate that signs the service's certificate, in PEM
-  --service NAME   name of the service
-  --timeout-ms N   time to the request's deadline (default: 5000)
-  --feed N         follow a feed for N events
-
-EXAMPLE:
-  berylvalve call --root root.pem --service wind 127.0.0.1:4433 POST /checkin 'kite 7'
-";
-
-/// Help of `check`.
-pub const HELP_CHECK: &str = "\
-berylvalve check: check a settings file without starting anything
-
-USAGE:
-  berylvalve check [--kind daemon|site|tree] FILE
-
-EXAMPLE:
-  berylvalve check balancer.json
-";
-
-/// Help of `stand-in`.
-pub const HELP_STAND_IN: &str = "\
-berylvalve stand-in: run one stand-in of the platform as a process, for tests
-
-USAGE:
-  berylvalve stand-in fabric SERVICES    spray datagrams for a number of services
-  berylvalve stand-in server FILE        run a backend server with options in JSON
-
-The stand-in prints its addresses on standard output. The fabric reads its balancers from standard
-input, one list of addresses separated by spaces a line, and ends with its input.
-
-EXAMPLE:
-  berylvalve stand-in server server.json
-";
-
-/// Help of `trial`.
-pub const HELP_TRIAL: &str = "\
-berylvalve trial: measure a decision on its state machine
-
-USAGE:
-  berylvalve trial                    list the trials
-  berylvalve trial NAME [--seed S]    run one and print its figures as JSON
-
-EXAMPLE:
-  berylvalve trial flows --seed 7
-";
-
 /// An error in the command line.
 #[derive(Debug, Snafu)]
 pub enum UsageError {
@@ -212,7 +129,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Command {
     /// Print a help text.
-    Help(&'static str),
+    Help(String),
     /// Start or measure a site.
     Dev(DevOptions),
     /// Send one request.
@@ -223,6 +140,31 @@
     Trial(Option<String>, u64),
     /// Run a stand-in.
     StandIn(StandIn),
+    /// Print completions for a shell.
+    Completions(String),
+    /// Show the members of a fleet.
+    Status {
+        /// File with the fleet's keys and peers.
+        fleet: PathBuf,
+        /// Whether to print JSON.
+        json: bool,
+    },
+    /// Stop one daemon gracefully.
+    Drain {
+        /// File with the fleet's keys and peers.
+        fleet: PathBuf,
+        /// Control address of the daemon.
+        daemon: SocketAddrV4,
+    },
+    /// Show where a flow or a request went.
+    Explain {
+        /// File with the fleet's keys and peers.
+        fleet: PathBuf,
+        /// Address of a caller or name of a request.
+        subject: String,
+        /// Whether to print JSON.
+        json: bool,
+    },
 }
 
 /// Parses the arguments of `berylvalve`.
@@ -232,19 +174,26 @@
 /// Fails if an argument is unknown, missing or does not fit.
 pub fn parse(mut args: Arguments) -> Result<Command, UsageError> {
     let help = args.contains(["-h", "--help"]);
-    let command = match args.subcommand()?.as_deref() {
-        None => return Ok(Command::Help(HELP)),
-        Some("dev") if help => Command::Help(HELP_DEV),
-        Some("dev") => Command::Dev(parse_dev(&mut args)?),
-        Some("call") if help => Command::Help(HELP_CALL),
-        Some("call") => Command::Call(parse_call(&mut args)?),
-        Some("check") if help => Command::Help(HELP_CHECK),
-        Some("check") => parse_check(&mut args)?,
-        Some("stand-in") if help => Command::Help(HELP_STAND_IN),
-        Some("stand-in") => Command::StandIn(parse_stand_in(&mut args)?),
-        Some("trial") if help => Command::Help(HELP_TRIAL),
-        Some("trial") => parse_trial(&mut args)?,
-        Some(name) => return CommandSnafu { name }.fail(),
+    let Some(name) = args.subcommand()? else {
+        return Ok(Command::Help(help::overview()));
+    };
+    let Some(entry) = help::find(&name) else {
+        return CommandSnafu { name }.fail();
+    };
+    if help {
+        return Ok(Command::Help(entry.help.to_owned()));
+    }
+    let command = match entry.name {
+        "dev" => Command::Dev(parse_dev(&mut args)?),
+        "call" => Command::Call(parse_call(&mut args)?),
+        "check" => parse_check(&mut args)?,
+        "status" => parse_status(&mut args)?,
+        "drain" => parse_drain(&mut args)?,
+        "explain-flow" => parse_explain(&mut args)?,
+        "trial" => parse_trial(&mut args)?,
+        "stand-in" => Command::StandIn(parse_stand_in(&mut args)?),
+        "completions" => Command::Completions(args.free_from_str()?),
+        _ => return CommandSnafu { name }.fail(),
     };
     match args.finish().into_iter().next() {
         Some(argument) => UnknownSnafu { argument }.fail(),
@@ -299,3 +248,25 @@
     let seed = args.opt_value_from_str("--seed")?.unwrap_or(1);
     Ok(Command::Trial(args.opt_free_from_str()?, seed))
 }
+
+fn parse_status(args: &mut Arguments) -> Result<Command, UsageError> {
+    Ok(Command::Status {
+        fleet: args.value_from_str("--fleet")?,
+        json: args.contains("--json"),
+    })
+}
+
+fn parse_drain(args: &mut Arguments) -> Result<Command, UsageError> {
+    Ok(Command::Drain {
+        fleet: args.value_from_str("--fleet")?,
+        daemon: args.free_from_str()?,
+    })
+}
+
+fn parse_explain(args: &mut Arguments) -> Result<Command, UsageError> {
+    Ok(Command::Explain {
+        fleet: args.value_from_str("--fleet")?,
+        json: args.contains("--json"),
+        subject: args.free_from_str()?,
+    })
+}
--- a/src/cli/print.rs
+++ b/src/cli/print.rs
@@ -40,6 +40,10 @@
             ));
         }
     }
+    text.push_str(&format!(
+        "fleet\n  berylvalve status --fleet {}\n",
+        fleet.access_file().display()
+    ));
     text
 }
 
--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -7,7 +7,9 @@
 use tokio::time::Instant;
 
 use super::{
-    CallOptions, Command, DevOptions, EXIT_FAILURE, EXIT_USAGE, FileKind, print, stand_in,
+    CallOptions, Command, DevOptions, EXIT_FAILURE, EXIT_USAGE, FileKind,
+    fleet::{self, FleetError},
+    help, print, stand_in,
 };
 use crate::{
     agent::answer::Outcome,
@@ -25,6 +27,14 @@
             ExitCode::SUCCESS
         }
         Command::Dev(options) => run_dev(options).await.unwrap_or_else(dev_failure),
+        Command::Completions(shell) => run_completions(&shell),
+        Command::Status { fleet, json } => finish(fleet::status(&fleet, json).await),
+        Command::Drain { fleet, daemon } => finish(fleet::drain(&fleet, daemon).await),
+        Command::Explain {
+            fleet,
+            subject,
+            json,
+        } => finish(fleet::explain(&fleet, &subject, json).await),
         Command::Check(kind, file) => run_check(kind, &file),
         Command::StandIn(stand_in) => match stand_in::run(stand_in).await {
             Ok(()) => ExitCode::SUCCESS,
@@ -38,6 +48,29 @@
     }
 }
 
+fn finish(result: Result<String, FleetError>) -> ExitCode {
+    match result {
+        Ok(text) => {
+            print!("{text}");
+            ExitCode::SUCCESS
+        }
+        Err(error @ FleetError::Settings { .. }) => {
+            eprintln!("berylvalve: {error}");
+            ExitCode::from(EXIT_USAGE)
+        }
+        Err(error) => failure(&error.to_string()),
+    }
+}
+
+fn run_completions(shell: &str) -> ExitCode {
+    let Some(text) = help::completions(shell) else {
+        eprintln!("berylvalve: no completions for {shell}; there are bash and fish");
+        return ExitCode::from(EXIT_USAGE);
+    };
+    print!("{text}");
+    ExitCode::SUCCESS
+}
+
 fn failure(message: &str) -> ExitCode {
     eprintln!("berylvalve: {message}");
     ExitCode::from(EXIT_FAILURE)
--- a/src/config.rs
+++ b/src/config.rs
@@ -9,6 +9,7 @@
 use snafu::{ResultExt, Snafu};
 
 pub mod daemon;
+pub mod fleet;
 pub mod site;
 pub mod tree;
 
--- a/src/config/daemon.rs
+++ b/src/config/daemon.rs
@@ -30,6 +30,41 @@
     }
 }
 
+/// Checks the fleet keys of a settings file.
+///
+/// # Errors
+///
+/// Fails if there is none, if two have one number, or if a secret is too short.
+pub fn check_keys(keys: &[KeySettings]) -> Result<(), Fault> {
+    if keys.is_empty() {
+        return Err(Fault::new("keys", "at least one key"));
+    }
+    for (index, key) in keys.iter().enumerate() {
+        let secret = hex::decode(&key.secret).unwrap_or_default();
+        if secret.len() < MIN_SECRET_BYTES {
+            let expected = format!("at least {MIN_SECRET_BYTES} bytes in hexadecimal");
+            return Err(Fault::new(format!("keys[{index}].secret"), expected));
+        }
+        if keys[..index].iter().any(|other| other.id == key.id) {
+            return Err(Fault::new(
+                format!("keys[{index}].id"),
+                "a number of its own",
+            ));
+        }
+    }
+    Ok(())
+}
+
+/// Decodes fleet keys that have been checked.
+pub fn decode_keys(settings: &[KeySettings]) -> Vec<FleetKey> {
+    let mut keys = Vec::with_capacity(settings.len());
+    for key in settings {
+        let secret = hex::decode(&key.secret).unwrap_or_default();
+        keys.push(FleetKey { id: key.id, secret });
+    }
+    keys
+}
+
 /// What only an agent needs.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -85,16 +120,7 @@
 
 impl Check for DaemonSettings {
     fn check(&self) -> Result<(), Fault> {
-        if self.keys.is_empty() {
-            return Err(Fault::new("keys", "at least one key"));
-        }
-        for (index, key) in self.keys.iter().enumerate() {
-            let secret = hex::decode(&key.secret).unwrap_or_default();
-            if secret.len() < MIN_SECRET_BYTES {
-                let expected = format!("at least {MIN_SECRET_BYTES} bytes in hexadecimal");
-                return Err(Fault::new(format!("keys[{index}].secret"), expected));
-            }
-        }
+        check_keys(&self.keys)?;
         self.check_role()?;
         self.tree
             .check()
@@ -105,12 +131,7 @@
 impl DaemonSettings {
     /// Returns the fleet keys; the check has made sure that they decode.
     pub fn fleet_keys(&self) -> Vec<FleetKey> {
-        let mut keys = Vec::with_capacity(self.keys.len());
-        for key in &self.keys {
-            let secret = hex::decode(&key.secret).unwrap_or_default();
-            keys.push(FleetKey { id: key.id, secret });
-        }
-        keys
+        decode_keys(&self.keys)
     }
 
     fn check_role(&self) -> Result<(), Fault> {
--- /dev/null
+++ b/src/config/fleet.rs
@@ -0,0 +1,29 @@
+//! What an operator's tool needs to reach a fleet.
+
+use std::net::SocketAddrV4;
+
+use serde::{Deserialize, Serialize};
+
+use super::{
+    Check, Fault,
+    daemon::{KeySettings, check_keys},
+};
+
+/// Keys of a fleet and control addresses of some of its daemons.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct FleetSettings {
+    /// Fleet keys; the first one signs.
+    pub keys: Vec<KeySettings>,
+    /// Control addresses of daemons that are asked for all others.
+    pub peers: Vec<SocketAddrV4>,
+}
+
+impl Check for FleetSettings {
+    fn check(&self) -> Result<(), Fault> {
+        if self.peers.is_empty() {
+            return Err(Fault::new("peers", "at least one control address"));
+        }
+        check_keys(&self.keys)
+    }
+}
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -23,6 +23,7 @@
     member::{Directory, MemberState, Record, Role},
     membership::{self, LocalRecord, Signer},
     metrics::Metrics,
+    operations::{self, DrainRequest},
     owner_id::{Incarnation, Keyring, Owner, Purpose, ServiceTag},
     settings::{InForce, Plan},
 };
@@ -120,6 +121,7 @@
         kernel.publish(InForce::NAME, Arc::new(InForce::new(plan)));
         let signer = Signer::new(&settings.fleet_keys());
         control::start(&kernel, listener, signer.clone()).context(KernelSnafu)?;
+        operations::publish(&kernel).context(KernelSnafu)?;
         membership::start(&kernel, control_socket, signer, settings.seeds.clone())
             .context(KernelSnafu)?;
         if let (Role::Balancer, Some(balancer)) = (settings.role, &settings.balancer) {
@@ -135,6 +137,14 @@
         })
     }
 
+    /// Waits until an operator asks the daemon to stop.
+    pub async fn drain_requested(&self) {
+        match self.kernel.find::<DrainRequest>(DrainRequest::NAME) {
+            Ok(request) => request.requested().await,
+            Err(_) => std::future::pending().await,
+        }
+    }
+
     /// Takes no new work, waits until nothing is open, and stops.
     pub async fn shut_down(&self) {
         let local = self.kernel.find::<LocalRecord>(LocalRecord::NAME);
--- a/src/decision.rs
+++ b/src/decision.rs
@@ -4,6 +4,7 @@
     collections::VecDeque,
     net::{SocketAddr, SocketAddrV4},
     sync::Mutex,
+    time::{SystemTime, UNIX_EPOCH},
 };
 
 use prometheus_client::metrics::counter::Counter;
@@ -26,8 +27,8 @@
 /// Where a flow or a request went, and why.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Decision {
-    /// Time of the process clock.
-    pub at: Time,
+    /// Wall-clock time of the decision, in milliseconds since the Unix epoch.
+    pub unix_ms: u64,
     /// What was decided: `routed`, `handed_on`, `dropped`, `request`.
     pub event: String,
     /// Address of the caller.
@@ -46,6 +47,12 @@
     pub request: Option<String>,
 }
 
+/// Returns the wall-clock time in milliseconds since the Unix epoch.
+pub fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.unwrap_or_default().as_millis() as u64
+}
+
 /// The last decisions of one process, under the name [`Decisions::NAME`].
 #[derive(Debug, Default)]
 pub struct Decisions {
--- a/src/dev/fleet.rs
+++ b/src/dev/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::SocketAddr,
+    path::PathBuf,
     sync::{Arc, Mutex},
     time::Duration,
 };
@@ -13,6 +14,7 @@
 use crate::{
     config::{
         daemon::{AgentSettings, BalancerSettings, DaemonSettings, KeySettings},
+        fleet::FleetSettings,
         site::{ServerGroup, Site},
         tree::Region,
     },
@@ -106,6 +108,7 @@
                 fleet.places.lock().expect("places lock").push(place);
             }
         }
+        fleet.write_access().context(StandInSnafu)?;
         fleet.wait_joined().await;
         fleet.publish_balancers();
         Ok(fleet)
@@ -162,6 +165,20 @@
         })
     }
 
+    /// Returns the file with which the tool reaches this fleet.
+    pub fn access_file(&self) -> PathBuf {
+        self.certificate.certificate.with_file_name("fleet.json")
+    }
+
+    fn write_access(&self) -> std::io::Result<()> {
+        let balancers = self.balancers.lock().expect("balancers lock");
+        let access = FleetSettings {
+            keys: dev_keys(),
+            peers: balancers.iter().map(|b| b.control).collect(),
+        };
+        std::fs::write(self.access_file(), serde_json::to_vec_pretty(&access)?)
+    }
+
     /// Tells the fabric which balancers are in use.
     pub fn publish_balancers(&self) {
         let balancers = self.balancers.lock().expect("balancers lock");
@@ -203,10 +220,7 @@
             data: LOOPBACK.parse().expect("valid address"),
             control: LOOPBACK.parse().expect("valid address"),
             seeds: balancers.iter().map(|b| b.control).collect(),
-            keys: vec![KeySettings {
-                id: 1,
-                secret: DEV_SECRET.to_owned(),
-            }],
+            keys: dev_keys(),
             tree: self.tree.clone(),
             agent: None,
             balancer: None,
@@ -240,6 +254,13 @@
     }
 }
 
+fn dev_keys() -> Vec<KeySettings> {
+    vec![KeySettings {
+        id: 1,
+        secret: DEV_SECRET.to_owned(),
+    }]
+}
+
 fn known_agents(daemon: &Daemon) -> usize {
     let Ok(directory) = daemon.kernel.find::<Directory>(Directory::NAME) else {
         return 0;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod member;
 pub mod membership;
 pub mod metrics;
+pub mod operations;
 pub mod owner_id;
 pub mod packet;
 pub mod placement;
--- a/tests/processes/fleet.rs
+++ b/tests/processes/fleet.rs
@@ -5,6 +5,7 @@
 use berylvalve::{
     config::{
         daemon::{AgentSettings, BalancerSettings, DaemonSettings, KeySettings},
+        fleet::FleetSettings,
         site::Site,
         tree::Region,
     },
@@ -175,6 +176,18 @@
         file
     }
 
+    /// Writes the file with which the tool reaches the fleet.
+    pub fn access_file(&self) -> String {
+        let file = self.folder.join("fleet.json");
+        let settings = self.settings(Role::Balancer, 0);
+        let access = FleetSettings {
+            keys: settings.keys,
+            peers: settings.seeds,
+        };
+        fs::write(&file, serde_json::to_string(&access).unwrap()).unwrap();
+        file.to_str().unwrap().to_owned()
+    }
+
     /// Returns the arguments of a call, with the options that come first.
     pub fn call<'a>(&'a self, service: &'a str, rest: &[&'a str]) -> Vec<String> {
         let address = self.tree.services[service].address.to_string();
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -1,6 +1,7 @@
 //! Sessions of separate processes, kept as golden files with addresses and times normalised.
 
 mod fleet;
+mod operations;
 mod process;
 
 use std::fmt::Write;
--- a/tests/processes/process.rs
+++ b/tests/processes/process.rs
@@ -11,6 +11,7 @@
 const TOOL: &str = env!("CARGO_BIN_EXE_berylvalve");
 const DAEMON: &str = env!("CARGO_BIN_EXE_berylvalved");
 const PATIENCE: Duration = Duration::from_secs(20);
+const EXIT_TIME: Duration = Duration::from_secs(2);
 
 /// A running child process.
 pub struct Process {
@@ -85,6 +86,11 @@
         self.input.flush().await.unwrap();
     }
 
+    /// Returns whether the process has ended, after a moment in which it may end.
+    pub async fn has_ended(&mut self) -> bool {
+        timeout(EXIT_TIME, self.child.wait()).await.is_ok()
+    }
+
     /// Asks the process to stop and returns its exit status.
     pub async fn terminate(&mut self) -> i32 {
         let id = self.child.id().unwrap().to_string();
