--- a/benches/route.rs
+++ b/benches/route.rs
@@ -8,8 +8,9 @@
 
 use berylvalve::{
     clock::Time,
-    decision::DecisionFilter,
+    decision::{Decision, DecisionFilter, Decisions, unix_ms},
     frame::{self, Header},
+    log::KeyValues,
     member::{MemberState, Record, Role, View},
     owner_id::{FleetKey, Incarnation, Keyring, Owner, Purpose, ServiceTag},
     proxy_header::{self, Ends},
@@ -122,5 +123,27 @@
     });
 }
 
-criterion_group!(benches, routes, codecs);
+fn logging(c: &mut Criterion) {
+    tracing_subscriber::fmt()
+        .event_format(KeyValues)
+        .with_writer(std::io::sink)
+        .init();
+    let decisions = Decisions::default();
+    let decision = Decision {
+        unix_ms: unix_ms(),
+        event: "routed".to_owned(),
+        caller: SocketAddr::from(([10, 0, 0, 7], 4000)),
+        service: SERVICE,
+        chosen: Some(address(1).into()),
+        second: Some(address(2)),
+        version: 7,
+        reason: "placed".to_owned(),
+        request: None,
+    };
+    c.bench_function("log decision", |b| {
+        b.iter(|| decisions.record(black_box(decision.clone())));
+    });
+}
+
+criterion_group!(benches, routes, codecs, logging);
 criterion_main!(benches);
--- a/src/standin/server.rs
+++ b/src/standin/server.rs
@@ -151,7 +151,9 @@
         };
         self.journal.lock().expect("journal lock").push(run);
         let work = Duration::from_millis(self.options.work_ms);
-        tokio::time::sleep(work).await;
+        if !work.is_zero() {
+            tokio::time::sleep(work).await;
+        }
         self.busy_us
             .fetch_add(work.as_micros() as u64, Ordering::Relaxed);
     }
--- a/src/trial.rs
+++ b/src/trial.rs
@@ -2,6 +2,7 @@
 
 use serde_json::Value;
 
+pub mod latency;
 pub mod relay;
 
 /// A measurement that anyone can run again.
@@ -16,11 +17,18 @@
 }
 
 /// All measurements.
-pub const TRIALS: &[Trial] = &[Trial {
-    name: "relay",
-    about: "a balancer's datagrams a second and memory against a bare UDP relay",
-    run: relay::run,
-}];
+pub const TRIALS: &[Trial] = &[
+    Trial {
+        name: "latency",
+        about: "the time that the fleet adds to a request, in loopback hops",
+        run: latency::run,
+    },
+    Trial {
+        name: "relay",
+        about: "a balancer's datagrams a second and memory against a bare UDP relay",
+        run: relay::run,
+    },
+];
 
 /// Returns the measurement of a name.
 pub fn find(name: &str) -> Option<&'static Trial> {
