Replace certificates without a restart

An agent reads its certificate and key again every 10 s and uses them for new connections; files that do not hold leave the old certificate in use, with a log line. Seen to fail first: with the fixed certificate of 'with_single_cert' the first test has nothing to refresh, and without the check of the key the second one takes a certificate that no handshake can use.

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -7,7 +7,6 @@
     ServerConfig, TransportConfig, crypto::rustls::QuicServerConfig,
 };
 use quinn_proto::InvalidCid;
-use rustls::pki_types::{CertificateDer, PrivateKeyDer};
 use snafu::{ResultExt, Snafu};
 use tokio::net::UdpSocket;
 
@@ -21,6 +20,7 @@
 pub mod answer;
 pub mod feed;
 pub mod http;
+pub mod identity;
 pub mod intake;
 pub mod job;
 pub mod ledger;
@@ -30,15 +30,16 @@
 pub mod socket;
 pub mod upstream;
 
+use identity::LiveIdentity;
 use pressure::Pressure;
 use socket::FrameSocket;
 
 /// An error at the start of an agent.
 #[derive(Debug, Snafu)]
 pub enum AgentError {
-    /// The certificate or the private key does not fit.
-    #[snafu(display("certificate: {source}"))]
-    Certificate {
+    /// The version of TLS does not fit.
+    #[snafu(display("TLS: {source}"))]
+    Tls {
         /// The library's error.
         source: rustls::Error,
     },
@@ -62,15 +63,6 @@
     },
 }
 
-/// Certificate chain and private key of a service.
-#[derive(Debug)]
-pub struct Identity {
-    /// Certificate chain.
-    pub chain: Vec<CertificateDer<'static>>,
-    /// Private key.
-    pub key: PrivateKeyDer<'static>,
-}
-
 /// What an agent is started with.
 #[derive(Debug)]
 pub struct AgentOptions {
@@ -82,8 +74,8 @@
     pub server: std::net::SocketAddr,
     /// Fleet keys; the first one seals.
     pub keys: Vec<FleetKey>,
-    /// Certificate and key of the service.
-    pub identity: Identity,
+    /// Certificate of the service.
+    pub identity: Arc<LiveIdentity>,
 }
 
 /// A running agent, under the name [`Agent::NAME`].
@@ -114,7 +106,7 @@
 ///
 /// # Errors
 ///
-/// Fails if the certificate does not fit or if the endpoint can't start.
+/// Fails if the cipher suites do not fit or if the endpoint can't start.
 pub fn start(kernel: &Kernel, socket: UdpSocket, options: AgentOptions) -> Result<(), AgentError> {
     let keyring = Keyring::new(&options.keys, Purpose::Connection);
     let owner = options.owner;
@@ -132,7 +124,7 @@
     ));
     let endpoint = Endpoint::new_with_abstract_socket(
         endpoint_config(&options.keys, keyring, owner),
-        Some(server_config(options.identity)?),
+        Some(server_config(options.identity.clone())?),
         socket.clone(),
         Arc::new(quinn::TokioRuntime),
     )
@@ -146,6 +138,7 @@
             socket,
         }),
     );
+    kernel.spawn(options.identity.watch());
     kernel.spawn(http::serve(endpoint, handler, kernel.stop_signal()));
     Ok(())
 }
@@ -158,15 +151,14 @@
     config
 }
 
-fn server_config(identity: Identity) -> Result<ServerConfig, AgentError> {
+fn server_config(identity: Arc<LiveIdentity>) -> Result<ServerConfig, AgentError> {
     let mut tls = rustls::ServerConfig::builder_with_provider(Arc::new(
         rustls::crypto::ring::default_provider(),
     ))
     .with_protocol_versions(&[&rustls::version::TLS13])
-    .context(CertificateSnafu)?
+    .context(TlsSnafu)?
     .with_no_client_auth()
-    .with_single_cert(identity.chain, identity.key)
-    .context(CertificateSnafu)?;
+    .with_cert_resolver(identity);
     tls.alpn_protocols = vec![b"h3".to_vec()];
     let crypto = QuicServerConfig::try_from(tls).context(SuitesSnafu)?;
     let mut config = ServerConfig::with_crypto(Arc::new(crypto));
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,20 +1,20 @@
 //! A whole daemon process: its kernel and the services of its role.
 
 use std::{
-    fs::File,
-    io::{self, BufReader},
+    io,
     net::SocketAddrV4,
-    path::Path,
     sync::Arc,
     time::{SystemTime, UNIX_EPOCH},
 };
 
-use rustls::pki_types::{CertificateDer, PrivateKeyDer};
 use snafu::{ResultExt, Snafu};
 use tokio::net::{TcpListener, UdpSocket};
 
 use crate::{
-    agent::{self, Agent, AgentError, AgentOptions, Identity, bound_address},
+    agent::{
+        self, Agent, AgentError, AgentOptions, bound_address,
+        identity::{IdentityError, IdentityFiles, LiveIdentity},
+    },
     balancer::{self, BalancerError, BalancerOptions},
     config::daemon::{AgentSettings, BalancerSettings, DaemonSettings},
     control,
@@ -54,13 +54,11 @@
         /// The system's error.
         source: io::Error,
     },
-    /// A certificate or key file can't be read.
-    #[snafu(display("{file}: {source}"))]
+    /// The certificate of the service does not hold.
+    #[snafu(display("{source}"))]
     Identity {
-        /// The file.
-        file: String,
-        /// The system's error.
-        source: io::Error,
+        /// The certificate's error.
+        source: IdentityError,
     },
     /// A service of the kernel is missing.
     #[snafu(display("{source}"))]
@@ -192,12 +190,16 @@
     settings: &DaemonSettings,
     agent: &AgentSettings,
 ) -> Result<(), DaemonError> {
+    let files = IdentityFiles {
+        certificate: agent.certificate.clone(),
+        private_key: agent.private_key.clone(),
+    };
     let options = AgentOptions {
         owner,
         service: agent.service.clone(),
         server: agent.server,
         keys: settings.fleet_keys(),
-        identity: read_identity(&agent.certificate, &agent.private_key)?,
+        identity: Arc::new(LiveIdentity::open(files).context(IdentitySnafu)?),
     };
     agent::start(kernel, socket, options).context(AgentSnafu)
 }
@@ -240,23 +242,3 @@
         .unwrap_or_default();
     Incarnation((since.as_millis() / 100) as u32)
 }
-
-fn read_identity(certificate: &Path, private_key: &Path) -> Result<Identity, DaemonError> {
-    let open = |path: &Path| -> Result<BufReader<File>, DaemonError> {
-        let file = path.display().to_string();
-        Ok(BufReader::new(
-            File::open(path).context(IdentitySnafu { file })?,
-        ))
-    };
-    let file = certificate.display().to_string();
-    let chain: Result<Vec<CertificateDer<'static>>, _> =
-        rustls_pemfile::certs(&mut open(certificate)?).collect();
-    let chain = chain.context(IdentitySnafu { file })?;
-    let file = private_key.display().to_string();
-    let key: Option<PrivateKeyDer<'static>> = rustls_pemfile::private_key(&mut open(private_key)?)
-        .context(IdentitySnafu { file: file.clone() })?;
-    let key = key
-        .ok_or_else(|| io::Error::other("no private key"))
-        .context(IdentitySnafu { file })?;
-    Ok(Identity { chain, key })
-}
