Drain agents and balancers without losing a flow or a request

Change: after GOAWAY the agent keeps the connection until no request is open and acknowledgements came through a time without stream data; the one request that the library lets through is rejected with H3_REQUEST_REJECTED, and the caller repeats it without its key. A draining agent refuses connections. A balancer is not ready first and forwards for 2 s more. Answers go to the balancer last heard unless it leaves or is gone. Announcements also go to the known balancers.

Ruled out: closing by a timer alone (cuts an answer on a slow path).

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -14,6 +14,7 @@
 use crate::{
     consts::{IDLE_TIMEOUT, KEEP_ALIVE, OWNER_ID_BYTES, QUIC_MTU_BYTES},
     kernel::{Kernel, KernelError},
+    member::Directory,
     owner_id::{FleetKey, Keyring, Owner, Purpose},
     settings::InForce,
 };
@@ -124,6 +125,7 @@
         owner.service,
         owner.incarnation,
         keyring.clone(),
+        kernel.find(Directory::NAME).context(KernelSnafu)?,
     ));
     let handler = Arc::new(http::Handler::new(
         kernel.clock(),
--- a/src/agent/http.rs
+++ b/src/agent/http.rs
@@ -1,9 +1,12 @@
 //! The agent's HTTP/3 side: requests in, whole answers or honest refusals out.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use bytes::{Buf, Bytes};
-use h3::{error::StreamError, server::RequestStream};
+use h3::{
+    error::{Code, StreamError},
+    server::RequestStream,
+};
 use http::{Request, Response, StatusCode};
 use quinn::Endpoint;
 use tokio::sync::watch;
@@ -18,13 +21,31 @@
 };
 use crate::{
     clock::Clock,
-    consts::{BODY_BYTES, NEXT_KEY_HEADER, OUTCOME_HEADER, SERVED_BY_HEADER},
+    consts::{BODY_BYTES, KEEP_ALIVE, NEXT_KEY_HEADER, OUTCOME_HEADER, SERVED_BY_HEADER},
     kernel::StopSignal,
     settings::InForce,
 };
 
 const RETRY_AFTER_SECONDS: u64 = 1;
 
+/// Requests beyond the last accepted one that the library lets through after GOAWAY. The frame
+/// names the first request that does not run, so that the one let through has to be rejected here.
+const GRACE_REQUESTS: usize = 1;
+
+/// Time without stream data, but with acknowledgements, after which all was received.
+const QUIET_TIME: Duration = KEEP_ALIVE.saturating_mul(3);
+
+/// Number of checks within [`QUIET_TIME`].
+const QUIET_STEPS: u32 = 6;
+
+/// Acknowledgements that must arrive within [`QUIET_TIME`].
+const QUIET_ACKS: u64 = 2;
+
+/// Pause before asking again for requests of a caller that sends no more.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+type Resolver = h3::server::RequestResolver<h3_quinn::Connection, Bytes>;
+
 /// A caller's request stream.
 pub type Stream = RequestStream<h3_quinn::BidiStream<Bytes>, Bytes>;
 
@@ -110,7 +131,7 @@
             let answer = Answer::not_run(StatusCode::SERVICE_UNAVAILABLE, why);
             return self.reply(&mut stream, answer).await;
         };
-        open.relay(&mut stream).await
+        open.relay(&mut stream, self.draining.subscribe()).await
     }
 
     async fn reply(&self, stream: &mut Stream, answer: Answer) -> Result<(), StreamError> {
@@ -146,6 +167,11 @@
 /// Accepts connections until the kernel stops.
 pub async fn serve(endpoint: Endpoint, handler: Arc<Handler>, stop: StopSignal) {
     while let Some(incoming) = endpoint.accept().await {
+        if *handler.draining.borrow() {
+            // The caller learns at once that it has to connect again.
+            incoming.refuse();
+            continue;
+        }
         let handler = handler.clone();
         let mut stop = stop.clone();
         tokio::spawn(async move {
@@ -157,44 +183,103 @@
     }
 }
 
-async fn told_to_drain(draining: &mut watch::Receiver<bool>) {
+/// Waits until the agent drains; for ever if it stops without.
+pub(super) async fn told_to_drain(draining: &mut watch::Receiver<bool>) {
     if draining.wait_for(|drain| *drain).await.is_err() {
         std::future::pending::<()>().await;
     }
 }
 
 async fn serve_connection(incoming: quinn::Incoming, handler: Arc<Handler>) {
-    let Ok(connection) = incoming.await else {
+    let Ok(quic) = incoming.await else {
         return;
     };
     let built = h3::server::builder()
-        .build(h3_quinn::Connection::new(connection))
+        .build(h3_quinn::Connection::new(quic.clone()))
         .await;
     let Ok(mut connection) = built else {
         return;
     };
     let mut draining = handler.draining.subscribe();
+    let open = OpenRequests::default();
     let mut told = false;
     loop {
         let accepted = tokio::select! {
             accepted = connection.accept() => accepted,
             () = told_to_drain(&mut draining), if !told => {
                 told = true;
-                let _ = connection.shutdown(0).await;
+                let _ = connection.shutdown(GRACE_REQUESTS).await;
                 continue;
             }
+            () = delivered(&quic, &open), if told => return,
         };
-        let Ok(Some(resolver)) = accepted else {
-            return;
-        };
-        let handler = handler.clone();
-        tokio::spawn(async move {
-            let Ok((request, stream)) = resolver.resolve_request().await else {
-                return;
-            };
-            if let Err(error) = handler.handle(request, stream).await {
-                tracing::debug!(event = "stream_closed", %error);
+        match accepted {
+            Ok(Some(resolver)) if told => {
+                tokio::spawn(reject(resolver));
             }
-        });
+            Ok(Some(resolver)) => {
+                tokio::spawn(resolve(resolver, handler.clone(), open.clone()));
+            }
+            Ok(None) => {
+                told = true;
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+            Err(_) => return,
+        }
+    }
+}
+
+async fn resolve(resolver: Resolver, handler: Arc<Handler>, open: OpenRequests) {
+    let Ok((request, stream)) = resolver.resolve_request().await else {
+        return;
+    };
+    if let Err(error) = handler.handle(request, stream).await {
+        tracing::debug!(event = "stream_closed", %error);
+    }
+    drop(open);
+}
+
+/// Rejects a request that crossed the GOAWAY frame: it does not run, and the caller may repeat it
+/// (RFC 9114, section 4.1.1).
+async fn reject(resolver: Resolver) {
+    let Ok((_, mut stream)) = resolver.resolve_request().await else {
+        return;
+    };
+    tracing::info!(event = "request_rejected", reason = "draining");
+    stream.stop_sending(Code::H3_REQUEST_REJECTED);
+    stream.stop_stream(Code::H3_REQUEST_REJECTED);
+}
+
+/// Counts the requests of a connection that have not ended.
+#[derive(Clone, Debug, Default)]
+struct OpenRequests(Arc<()>);
+
+impl OpenRequests {
+    fn none(&self) -> bool {
+        Arc::strong_count(&self.0) == 1
+    }
+}
+
+/// Waits until no request is open and the caller has acknowledged all that was sent.
+///
+/// The library does not tell which bytes were acknowledged. If acknowledgements arrive through a
+/// whole [`QUIET_TIME`] in which no stream data left, then nothing is outstanding: data lost
+/// before would have been declared lost by these acknowledgements and sent again (RFC 9002,
+/// section 6.1).
+async fn delivered(quic: &quinn::Connection, open: &OpenRequests) {
+    let mut quiet = None;
+    loop {
+        let before = quic.stats();
+        tokio::time::sleep(QUIET_TIME / QUIET_STEPS).await;
+        let after = quic.stats();
+        let still = open.none() && before.frame_tx.stream == after.frame_tx.stream;
+        let (since, acks) = match quiet {
+            Some(quiet) if still => quiet,
+            _ => (tokio::time::Instant::now(), after.frame_rx.acks),
+        };
+        quiet = Some((since, acks));
+        if since.elapsed() >= QUIET_TIME && after.frame_rx.acks >= acks + QUIET_ACKS {
+            return;
+        }
     }
 }
--- a/src/agent/socket.rs
+++ b/src/agent/socket.rs
@@ -22,6 +22,7 @@
 use crate::{
     consts::DATAGRAM_BYTES,
     frame::{self, Header},
+    member::{Directory, MemberState, Record, Role},
     owner_id::{Incarnation, Keyring, ServiceTag},
 };
 
@@ -32,6 +33,7 @@
 #[derive(Debug)]
 pub struct FrameSocket {
     address: SocketAddrV4,
+    directory: Arc<Directory>,
     draining: AtomicBool,
     incarnation: Incarnation,
     keyring: Keyring,
@@ -48,9 +50,11 @@
         service: ServiceTag,
         incarnation: Incarnation,
         keyring: Keyring,
+        directory: Arc<Directory>,
     ) -> Self {
         Self {
             address,
+            directory,
             draining: AtomicBool::new(false),
             incarnation,
             keyring,
@@ -104,6 +108,30 @@
         paths.insert(header.caller, header.balancer);
     }
 
+    /// Returns the balancer last heard on a flow, or another one when that one is leaving or gone.
+    fn balancer(&self, caller: SocketAddr) -> Option<SocketAddrV4> {
+        let heard = self.paths.lock().expect("paths lock").get(&caller).copied();
+        let view = self.directory.view();
+        let state = heard.and_then(|heard| Some(view.members.get(&heard)?.state));
+        // A balancer that the agent does not know yet has just proved that it lives.
+        if heard.is_some() && state.is_none_or(|state| state == MemberState::Ready) {
+            return heard;
+        }
+        let ready =
+            |record: &&Record| record.role == Role::Balancer && record.state == MemberState::Ready;
+        let live: Vec<SocketAddrV4> = view
+            .members
+            .values()
+            .filter(ready)
+            .map(|r| r.address)
+            .collect();
+        if live.is_empty() {
+            return heard;
+        }
+        let index = usize::from(caller.port()) % live.len();
+        Some(live[index])
+    }
+
     fn hand_on(&self, mut header: Header, payload: &[u8], other: SocketAddrV4) {
         tracing::debug!(event = "handed_on", caller = %header.caller, agent = %other);
         header.hops += 1;
@@ -120,13 +148,7 @@
     }
 
     fn try_send(&self, transmit: &Transmit<'_>) -> io::Result<()> {
-        let path = self
-            .paths
-            .lock()
-            .expect("paths lock")
-            .get(&transmit.destination)
-            .copied();
-        let Some(balancer) = path else {
+        let Some(balancer) = self.balancer(transmit.destination) else {
             return Ok(());
         };
         let header = Header {
--- a/src/caller.rs
+++ b/src/caller.rs
@@ -6,7 +6,10 @@
 };
 
 use bytes::Bytes;
-use h3::client::RequestStream;
+use h3::{
+    client::RequestStream,
+    error::{Code, StreamError},
+};
 use http::{Method, Request};
 use quinn::{ClientConfig, Endpoint, crypto::rustls::QuicClientConfig};
 use rustls::{RootCertStore, pki_types::CertificateDer};
@@ -42,7 +45,7 @@
 /// Why one attempt got no answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Snafu)]
 pub enum AttemptError {
-    /// The request did not leave the caller.
+    /// The request did not leave the caller, or was rejected without running.
     #[snafu(display("no connection"))]
     NotSent,
     /// The request left and its answer did not come.
@@ -50,6 +53,19 @@
     Lost,
 }
 
+impl AttemptError {
+    /// Returns what an error of a request's stream means: a rejected request did not run
+    /// (RFC 9114, section 4.1.1).
+    fn of(error: StreamError) -> Self {
+        match error {
+            StreamError::RemoteTerminate { code, .. } if code == Code::H3_REQUEST_REJECTED => {
+                AttemptError::NotSent
+            }
+            _ => AttemptError::Lost,
+        }
+    }
+}
+
 type Stream = RequestStream<h3_quinn::BidiStream<Bytes>, Bytes>;
 
 /// A client of one service.
--- a/src/caller/call.rs
+++ b/src/caller/call.rs
@@ -63,6 +63,7 @@
             self.take_key()
         };
         let mut backoff = FIRST_BACKOFF;
+        let mut lost = false;
         loop {
             match self.attempt(call, key.as_deref()).await {
                 Ok((reply, next)) => {
@@ -75,6 +76,11 @@
                 }
                 Err(error) => {
                     tracing::debug!(event = "attempt_failed", id = call.id, %error);
+                    lost |= error == AttemptError::Lost;
+                    if !lost {
+                        // No incarnation has seen the key, so that any may run the request.
+                        key = None;
+                    }
                 }
             }
             tokio::time::sleep(backoff).await;
@@ -111,8 +117,8 @@
         if let Some(key) = key {
             headers.insert(KEY_HEADER, key.parse().map_err(|_| AttemptError::NotSent)?);
         }
-        let mut stream = self.open(request).await?;
-        let lost = |_| AttemptError::Lost;
+        let (mut stream, _session) = self.open(request).await?;
+        let lost = AttemptError::of;
         if !call.body.is_empty() {
             stream.send_data(call.body.clone()).await.map_err(lost)?;
         }
--- a/src/caller/session.rs
+++ b/src/caller/session.rs
@@ -10,6 +10,10 @@
 
 /// Longest wait for one attempt to open a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1500);
+
+/// Connections tried for one attempt: the current one and a new one.
+const OPEN_ATTEMPTS: u32 = 2;
+
 /// One connection to a service.
 #[derive(Clone)]
 pub(super) struct Session {
@@ -18,17 +22,24 @@
 }
 
 impl Caller {
-    /// Opens a stream for a request, on a new connection if the current one is gone.
-    pub(super) async fn open(&self, request: Request<()>) -> Result<Stream, AttemptError> {
-        let mut session = self.session().await?;
-        match session.sender.send_request(request).await {
-            Ok(stream) => Ok(stream),
-            Err(error) => {
-                tracing::debug!(event = "session_closed", %error);
-                self.forget(&session).await;
-                Err(AttemptError::NotSent)
+    /// Opens a stream for a request, on a new connection if the current one takes no more.
+    ///
+    /// The connection stays open at least as long as the returned session is kept.
+    pub(super) async fn open(
+        &self,
+        request: Request<()>,
+    ) -> Result<(Stream, Session), AttemptError> {
+        for _ in 0..OPEN_ATTEMPTS {
+            let mut session = self.session().await?;
+            match session.sender.send_request(request.clone()).await {
+                Ok(stream) => return Ok((stream, session)),
+                Err(error) => {
+                    tracing::debug!(event = "session_closed", %error);
+                    self.forget(&session).await;
+                }
             }
         }
+        Err(AttemptError::NotSent)
     }
 
     async fn session(&self) -> Result<Session, AttemptError> {
@@ -44,7 +55,8 @@
         Ok(session)
     }
 
-    async fn forget(&self, session: &Session) {
+    /// Opens the next request on another connection; open ones stay.
+    pub(super) async fn forget(&self, session: &Session) {
         let mut current = self.session.lock().await;
         let same = current.as_ref().map(|s| s.connection.stable_id())
             == Some(session.connection.stable_id());
--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -1,6 +1,6 @@
 //! Runs the commands of the tool.
 
-use std::{fs::File, io::BufReader, path::Path, process::ExitCode};
+use std::{fs::File, io::BufReader, path::Path, process::ExitCode, sync::Arc};
 
 use bytes::Bytes;
 use rustls::pki_types::CertificateDer;
@@ -118,6 +118,7 @@
         read_roots(&options.root).map_err(|e| format!("{}: {e}", options.root.display()))?;
     let caller =
         Caller::new(options.address, &options.service, &roots).map_err(|e| e.to_string())?;
+    let caller = Arc::new(caller);
     if let Some(events) = options.feed {
         let mut feed = caller
             .feed(&options.path, None)
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -6,7 +6,7 @@
     net::SocketAddrV4,
     path::Path,
     sync::Arc,
-    time::{SystemTime, UNIX_EPOCH},
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use rustls::pki_types::{CertificateDer, PrivateKeyDer};
@@ -17,7 +17,7 @@
     agent::{self, Agent, AgentError, AgentOptions, Identity, bound_address},
     balancer,
     config::daemon::{AgentSettings, BalancerSettings, DaemonSettings},
-    control,
+    control::{self, Control},
     kernel::{Kernel, KernelError},
     member::{Directory, MemberState, Record, Role},
     membership::{self, LocalRecord, Signer},
@@ -29,6 +29,9 @@
 /// Attempts to find a port that is free for TCP and UDP.
 const BIND_ATTEMPTS: u32 = 20;
 
+/// Time in which a balancer that is not ready forwards what the fabric still sends.
+const BALANCER_LINGER: Duration = Duration::from_secs(2);
+
 /// An error at the start of a daemon.
 #[derive(Debug, Snafu)]
 pub enum DaemonError {
@@ -129,10 +132,15 @@
         if let Ok(local) = &local {
             local.update(|record| record.state = MemberState::Draining);
         }
+        if let Ok(control) = self.kernel.find::<Control>(Control::NAME) {
+            control.set_ready(false);
+        }
         tracing::info!(event = "draining", data = %self.data);
         if let Ok(agent) = self.kernel.find::<Agent>(Agent::NAME) {
             agent.drain();
             agent.drained().await;
+        } else {
+            self.linger().await;
         }
         if let Ok(local) = &local {
             local.update(|record| record.state = MemberState::Left);
@@ -142,6 +150,11 @@
         tracing::info!(event = "stopped", data = %self.data);
     }
 
+    /// Forwards what still comes until the fabric has seen that the balancer is not ready.
+    async fn linger(&self) {
+        tokio::time::sleep(BALANCER_LINGER).await;
+    }
+
     /// Stops at once, as if the VM had died.
     pub async fn kill(&self) {
         self.kernel.stop().await;
--- a/src/dev/faults.rs
+++ b/src/dev/faults.rs
@@ -4,6 +4,9 @@
 
 use super::{DevError, fleet::Fleet};
 
+/// Interval between two health checks of the fabric.
+const HEALTH_INTERVAL: Duration = Duration::from_millis(500);
+
 const PAUSE: Duration = Duration::from_millis(300);
 
 /// A kind of disturbance.
@@ -61,8 +64,10 @@
         let mut balancers = fleet.balancers.lock().expect("balancers lock");
         std::mem::replace(&mut balancers[index], new)
     };
-    fleet.publish_balancers();
     tokio::spawn(async move { old.shut_down().await });
+    // The fabric goes on sending until its next health check.
+    tokio::time::sleep(HEALTH_INTERVAL).await;
+    fleet.publish_balancers();
     Ok(())
 }
 
--- a/src/dev/mix.rs
+++ b/src/dev/mix.rs
@@ -231,7 +231,7 @@
 }
 
 /// Follows a feed for ever; an end, a silence or a gap counts as a broken flow.
-async fn follow(source: &Source, caller: &Caller) {
+async fn follow(source: &Source, caller: &Arc<Caller>) {
     let mut last: Option<u64> = None;
     loop {
         let Ok(mut feed) = caller.feed(&source.path, last).await else {
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -1,7 +1,7 @@
 //! Announcement of processes to each other over UDP.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddrV4,
     sync::{Arc, Mutex},
 };
@@ -16,7 +16,7 @@
     clock::{Clock, Time},
     consts::{ANNOUNCE_INTERVAL, DATAGRAM_BYTES, MEMBER_TIMEOUT},
     kernel::{Kernel, KernelError},
-    member::{Directory, MemberState, Record},
+    member::{Directory, MemberState, Record, Role},
     owner_id::{FleetKey, Purpose},
 };
 
@@ -159,6 +159,19 @@
         changed
     }
 
+    /// Returns the control addresses of live balancers, which may be newer than the seeds.
+    fn balancers(&self) -> impl Iterator<Item = SocketAddrV4> {
+        let live = |record: &&Record| {
+            record.role == Role::Balancer
+                && !matches!(record.state, MemberState::Dead | MemberState::Left)
+        };
+        self.records
+            .values()
+            .map(|(record, _)| record)
+            .filter(live)
+            .map(|record| record.control)
+    }
+
     fn members(&self) -> BTreeMap<SocketAddrV4, Record> {
         self.records
             .iter()
@@ -226,8 +239,10 @@
             self.directory.publish(self.roster.members());
         }
         let message = self.signer.seal(&Message::Announce(own));
-        for seed in &self.seeds {
-            let _ = self.socket.send_to(&message, seed).await;
+        let mut targets: BTreeSet<SocketAddrV4> = self.seeds.iter().copied().collect();
+        targets.extend(self.roster.balancers());
+        for target in targets {
+            let _ = self.socket.send_to(&message, target).await;
         }
     }
 
--- /dev/null
+++ b/tests/flows_drain.rs
@@ -0,0 +1,31 @@
+//! Planned changes under traffic: every balancer and every backend server is replaced in turn.
+
+use std::time::Duration;
+
+use berylvalve::dev::{self, Faults, RunOptions};
+
+const SECONDS: u64 = 6;
+
+async fn replaced_in_turn(name: &str) {
+    let site = dev::site(name).unwrap();
+    let options = RunOptions {
+        time: Duration::from_secs(SECONDS),
+        faults: Faults::Rolling,
+        seed: 1,
+    };
+    let report = dev::run(&site, options).await.unwrap();
+    assert!(report.kept(), "{report:?}");
+    assert_eq!(report.unknown, 0, "{report:?}");
+    assert!(report.answered > 0, "{report:?}");
+    assert!(report.flows > 0, "{report:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn haverkamp_loses_nothing_when_all_is_replaced() {
+    replaced_in_turn("haverkamp").await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn dolbom_loses_nothing_when_all_is_replaced() {
+    replaced_in_turn("dolbom").await;
+}
