--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -15,13 +15,15 @@
 
 use crate::{
     agent::{self, Agent, AgentError, AgentOptions, Identity, bound_address},
-    balancer,
+    balancer::{self, BalancerError, BalancerOptions},
     config::daemon::{AgentSettings, BalancerSettings, DaemonSettings},
     control::{self, Control},
+    decision::Decisions,
     kernel::{Kernel, KernelError},
     member::{Directory, MemberState, Record, Role},
     membership::{self, LocalRecord, Signer},
     metrics::Metrics,
+    operations::{self, DrainRequest},
     owner_id::{Incarnation, Keyring, Owner, Purpose, ServiceTag},
     settings::{InForce, Plan},
 };
@@ -41,6 +43,12 @@
         /// The agent's error.
         source: AgentError,
     },
+    /// A balancer can't start.
+    #[snafu(display("balancer: {source}"))]
+    Balancer {
+        /// The balancer's error.
+        source: BalancerError,
+    },
     /// A socket can't be opened.
     #[snafu(display("socket {address}: {source}"))]
     Bind {
@@ -106,11 +114,17 @@
         };
         kernel.publish(Directory::NAME, Arc::new(Directory::default()));
         kernel.publish(LocalRecord::NAME, Arc::new(LocalRecord::new(record)));
-        kernel.publish(Metrics::NAME, Arc::new(Metrics::default()));
+        let metrics = Arc::new(Metrics::default());
+        let decisions = Arc::new(Decisions::default());
+        let help = "Decisions that were not logged because the rate was used up";
+        metrics.register("decisions_not_logged", help, decisions.dropped().clone());
+        kernel.publish(Metrics::NAME, metrics);
+        kernel.publish(Decisions::NAME, decisions);
         let plan = Plan::resolve(settings.tree.clone(), 0);
         kernel.publish(InForce::NAME, Arc::new(InForce::new(plan)));
         let signer = Signer::new(&settings.fleet_keys());
         control::start(&kernel, listener, signer.clone()).context(KernelSnafu)?;
+        operations::publish(&kernel).context(KernelSnafu)?;
         membership::start(&kernel, control_socket, signer, settings.seeds.clone())
             .context(KernelSnafu)?;
         if let (Role::Balancer, Some(balancer)) = (settings.role, &settings.balancer) {
@@ -126,6 +140,14 @@
         })
     }
 
+    /// Waits until an operator asks the daemon to stop.
+    pub async fn drain_requested(&self) {
+        match self.kernel.find::<DrainRequest>(DrainRequest::NAME) {
+            Ok(request) => request.requested().await,
+            Err(_) => std::future::pending().await,
+        }
+    }
+
     /// Takes no new work, waits until nothing is open, and stops.
     pub async fn shut_down(&self) {
         let local = self.kernel.find::<LocalRecord>(LocalRecord::NAME);
@@ -168,8 +190,12 @@
     settings: &DaemonSettings,
     balancer: &BalancerSettings,
 ) -> Result<(), DaemonError> {
-    let keyring = Keyring::new(&settings.fleet_keys(), Purpose::Connection);
-    balancer::start(kernel, socket, own, balancer.fabric, keyring).context(KernelSnafu)
+    let options = BalancerOptions {
+        own,
+        fabric: balancer.fabric,
+        keyring: Keyring::new(&settings.fleet_keys(), Purpose::Connection),
+    };
+    balancer::start(kernel, socket, options).context(BalancerSnafu)
 }
 
 fn start_agent(
