Admit requests by slots, priority and deadline, and measure capacity

Cause: an agent ran every request at once; the backend server shed what was too much, in no order, and new flows were placed by equal weights. Change: admission as a state machine (slots, connections, a queue by priority then deadline bounded by 40 ms of work, eviction of the lowest rank, one of the next slots for certain or a refusal after 40 ms, Retry-After from the drain rate), capacity as a state machine (time in service, sheds, failures; weight announced past 5% and at most once a second), and the gate that runs both. Ruled out: waiting up to the deadline (a refusal would come seconds late).

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -14,12 +14,17 @@
 use crate::{
     consts::{IDLE_TIMEOUT, KEEP_ALIVE, OWNER_ID_BYTES, QUIC_MTU_BYTES},
     kernel::{Kernel, KernelError},
+    member::Directory,
+    membership::LocalRecord,
     owner_id::{FleetKey, Keyring, Owner, Purpose},
     settings::InForce,
 };
 
+pub mod admission;
 pub mod answer;
+pub mod capacity;
 pub mod feed;
+pub mod gate;
 pub mod http;
 pub mod intake;
 pub mod job;
@@ -30,6 +35,7 @@
 pub mod socket;
 pub mod upstream;
 
+use gate::Gate;
 use pressure::Pressure;
 use socket::FrameSocket;
 
@@ -80,6 +86,10 @@
     pub service: String,
     /// Address of the backend server.
     pub server: std::net::SocketAddr,
+    /// Requests that the backend server works on at once.
+    pub slots: u32,
+    /// Connections that the backend server holds.
+    pub connections: u32,
     /// Fleet keys; the first one seals.
     pub keys: Vec<FleetKey>,
     /// Certificate and key of the service.
@@ -125,8 +135,10 @@
         owner.incarnation,
         keyring.clone(),
     ));
+    let gate = start_gate(kernel, &options).context(KernelSnafu)?;
     let handler = Arc::new(http::Handler::new(
         kernel.clock(),
+        gate,
         kernel.find(InForce::NAME).context(KernelSnafu)?,
         &options,
     ));
@@ -137,7 +149,6 @@
         Arc::new(quinn::TokioRuntime),
     )
     .context(EndpointSnafu)?;
-    kernel.publish(Pressure::NAME, Arc::new(Pressure::default()));
     kernel.publish(
         Agent::NAME,
         Arc::new(Agent {
@@ -150,6 +161,22 @@
     Ok(())
 }
 
+/// Starts and publishes the gate in front of the backend server.
+fn start_gate(kernel: &Kernel, options: &AgentOptions) -> Result<Arc<Gate>, KernelError> {
+    let pressure = Arc::new(Pressure::default());
+    kernel.publish(Pressure::NAME, pressure.clone());
+    let gate = Arc::new(Gate::new(
+        kernel.clock(),
+        (options.slots, options.connections),
+        kernel.find(Directory::NAME)?,
+        kernel.find(LocalRecord::NAME)?,
+        pressure,
+    ));
+    kernel.publish(Gate::NAME, gate.clone());
+    kernel.spawn(gate.clone().run());
+    Ok(gate)
+}
+
 fn endpoint_config(keys: &[FleetKey], keyring: Keyring, owner: Owner) -> EndpointConfig {
     let secret = keys[0].derive(Purpose::Reset);
     let reset_key = ring::hmac::Key::new(ring::hmac::HMAC_SHA256, &secret);
--- a/src/agent/answer.rs
+++ b/src/agent/answer.rs
@@ -4,6 +4,9 @@
 use http::StatusCode;
 use serde::{Deserialize, Serialize};
 
+use super::admission::Refusal;
+use crate::clock::Time;
+
 /// How a request ended, for the caller.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Outcome {
@@ -33,6 +36,8 @@
     pub body: Bytes,
     /// How the request ended.
     pub outcome: Outcome,
+    /// Point from which another attempt is worth while, if it is known.
+    pub retry_at: Option<Time>,
     /// Backend server that ran the request.
     pub server: Option<String>,
     /// HTTP status.
@@ -45,16 +50,26 @@
         Self {
             body: Bytes::from_static(why.as_bytes()),
             outcome: Outcome::NotRun,
+            retry_at: None,
             server: None,
             status,
         }
     }
 
+    /// Returns the answer to a request that was not admitted.
+    pub fn refused(refusal: &Refusal) -> Self {
+        Self {
+            retry_at: Some(refusal.retry_at),
+            ..Self::not_run(StatusCode::SERVICE_UNAVAILABLE, refusal.reason.as_str())
+        }
+    }
+
     /// Returns the answer to a request that may have run.
     pub fn unknown() -> Self {
         Self {
             body: Bytes::from_static(b"the request may have run"),
             outcome: Outcome::Unknown,
+            retry_at: None,
             server: None,
             status: StatusCode::GATEWAY_TIMEOUT,
         }
--- a/src/agent/http.rs
+++ b/src/agent/http.rs
@@ -12,6 +12,7 @@
     AgentOptions,
     answer::{Answer, Outcome},
     feed,
+    gate::Gate,
     job::Job,
     once::Once,
     runner::Runner,
@@ -41,12 +42,17 @@
 
 impl Handler {
     /// Returns the handler of an agent.
-    pub fn new(clock: Clock, settings: Arc<InForce>, options: &AgentOptions) -> Self {
+    pub fn new(
+        clock: Clock,
+        gate: Arc<Gate>,
+        settings: Arc<InForce>,
+        options: &AgentOptions,
+    ) -> Self {
         Self {
             clock,
             draining: watch::Sender::new(false),
             once: Once::new(clock, &options.keys, options.owner),
-            runner: Runner::new(clock, options.server),
+            runner: Runner::new(clock, gate, options.server),
             service: options.service.clone(),
             settings,
         }
@@ -105,12 +111,18 @@
     }
 
     async fn feed(&self, job: &Job, mut stream: Stream) -> Result<(), StreamError> {
+        let permit = match self.runner.gate().open_feed() {
+            Ok(permit) => permit,
+            Err(refusal) => return self.reply(&mut stream, Answer::refused(&refusal)).await,
+        };
         let Ok(open) = feed::open(job, &self.runner).await else {
             let why = "the backend server can't be reached";
             let answer = Answer::not_run(StatusCode::SERVICE_UNAVAILABLE, why);
             return self.reply(&mut stream, answer).await;
         };
-        open.relay(&mut stream).await
+        let relayed = open.relay(&mut stream).await;
+        drop(permit);
+        relayed
     }
 
     async fn reply(&self, stream: &mut Stream, answer: Answer) -> Result<(), StreamError> {
@@ -119,7 +131,9 @@
             .header(OUTCOME_HEADER, answer.outcome.as_str())
             .header(NEXT_KEY_HEADER, self.once.new_key());
         if answer.outcome == Outcome::NotRun {
-            head = head.header(http::header::RETRY_AFTER, RETRY_AFTER_SECONDS);
+            let left = answer.retry_at.map(|at| at.since(self.clock.now()));
+            let seconds = left.map_or(RETRY_AFTER_SECONDS, |left| left.as_secs_f64().ceil() as u64);
+            head = head.header(http::header::RETRY_AFTER, seconds);
         }
         if let Some(server) = answer.server {
             head = head.header(SERVED_BY_HEADER, server);
--- a/src/agent/runner.rs
+++ b/src/agent/runner.rs
@@ -1,6 +1,6 @@
 //! Runs admitted requests on the backend server.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, sync::Arc};
 
 use bytes::Bytes;
 use http::{Request, StatusCode};
@@ -8,7 +8,10 @@
 use tokio::time::timeout_at;
 
 use super::{
+    admission::{Arrival, Refusal},
     answer::{Answer, Outcome},
+    capacity::Ended,
+    gate::Gate,
     job::Job,
     upstream::{Upstream, UpstreamError},
 };
@@ -21,15 +24,17 @@
 #[derive(Debug)]
 pub struct Runner {
     clock: Clock,
+    gate: Arc<Gate>,
     server: SocketAddr,
     upstream: Upstream,
 }
 
 impl Runner {
     /// Returns the runner of a backend server.
-    pub fn new(clock: Clock, server: SocketAddr) -> Self {
+    pub fn new(clock: Clock, gate: Arc<Gate>, server: SocketAddr) -> Self {
         Self {
             clock,
+            gate,
             server,
             upstream: Upstream::new(server),
         }
@@ -40,6 +45,11 @@
         self.server
     }
 
+    /// Returns the gate in front of the backend server.
+    pub fn gate(&self) -> &Arc<Gate> {
+        &self.gate
+    }
+
     /// Returns the connections to the backend server.
     pub fn upstream(&self) -> &Upstream {
         &self.upstream
@@ -51,6 +61,27 @@
     ///
     /// Returns the refusal, or "unknown" if the request may have run without an answer.
     pub async fn run(&self, job: &Job) -> Result<Answer, Answer> {
+        let admitted = self.gate.admit(&Arrival::from(job)).await;
+        let permit = admitted.map_err(|refusal| self.refused(job, &refusal))?;
+        let result = self.run_admitted(job).await;
+        permit.end(ended(&result));
+        result
+    }
+
+    fn refused(&self, job: &Job, refusal: &Refusal) -> Answer {
+        let retry_ms = refusal.retry_at.since(self.clock.now()).as_millis() as u64;
+        tracing::info!(
+            event = "refused",
+            id = job.id(),
+            kind = job.plan.name,
+            priority = job.plan.priority,
+            reason = refusal.reason.as_str(),
+            retry_ms,
+        );
+        Answer::refused(refusal)
+    }
+
+    async fn run_admitted(&self, job: &Job) -> Result<Answer, Answer> {
         if self.clock.now() >= job.deadline {
             let why = "the deadline has passed";
             return Err(Answer::not_run(StatusCode::SERVICE_UNAVAILABLE, why));
@@ -76,11 +107,15 @@
         let body = body.map_err(|_| UpstreamError::Lost)?.to_bytes();
         if shed {
             let why = "the backend server shed the request";
-            return Ok(Answer::not_run(status, why));
+            return Ok(Answer {
+                server: Some(self.server.to_string()),
+                ..Answer::not_run(status, why)
+            });
         }
         Ok(Answer {
             body,
             outcome: Outcome::Answered,
+            retry_at: None,
             server: Some(self.server.to_string()),
             status,
         })
@@ -93,3 +128,24 @@
         request
     }
 }
+
+impl From<&Job> for Arrival {
+    fn from(job: &Job) -> Self {
+        Self {
+            deadline: job.deadline,
+            priority: job.plan.priority,
+            queue: job.plan.queue,
+        }
+    }
+}
+
+/// Returns how a request ended at the backend server.
+fn ended(result: &Result<Answer, Answer>) -> Ended {
+    match result {
+        Ok(answer) if answer.status.is_server_error() => Ended::Failed,
+        Ok(_) => Ended::Served,
+        Err(answer) if answer.server.is_some() => Ended::Shed,
+        Err(answer) if answer.outcome == Outcome::NotRun => Ended::Failed,
+        Err(_) => Ended::Abandoned,
+    }
+}
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -170,6 +170,8 @@
         owner,
         service: agent.service.clone(),
         server: agent.server,
+        slots: agent.slots,
+        connections: agent.connections,
         keys: settings.fleet_keys(),
         identity: read_identity(&agent.certificate, &agent.private_key)?,
     };
