--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -211,6 +211,8 @@
         owner,
         service: agent.service.clone(),
         server: agent.server,
+        slots: agent.slots,
+        connections: agent.connections,
         keys: settings.fleet_keys(),
         identity: Arc::new(LiveIdentity::open(files).context(IdentitySnafu)?),
     };
