Keep the settings in the platform's store, in parts with change ids

Cause: settings came from each daemon's file alone, so a change meant a restart of the fleet. Ruled out: claim keys for addresses and tags, which guard these two values only; a head key that each edit compares and writes guards every rule of the whole tree and costs one more operation in the same call. Change: a client of the etcd v3 JSON gateway, a stand-in with the store's failures, parts with change id, author, time and a bounded history, and an edit as a state machine that settles a lost answer by the same write or by reading its change id back. Conclusion: nothing of this is in force in a daemon yet.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -87,9 +87,11 @@
 USAGE:
   berylvalve stand-in fabric SERVICES    spray datagrams for a number of services
   berylvalve stand-in server FILE        run a backend server with options in JSON
+  berylvalve stand-in store              run an empty key-value store
 
 The stand-in prints its addresses on standard output. The fabric reads its balancers from standard
-input, one list of addresses separated by spaces a line, and ends with its input.
+input, one list of addresses separated by spaces a line, and ends with its input. So does the store,
+which reads what fails from now on: down, up, slow MILLISECONDS, lose N, lapse, save, restore, calls.
 
 EXAMPLE:
   berylvalve stand-in server server.json
@@ -206,6 +208,8 @@
     Fabric(usize),
     /// A backend server, with its options in a file.
     Server(PathBuf),
+    /// A key-value store.
+    Store,
 }
 
 /// A parsed command line.
@@ -288,6 +292,7 @@
     match args.subcommand()?.as_deref() {
         Some("fabric") => Ok(StandIn::Fabric(args.free_from_str()?)),
         Some("server") => Ok(StandIn::Server(args.free_from_str()?)),
+        Some("store") => Ok(StandIn::Store),
         other => CommandSnafu {
             name: format!("stand-in {}", other.unwrap_or_default()),
         }
--- a/src/cli/stand_in.rs
+++ b/src/cli/stand_in.rs
@@ -10,7 +10,11 @@
 use super::StandIn;
 use crate::{
     kernel::Kernel,
-    standin::{fabric::Fabric, server::Server},
+    standin::{
+        fabric::Fabric,
+        kv::{Contents, Kv},
+        server::Server,
+    },
 };
 
 const FABRIC_SEED: u64 = 1;
@@ -24,6 +28,7 @@
     match stand_in {
         StandIn::Fabric(services) => run_fabric(services).await.map_err(|e| e.to_string()),
         StandIn::Server(file) => run_server(&file).await,
+        StandIn::Store => run_store().await.map_err(|e| e.to_string()),
     }
 }
 
@@ -63,3 +68,38 @@
     kernel.stop().await;
     Ok(())
 }
+
+async fn run_store() -> std::io::Result<()> {
+    let kernel = Kernel::new();
+    let kv = Kv::start(&kernel).await?;
+    println!("listening {}", kv.address());
+    let mut saved = Contents::default();
+    let mut lines = BufReader::new(stdin()).lines();
+    while let Some(line) = lines.next_line().await? {
+        if !change_store(&kv, &mut saved, &line) {
+            eprintln!("berylvalve: unknown line {line}");
+        }
+    }
+    kernel.stop().await;
+    Ok(())
+}
+
+/// Applies a line of the store's input; returns whether it is known.
+fn change_store(kv: &Kv, saved: &mut Contents, line: &str) -> bool {
+    let (word, rest) = line.split_once(' ').unwrap_or((line, "0"));
+    let Ok(number) = rest.parse() else {
+        return false;
+    };
+    match word {
+        "down" => kv.fail(|failures| failures.down = true),
+        "up" => kv.fail(|failures| failures.down = false),
+        "slow" => kv.fail(|failures| failures.delay_ms = number),
+        "lose" => kv.fail(|failures| failures.lose = number as u32),
+        "lapse" => kv.lapse(),
+        "save" => *saved = kv.save(),
+        "restore" => kv.restore(saved.clone()),
+        "calls" => println!("{:?}", kv.calls()),
+        _ => return false,
+    }
+    true
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,4 +23,5 @@
 pub mod settings;
 pub mod standin;
 pub mod steering;
+pub mod store;
 pub mod trial;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -13,6 +13,13 @@
     owner_id::ServiceTag,
 };
 
+pub mod change;
+pub mod edit;
+pub mod in_force;
+pub mod layout;
+pub mod operator;
+pub mod part;
+
 /// A region's settings with everything resolved that a process looks up.
 #[derive(Clone, Debug, Default)]
 pub struct Plan {
@@ -76,16 +83,16 @@
         self.plan.load_full()
     }
 
-    /// Puts a plan in force unless it is older; returns whether it did.
+    /// Puts a plan in force unless its revision is lower; returns whether it did.
     pub fn advance(&self, plan: Plan) -> bool {
         let plan = Arc::new(plan);
         let before = self.plan.rcu(|current| {
-            if plan.revision > current.revision {
+            if plan.revision >= current.revision {
                 plan.clone()
             } else {
                 current.clone()
             }
         });
-        plan.revision > before.revision
+        plan.revision >= before.revision
     }
 }
--- a/src/standin.rs
+++ b/src/standin.rs
@@ -1,5 +1,6 @@
-//! Small stand-ins for the platform: the fabric and the backend servers.
+//! Small stand-ins for the platform: the fabric, the key-value service and the backend servers.
 
 pub mod body;
 pub mod fabric;
+pub mod kv;
 pub mod server;
--- /dev/null
+++ b/src/store/etcd.rs
@@ -0,0 +1,234 @@
+//! A client of the etcd v3 HTTP/JSON gateway.
+
+use std::{
+    net::SocketAddrV4,
+    sync::atomic::{AtomicUsize, Ordering},
+    time::Duration,
+};
+
+use bytes::{Bytes, BytesMut};
+use futures::{FutureExt, StreamExt, future::BoxFuture, stream};
+use http::{Request, StatusCode, header::CONTENT_TYPE};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use serde::{Serialize, de::DeserializeOwned};
+use tokio::time::timeout;
+
+use super::{
+    Committed, Compare, Item, LeaseId, LostSnafu, RefusedSnafu, Snapshot, Store, StoreError,
+    Transaction, UnreachableSnafu, Watch, Write,
+    wire::{
+        Blob, CompareRequest, GrantRequest, Int64, KeepAliveRequest, LeaseResponse, Operation,
+        PutRequest, RangeRequest, RangeResponse, Streamed, TxnRequest, TxnResponse, WatchCreate,
+        WatchRequest, WatchResponse, prefix_end,
+    },
+};
+
+/// Time in which a call must be answered.
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Largest answer, in bytes.
+const ANSWER_BYTES: usize = 64 << 20;
+
+/// A client that goes to the next endpoint when one can't be reached.
+#[derive(Debug)]
+pub struct EtcdStore {
+    client: Client<HttpConnector, Full<Bytes>>,
+    endpoints: Vec<SocketAddrV4>,
+    current: AtomicUsize,
+}
+
+impl EtcdStore {
+    /// Returns a client of a store that is reached at any of its endpoints.
+    pub fn new(endpoints: Vec<SocketAddrV4>) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(CALL_TIMEOUT));
+        Self {
+            client: Client::builder(TokioExecutor::new()).build(connector),
+            endpoints,
+            current: AtomicUsize::new(0),
+        }
+    }
+
+    fn endpoint(&self) -> SocketAddrV4 {
+        let current = self.current.load(Ordering::Relaxed);
+        self.endpoints[current % self.endpoints.len()]
+    }
+
+    async fn open<M: Serialize>(&self, path: &str, message: &M) -> Result<Incoming, StoreError> {
+        let endpoint = self.endpoint();
+        let body = serde_json::to_vec(message).expect("messages encode");
+        let request = Request::post(format!("http://{endpoint}{path}"))
+            .header(CONTENT_TYPE, "application/json")
+            .body(Full::new(Bytes::from(body)))
+            .expect("valid request");
+        let answered = timeout(CALL_TIMEOUT, self.client.request(request)).await;
+        match answered {
+            Ok(Ok(response)) if response.status() == StatusCode::OK => Ok(response.into_body()),
+            Ok(Ok(response)) => RefusedSnafu {
+                endpoint,
+                status: response.status(),
+            }
+            .fail(),
+            Ok(Err(error)) if error.is_connect() => {
+                self.current.fetch_add(1, Ordering::Relaxed);
+                UnreachableSnafu { endpoint }.fail()
+            }
+            _ => {
+                self.current.fetch_add(1, Ordering::Relaxed);
+                LostSnafu { endpoint }.fail()
+            }
+        }
+    }
+
+    async fn call<M, A>(&self, path: &str, message: &M) -> Result<A, StoreError>
+    where
+        M: Serialize,
+        A: DeserializeOwned,
+    {
+        let endpoint = self.endpoint();
+        let body = Limited::new(self.open(path, message).await?, ANSWER_BYTES);
+        let body = timeout(CALL_TIMEOUT, body.collect()).await;
+        let Ok(Ok(body)) = body else {
+            return LostSnafu { endpoint }.fail();
+        };
+        serde_json::from_slice(&body.to_bytes()).map_err(|_| StoreError::Lost { endpoint })
+    }
+}
+
+impl Store for EtcdStore {
+    fn range<'a>(
+        &'a self,
+        prefix: &'a str,
+        since: u64,
+    ) -> BoxFuture<'a, Result<Snapshot, StoreError>> {
+        async move {
+            let request = RangeRequest {
+                key: Blob(prefix.into()),
+                range_end: Blob(prefix_end(prefix.as_bytes())),
+                min_mod_revision: Int64(if since == 0 { 0 } else { since + 1 }),
+            };
+            let answer: RangeResponse = self.call("/v3/kv/range", &request).await?;
+            let mut items = Vec::with_capacity(answer.kvs.len());
+            for kv in answer.kvs {
+                items.push(Item {
+                    key: String::from_utf8_lossy(&kv.key.0).into_owned(),
+                    value: kv.value.0,
+                    revision: kv.mod_revision.0,
+                });
+            }
+            Ok(Snapshot {
+                items,
+                revision: answer.header.revision.0,
+            })
+        }
+        .boxed()
+    }
+
+    fn commit<'a>(
+        &'a self,
+        transaction: &'a Transaction,
+    ) -> BoxFuture<'a, Result<Committed, StoreError>> {
+        async move {
+            let request = TxnRequest {
+                compare: transaction.compares.iter().map(compare).collect(),
+                success: transaction.writes.iter().map(put).collect(),
+            };
+            let answer: TxnResponse = self.call("/v3/kv/txn", &request).await?;
+            Ok(if answer.succeeded {
+                Committed::Done
+            } else {
+                Committed::Conflict
+            })
+        }
+        .boxed()
+    }
+
+    fn grant(&self, seconds: u64) -> BoxFuture<'_, Result<LeaseId, StoreError>> {
+        async move {
+            let request = GrantRequest {
+                ttl: Int64(seconds),
+            };
+            let answer: LeaseResponse = self.call("/v3/lease/grant", &request).await?;
+            Ok(LeaseId(answer.id.0))
+        }
+        .boxed()
+    }
+
+    fn keep_alive(&self, lease: LeaseId) -> BoxFuture<'_, Result<bool, StoreError>> {
+        async move {
+            let request = KeepAliveRequest { id: Int64(lease.0) };
+            let answer: Streamed<LeaseResponse> =
+                self.call("/v3/lease/keepalive", &request).await?;
+            Ok(answer.result.ttl.0 > 0)
+        }
+        .boxed()
+    }
+
+    fn watch<'a>(
+        &'a self,
+        prefix: &'a str,
+        since: u64,
+    ) -> BoxFuture<'a, Result<Watch, StoreError>> {
+        async move {
+            let create_request = WatchCreate {
+                key: Blob(prefix.into()),
+                range_end: Blob(prefix_end(prefix.as_bytes())),
+                start_revision: Int64(since + 1),
+            };
+            let body = self
+                .open("/v3/watch", &WatchRequest { create_request })
+                .await?;
+            Ok(revisions(body))
+        }
+        .boxed()
+    }
+}
+
+fn compare(compare: &Compare) -> CompareRequest {
+    CompareRequest {
+        result: "EQUAL".into(),
+        target: "MOD".into(),
+        key: Blob(compare.key.clone().into()),
+        mod_revision: Int64(compare.revision),
+    }
+}
+
+fn put(write: &Write) -> Operation {
+    Operation {
+        request_put: PutRequest {
+            key: Blob(write.key.clone().into()),
+            value: Blob(write.value.clone()),
+            lease: Int64(write.lease.map_or(0, |lease| lease.0)),
+        },
+    }
+}
+
+/// Reads the lines of a watch; ends with the connection or at a line that can't be read.
+fn revisions(body: Incoming) -> Watch {
+    let lines = stream::unfold((body, BytesMut::new()), |(mut body, mut buffer)| async {
+        loop {
+            if let Some(end) = buffer.iter().position(|byte| *byte == b'\n') {
+                let line = buffer.split_to(end + 1);
+                return Some((line, (body, buffer)));
+            }
+            let frame = body.frame().await?.ok()?;
+            if let Ok(data) = frame.into_data() {
+                buffer.extend_from_slice(&data);
+            }
+        }
+    });
+    lines
+        .map(|line| serde_json::from_slice::<Streamed<WatchResponse>>(&line).ok())
+        .take_while(|message| futures::future::ready(message.is_some()))
+        .filter_map(|message| async move {
+            let response = message?.result;
+            let changed = !response.events.is_empty();
+            changed.then_some(response.header.revision.0)
+        })
+        .boxed()
+}
--- /dev/null
+++ b/tests/settings_store.rs
@@ -0,0 +1,113 @@
+//! The client of the store against the stand-in, with the store's failures.
+
+use std::time::Duration;
+
+use berylvalve::{
+    kernel::Kernel,
+    standin::kv::Kv,
+    store::{Committed, Compare, EtcdStore, Store, StoreError, Transaction, Write},
+};
+use futures::StreamExt;
+use tokio::time::timeout;
+
+fn put(key: &str, value: &str, revision: u64) -> Transaction {
+    Transaction {
+        compares: vec![Compare {
+            key: key.into(),
+            revision,
+        }],
+        writes: vec![Write {
+            key: key.into(),
+            value: value.into(),
+            lease: None,
+        }],
+    }
+}
+
+#[tokio::test]
+async fn a_write_lands_only_on_the_revision_that_it_names() {
+    let kernel = Kernel::new();
+    let kv = Kv::start(&kernel).await.unwrap();
+    let store = EtcdStore::new(vec![kv.address()]);
+    assert_eq!(
+        store.commit(&put("a/1", "x", 0)).await.unwrap(),
+        Committed::Done
+    );
+    assert_eq!(
+        store.commit(&put("a/1", "y", 0)).await.unwrap(),
+        Committed::Conflict
+    );
+    store.commit(&put("b/1", "z", 0)).await.unwrap();
+    let found = store.range("a/", 0).await.unwrap();
+    assert_eq!(found.items.len(), 1);
+    assert_eq!(found.items[0].value, b"x");
+    assert_eq!(
+        store
+            .range("a/", found.items[0].revision)
+            .await
+            .unwrap()
+            .items,
+        []
+    );
+    kernel.stop().await;
+}
+
+#[tokio::test]
+async fn a_watch_reports_changes_and_ends_when_the_store_goes_down() {
+    let kernel = Kernel::new();
+    let kv = Kv::start(&kernel).await.unwrap();
+    let store = EtcdStore::new(vec![kv.address()]);
+    let mut watch = store.watch("a/", 0).await.unwrap();
+    store.commit(&put("a/1", "x", 0)).await.unwrap();
+    assert_eq!(watch.next().await, Some(1));
+    kv.fail(|failures| failures.down = true);
+    assert_eq!(watch.next().await, None);
+    assert!(store.range("a/", 0).await.is_err());
+    assert_eq!(kv.calls().watches, 1);
+    kernel.stop().await;
+}
+
+#[tokio::test]
+async fn a_lost_answer_is_told_from_a_refused_connection() {
+    let kernel = Kernel::new();
+    let kv = Kv::start(&kernel).await.unwrap();
+    let store = EtcdStore::new(vec![kv.address()]);
+    kv.fail(|failures| failures.lose = 1);
+    let lost = store.commit(&put("a/1", "x", 0)).await.unwrap_err();
+    assert!(lost.is_lost(), "{lost}");
+    assert_eq!(store.range("a/", 0).await.unwrap().items[0].value, b"x");
+    let nobody = EtcdStore::new(vec!["127.0.0.1:1".parse().unwrap()]);
+    let refused = nobody.commit(&put("a/1", "x", 0)).await.unwrap_err();
+    assert!(
+        matches!(refused, StoreError::Unreachable { .. }),
+        "{refused}"
+    );
+    kernel.stop().await;
+}
+
+#[tokio::test]
+async fn a_lapsed_lease_takes_its_keys_with_it_and_is_not_renewed() {
+    let kernel = Kernel::new();
+    let kv = Kv::start(&kernel).await.unwrap();
+    let store = EtcdStore::new(vec![kv.address()]);
+    let lease = store.grant(60).await.unwrap();
+    let mut seed = put("seeds/1", "x", 0);
+    seed.writes[0].lease = Some(lease);
+    store.commit(&seed).await.unwrap();
+    assert!(store.keep_alive(lease).await.unwrap());
+    kv.lapse();
+    assert!(!store.keep_alive(lease).await.unwrap());
+    assert_eq!(store.range("seeds/", 0).await.unwrap().items, []);
+    kernel.stop().await;
+}
+
+#[tokio::test]
+async fn a_slow_store_costs_a_bounded_wait() {
+    let kernel = Kernel::new();
+    let kv = Kv::start(&kernel).await.unwrap();
+    let store = EtcdStore::new(vec![kv.address()]);
+    kv.fail(|failures| failures.delay_ms = 60_000);
+    let answered = timeout(Duration::from_secs(5), store.range("a/", 0)).await;
+    assert!(answered.unwrap().unwrap_err().is_lost());
+    kernel.stop().await;
+}
