--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,27 +1,29 @@
 //! A whole daemon process: its kernel and the services of its role.
 
 use std::{
-    fs::File,
-    io::{self, BufReader},
+    io,
     net::SocketAddrV4,
-    path::Path,
     sync::Arc,
     time::{SystemTime, UNIX_EPOCH},
 };
 
-use rustls::pki_types::{CertificateDer, PrivateKeyDer};
 use snafu::{ResultExt, Snafu};
 use tokio::net::{TcpListener, UdpSocket};
 
 use crate::{
-    agent::{self, Agent, AgentError, AgentOptions, Identity, bound_address},
-    balancer,
+    agent::{
+        self, Agent, AgentError, AgentOptions, bound_address,
+        identity::{IdentityError, IdentityFiles, LiveIdentity},
+    },
+    balancer::{self, BalancerError, BalancerOptions},
     config::daemon::{AgentSettings, BalancerSettings, DaemonSettings},
     control,
+    decision::Decisions,
     kernel::{Kernel, KernelError},
     member::{Directory, MemberState, Record, Role},
     membership::{self, LocalRecord, Signer},
     metrics::Metrics,
+    operations::{self, DrainRequest},
     owner_id::{Incarnation, Keyring, Owner, Purpose, ServiceTag},
     settings::{InForce, Plan},
 };
@@ -38,6 +40,12 @@
         /// The agent's error.
         source: AgentError,
     },
+    /// A balancer can't start.
+    #[snafu(display("balancer: {source}"))]
+    Balancer {
+        /// The balancer's error.
+        source: BalancerError,
+    },
     /// A socket can't be opened.
     #[snafu(display("socket {address}: {source}"))]
     Bind {
@@ -46,13 +54,11 @@
         /// The system's error.
         source: io::Error,
     },
-    /// A certificate or key file can't be read.
-    #[snafu(display("{file}: {source}"))]
+    /// The certificate of the service does not hold.
+    #[snafu(display("{source}"))]
     Identity {
-        /// The file.
-        file: String,
-        /// The system's error.
-        source: io::Error,
+        /// The certificate's error.
+        source: IdentityError,
     },
     /// A service of the kernel is missing.
     #[snafu(display("{source}"))]
@@ -103,11 +109,17 @@
         };
         kernel.publish(Directory::NAME, Arc::new(Directory::default()));
         kernel.publish(LocalRecord::NAME, Arc::new(LocalRecord::new(record)));
-        kernel.publish(Metrics::NAME, Arc::new(Metrics::default()));
+        let metrics = Arc::new(Metrics::default());
+        let decisions = Arc::new(Decisions::default());
+        let help = "Decisions that were not logged because the rate was used up";
+        metrics.register("decisions_not_logged", help, decisions.dropped().clone());
+        kernel.publish(Metrics::NAME, metrics);
+        kernel.publish(Decisions::NAME, decisions);
         let plan = Plan::resolve(settings.tree.clone(), 0);
         kernel.publish(InForce::NAME, Arc::new(InForce::new(plan)));
         let signer = Signer::new(&settings.fleet_keys());
         control::start(&kernel, listener, signer.clone()).context(KernelSnafu)?;
+        operations::publish(&kernel).context(KernelSnafu)?;
         membership::start(&kernel, control_socket, signer, settings.seeds.clone())
             .context(KernelSnafu)?;
         if let (Role::Balancer, Some(balancer)) = (settings.role, &settings.balancer) {
@@ -123,6 +135,14 @@
         })
     }
 
+    /// Waits until an operator asks the daemon to stop.
+    pub async fn drain_requested(&self) {
+        match self.kernel.find::<DrainRequest>(DrainRequest::NAME) {
+            Ok(request) => request.requested().await,
+            Err(_) => std::future::pending().await,
+        }
+    }
+
     /// Takes no new work, waits until nothing is open, and stops.
     pub async fn shut_down(&self) {
         let local = self.kernel.find::<LocalRecord>(LocalRecord::NAME);
@@ -155,8 +175,12 @@
     settings: &DaemonSettings,
     balancer: &BalancerSettings,
 ) -> Result<(), DaemonError> {
-    let keyring = Keyring::new(&settings.fleet_keys(), Purpose::Connection);
-    balancer::start(kernel, socket, own, balancer.fabric, keyring).context(KernelSnafu)
+    let options = BalancerOptions {
+        own,
+        fabric: balancer.fabric,
+        keyring: Keyring::new(&settings.fleet_keys(), Purpose::Connection),
+    };
+    balancer::start(kernel, socket, options).context(BalancerSnafu)
 }
 
 fn start_agent(
@@ -166,12 +190,16 @@
     settings: &DaemonSettings,
     agent: &AgentSettings,
 ) -> Result<(), DaemonError> {
+    let files = IdentityFiles {
+        certificate: agent.certificate.clone(),
+        private_key: agent.private_key.clone(),
+    };
     let options = AgentOptions {
         owner,
         service: agent.service.clone(),
         server: agent.server,
         keys: settings.fleet_keys(),
-        identity: read_identity(&agent.certificate, &agent.private_key)?,
+        identity: Arc::new(LiveIdentity::open(files).context(IdentitySnafu)?),
     };
     agent::start(kernel, socket, options).context(AgentSnafu)
 }
@@ -214,23 +242,3 @@
         .unwrap_or_default();
     Incarnation((since.as_millis() / 100) as u32)
 }
-
-fn read_identity(certificate: &Path, private_key: &Path) -> Result<Identity, DaemonError> {
-    let open = |path: &Path| -> Result<BufReader<File>, DaemonError> {
-        let file = path.display().to_string();
-        Ok(BufReader::new(
-            File::open(path).context(IdentitySnafu { file })?,
-        ))
-    };
-    let file = certificate.display().to_string();
-    let chain: Result<Vec<CertificateDer<'static>>, _> =
-        rustls_pemfile::certs(&mut open(certificate)?).collect();
-    let chain = chain.context(IdentitySnafu { file })?;
-    let file = private_key.display().to_string();
-    let key: Option<PrivateKeyDer<'static>> = rustls_pemfile::private_key(&mut open(private_key)?)
-        .context(IdentitySnafu { file: file.clone() })?;
-    let key = key
-        .ok_or_else(|| io::Error::other("no private key"))
-        .context(IdentitySnafu { file })?;
-    Ok(Identity { chain, key })
-}
