--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,4 +26,5 @@
 pub mod settings;
 pub mod standin;
 pub mod steering;
+pub mod store;
 pub mod trial;
