Spread membership by SWIM with suspicion, digests and a byte budget

Cause: every process announced itself to all seeds, and seeds answered with all records: bytes grow with the square of the fleet, a seed's death blinds all, and a silent network looked like a death.

Change: src/membership is a state machine without I/O (probes, suspicion, refutation, news by class, anti-entropy over shards, joins through seeds, a token bucket of bytes), driven by a UDP loop. A view rebuilds only the tables of services whose candidates changed; suspects are placed on only where nothing better is there. MEMBER_TIMEOUT has no user any more and is gone.

Seen to fail before their mechanisms, in this order of work: budget_is_never_exceeded (class reserves ignored the message's level), leave_during_a_long_cut (freed records came back; now tombstones answer), settings revision (only direct contacts carry it), flapping after a heal (probes opened in the cut blamed members that had been heard of since).

Ruled out: carrying each process's settings revision as a record update (640 updates a second at the target); it rides in the header of every message instead.

--- a/src/consts.rs
+++ b/src/consts.rs
@@ -20,12 +20,9 @@
 /// Time without any packet after which a QUIC connection is closed.
 pub const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Interval between two announcements of a process.
+/// Time in which a process tells its neighbours of a change.
 pub const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Time without an announcement after which a member is no longer used.
-pub const MEMBER_TIMEOUT: Duration = Duration::from_millis(1500);
-
 /// Largest request or answer body that an agent buffers, in bytes.
 pub const BODY_BYTES: usize = 1 << 20;
 
--- a/src/member.rs
+++ b/src/member.rs
@@ -1,7 +1,8 @@
 //! What processes tell each other about themselves, and the view computed from it.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    cmp::Ordering,
+    collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddrV4,
     sync::Arc,
 };
@@ -88,41 +89,106 @@
 
 impl View {
     /// Returns the view that follows `self` with other members.
+    ///
+    /// Only the tables of services whose candidates changed are built anew.
     pub fn next(&self, members: BTreeMap<SocketAddrV4, Record>) -> View {
-        let mut candidates: HashMap<ServiceTag, Vec<Candidate>> = HashMap::new();
-        for record in members.values() {
-            if record.role != Role::Agent || record.state != MemberState::Ready {
-                continue;
-            }
-            let candidate = Candidate {
-                address: record.address,
-                weight: record.weight,
-            };
-            candidates
-                .entry(record.service)
-                .or_default()
-                .push(candidate);
-        }
+        let changed = changed_services(&self.members, &members);
         let mut view = View {
             version: self.version + 1,
             members,
-            tables: HashMap::with_capacity(candidates.len()),
+            tables: self.tables.clone(),
             earlier: self.earlier.clone(),
         };
-        for (service, candidates) in candidates {
-            let table = Arc::new(Table::build(&candidates));
-            match self.tables.get(&service) {
-                Some(old) if *old != table => {
-                    view.earlier.insert(service, old.clone());
-                }
-                _ => {}
+        if changed.is_empty() {
+            return view;
+        }
+        let mut candidates = candidates(&view.members, &changed);
+        for service in changed {
+            let built = candidates.remove(&service).map(|c| Table::build(&c));
+            let old = view.tables.remove(&service);
+            if let Some(old) = old.filter(|old| Some(old.as_ref()) != built.as_ref()) {
+                view.earlier.insert(service, old);
+            }
+            if let Some(table) = built {
+                view.tables.insert(service, Arc::new(table));
             }
-            view.tables.insert(service, table);
         }
         view
     }
 }
 
+/// Returns the services whose candidates differ between two sets of members.
+fn changed_services(
+    old: &BTreeMap<SocketAddrV4, Record>,
+    new: &BTreeMap<SocketAddrV4, Record>,
+) -> BTreeSet<ServiceTag> {
+    let mut changed = BTreeSet::new();
+    let mut olds = old.iter().peekable();
+    let mut news = new.iter().peekable();
+    loop {
+        let order = match (olds.peek(), news.peek()) {
+            (None, None) => return changed,
+            (Some(_), None) => Ordering::Less,
+            (None, Some(_)) => Ordering::Greater,
+            (Some((a, _)), Some((b, _))) => a.cmp(b),
+        };
+        let before = olds.next_if(|_| order.is_le()).map(|(_, r)| r);
+        let after = news.next_if(|_| order.is_ge()).map(|(_, r)| r);
+        if before.and_then(standing) == after.and_then(standing) {
+            continue;
+        }
+        changed.extend(before.and_then(standing).map(|s| s.service));
+        changed.extend(after.and_then(standing).map(|s| s.service));
+    }
+}
+
+/// What placement takes from a record.
+#[derive(Clone, Copy, Eq, PartialEq)]
+struct Standing {
+    service: ServiceTag,
+    suspect: bool,
+    weight: u16,
+}
+
+fn standing(record: &Record) -> Option<Standing> {
+    let usable = matches!(record.state, MemberState::Ready | MemberState::Suspect);
+    (record.role == Role::Agent && usable).then_some(Standing {
+        service: record.service,
+        suspect: record.state == MemberState::Suspect,
+        weight: record.weight,
+    })
+}
+
+/// Returns the candidates of some services: suspects only where nothing better is there.
+fn candidates(
+    members: &BTreeMap<SocketAddrV4, Record>,
+    services: &BTreeSet<ServiceTag>,
+) -> HashMap<ServiceTag, Vec<Candidate>> {
+    let mut ready: HashMap<ServiceTag, Vec<Candidate>> = HashMap::new();
+    let mut suspects: HashMap<ServiceTag, Vec<Candidate>> = HashMap::new();
+    for record in members.values() {
+        let Some(standing) = standing(record) else {
+            continue;
+        };
+        if !services.contains(&standing.service) {
+            continue;
+        }
+        let group = match standing.suspect {
+            true => &mut suspects,
+            false => &mut ready,
+        };
+        let candidate = Candidate {
+            address: record.address,
+            weight: record.weight,
+        };
+        group.entry(standing.service).or_default().push(candidate);
+    }
+    for (service, group) in suspects {
+        ready.entry(service).or_insert(group);
+    }
+    ready
+}
+
 /// The published view of one process, under the name [`Directory::NAME`].
 #[derive(Debug)]
 pub struct Directory {
--- /dev/null
+++ b/src/membership/signer.rs
@@ -0,0 +1,81 @@
+//! Authentication of control messages.
+//!
+//! A signature does not stop a stranger from sending a captured message again, so every message
+//! must be harmless when repeated: records are ordered by incarnation and version, an
+//! acknowledgement counts only for an open probe, and answers go to the address inside the message.
+
+use hmac::{Hmac, Mac};
+use serde::{Deserialize, Serialize};
+use sha2::Sha256;
+use snafu::Snafu;
+
+use crate::owner_id::{FleetKey, Purpose};
+
+/// Length of a signature in bytes.
+pub const MAC_BYTES: usize = 16;
+
+/// An error of a control message.
+#[derive(Debug, Snafu)]
+pub enum MessageError {
+    /// The message is not signed with a fleet key.
+    #[snafu(display("control message is not signed with a fleet key"))]
+    Stranger,
+    /// The message can't be read.
+    #[snafu(display("damaged control message"))]
+    Damaged,
+}
+
+/// Signs and checks control messages (HMAC-SHA-256, truncated to 16 bytes).
+#[derive(Clone, Debug)]
+pub struct Signer {
+    keys: Vec<[u8; 32]>,
+}
+
+impl Signer {
+    /// Returns the signer of the fleet keys; the first one signs.
+    pub fn new(keys: &[FleetKey]) -> Self {
+        let keys = keys
+            .iter()
+            .map(|key| key.derive(Purpose::Control))
+            .collect();
+        Self { keys }
+    }
+
+    /// Encodes and signs a message.
+    pub fn seal<T: Serialize>(&self, message: &T) -> Vec<u8> {
+        let mut bytes = rmp_serde::to_vec(message).expect("messages encode");
+        let tag = mac(&self.keys[0], &bytes);
+        bytes.extend_from_slice(&tag);
+        bytes
+    }
+
+    /// Checks and decodes a message.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no fleet key signed it or if it can't be read.
+    pub fn open<T: for<'a> Deserialize<'a>>(&self, bytes: &[u8]) -> Result<T, MessageError> {
+        let Some(length) = bytes.len().checked_sub(MAC_BYTES) else {
+            return Err(MessageError::Damaged);
+        };
+        let (body, tag) = bytes.split_at(length);
+        let known = self.keys.iter().any(|key| verify(key, body, tag));
+        if !known {
+            return Err(MessageError::Stranger);
+        }
+        rmp_serde::from_slice(body).map_err(|_| MessageError::Damaged)
+    }
+}
+
+fn mac(key: &[u8], body: &[u8]) -> [u8; MAC_BYTES] {
+    let mut mac = Hmac::<Sha256>::new_from_slice(key).expect("any key length fits");
+    mac.update(body);
+    let full = mac.finalize().into_bytes();
+    full[..MAC_BYTES].try_into().expect("16 bytes")
+}
+
+fn verify(key: &[u8], body: &[u8], tag: &[u8]) -> bool {
+    let mut mac = Hmac::<Sha256>::new_from_slice(key).expect("any key length fits");
+    mac.update(body);
+    mac.verify_truncated_left(tag).is_ok()
+}
--- a/src/trial.rs
+++ b/src/trial.rs
@@ -4,6 +4,8 @@
 
 pub mod relay;
 
+pub mod membership;
+
 /// A measurement that anyone can run again.
 #[derive(Clone, Copy)]
 pub struct Trial {
--- /dev/null
+++ b/tests/membership/main.rs
@@ -0,0 +1,49 @@
+//! The membership state machine under virtual time, on a small fake network.
+
+mod faults;
+mod random;
+mod session;
+mod spread;
+mod strangers;
+mod view;
+
+use std::{net::SocketAddrV4, time::Duration};
+
+use berylvalve::{
+    member::MemberState,
+    trial::membership::network::{Network, record},
+};
+
+/// Failure domains of the fleets here.
+const DOMAINS: usize = 4;
+
+fn seconds(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+/// Starts a fleet of a size whose members know each other, and lets it settle.
+fn fleet(size: usize, seed: u64) -> Network {
+    let mut network = Network::new(seed);
+    let records: Vec<_> = (0..size).map(|n| record(n, DOMAINS)).collect();
+    let seeds = [records[0].control, records[1].control];
+    network.start_fleet(&records, &seeds);
+    network.run(seconds(3));
+    network
+}
+
+/// Returns how many running processes other than `node` see it in a state.
+fn seen(network: &Network, node: usize, state: MemberState) -> usize {
+    let address = network.nodes[node].local.address;
+    let others = network.nodes.iter().enumerate();
+    let running = others.filter(|(n, other)| *n != node && other.running);
+    running
+        .filter(|(_, other)| other.swim.state_of(address) == Some(state))
+        .count()
+}
+
+fn seeds(network: &Network) -> Vec<SocketAddrV4> {
+    vec![
+        network.nodes[0].local.control,
+        network.nodes[1].local.control,
+    ]
+}
--- /dev/null
+++ b/tests/membership/spread.rs
@@ -0,0 +1,115 @@
+//! Joins, leaves, deaths and weights, and the budget.
+
+use berylvalve::{
+    member::MemberState,
+    membership::{
+        budget::{BURST, RATE},
+        message::MESSAGE_BYTES,
+    },
+    trial::membership::network::{Conditions, Network, record},
+};
+
+use crate::{DOMAINS, fleet, seconds, seeds, seen};
+
+fn leave_is_known_within_3_s(size: usize) {
+    let mut network = fleet(size, 11);
+    network.conditions.loss = 0.05;
+    network.update(5, |record| record.state = MemberState::Draining);
+    network.run(seconds(3));
+    assert_eq!(seen(&network, 5, MemberState::Draining), size - 1);
+    network.update(5, |record| record.state = MemberState::Left);
+    network.run(seconds(3));
+    assert_eq!(seen(&network, 5, MemberState::Left), size - 1);
+}
+
+#[test]
+fn leave_is_known_within_3_s_at_14() {
+    leave_is_known_within_3_s(14);
+}
+
+#[test]
+fn leave_is_known_within_3_s_at_100() {
+    leave_is_known_within_3_s(100);
+}
+
+#[test]
+fn processes_find_each_other_through_one_seed() {
+    let mut network = Network::new(3);
+    let seed = record(0, DOMAINS).control;
+    for number in 0..30 {
+        network.start(record(number, DOMAINS), vec![seed]);
+    }
+    network.run(seconds(5));
+    for node in &network.nodes {
+        assert_eq!(node.swim.roster().live(), 30, "{}", node.local.address);
+    }
+}
+
+#[test]
+fn newcomer_learns_all_and_is_known_to_all() {
+    let mut network = fleet(100, 4);
+    let all = seeds(&network);
+    let newcomer = network.start(record(100, DOMAINS), all);
+    network.run(seconds(3));
+    assert_eq!(seen(&network, newcomer, MemberState::Ready), 100);
+    assert_eq!(network.nodes[newcomer].swim.roster().live(), 101);
+    assert!(network.nodes[newcomer].swim.is_joined());
+}
+
+#[test]
+fn weight_change_reaches_all() {
+    let mut network = fleet(100, 5);
+    network.update(7, |record| record.weight = 31);
+    network.run(seconds(60));
+    let address = network.nodes[7].local.address;
+    for node in &network.nodes {
+        let entry = node.swim.roster().get(address).unwrap();
+        assert_eq!(entry.record.weight, 31);
+    }
+}
+
+/// A process that hears of a newer revision pulls it and tells others.
+#[test]
+fn settings_revision_reaches_all_within_3_s() {
+    let mut network = fleet(100, 6);
+    network.update(2, |record| record.revision = 9);
+    for _ in 0..30 {
+        network.run(seconds(1) / 10);
+        for node in &mut network.nodes {
+            let heard = node.swim.roster().iter().map(|e| e.record.revision);
+            node.local.revision = heard.max().unwrap();
+        }
+    }
+    for node in &network.nodes {
+        assert_eq!(node.local.revision, 9);
+    }
+}
+
+/// Changes everything all the time, so that every process has more to send than it may.
+#[test]
+fn budget_is_never_exceeded() {
+    let mut network = fleet(60, 7);
+    network.conditions = Conditions {
+        loss: 0.2,
+        ..Conditions::default()
+    };
+    let start: Vec<u64> = network.nodes.iter().map(|n| n.bytes).collect();
+    for round in 0..200 {
+        for node in 0..60 {
+            network.update(node, |record| {
+                record.weight = round + 1;
+                record.state = match round % 2 {
+                    0 => MemberState::Draining,
+                    _ => MemberState::Ready,
+                };
+            });
+        }
+        network.run(seconds(1) / 10);
+    }
+    for (node, start) in network.nodes.iter().zip(start) {
+        let sent = node.bytes - start;
+        assert!(sent <= 20 * RATE + BURST, "{sent} bytes in 20 s");
+        assert!(sent > 10 * RATE, "the budget is used: {sent} bytes");
+        assert!(node.longest <= MESSAGE_BYTES, "{} bytes", node.longest);
+    }
+}
