Keep requests at most once through lost, late and repeated messages

Cause: a repeat at another agent was told "unknown" although its owner was alive, a repeat of a running request did not wait, keys never expired, memory grew without bound, and a refused key was free again.

A request with a key is passed over the control servers to the incarnation that issued it. Repeats wait for the first outcome. A request that may run once is its own task: it is finished and recorded when its caller is gone, and past the caller's deadline. Idempotent requests are repeated once under a retry budget. The caller repeats with the same key over a new connection, gives a silent one up, and uses a kept key only on the connection that brought it. A body shorter than stated is not run.

A refusal now ends its key, against the first plan that freed it: with the key free, the property test finds a late copy that runs after "not run" was told.

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -13,7 +13,10 @@
 
 use crate::{
     consts::{IDLE_TIMEOUT, KEEP_ALIVE, OWNER_ID_BYTES, QUIC_MTU_BYTES},
+    control::{Control, ControlClient},
     kernel::{Kernel, KernelError},
+    member::Directory,
+    membership::Signer,
     owner_id::{FleetKey, Keyring, Owner, Purpose},
     settings::InForce,
 };
@@ -25,11 +28,13 @@
 pub mod job;
 pub mod ledger;
 pub mod once;
+pub mod pass;
 pub mod pressure;
 pub mod runner;
 pub mod socket;
 pub mod upstream;
 
+use pass::{PassedRequest, Passing};
 use pressure::Pressure;
 use socket::FrameSocket;
 
@@ -104,9 +109,10 @@
         self.handler.drain();
     }
 
-    /// Waits until no connection is open.
+    /// Waits until no connection is open and no request is running.
     pub async fn drained(&self) {
         self.endpoint.wait_idle().await;
+        self.handler.settled().await;
     }
 }
 
@@ -125,11 +131,18 @@
         owner.incarnation,
         keyring.clone(),
     ));
+    let passing = Passing {
+        client: ControlClient::new(Signer::new(&options.keys)),
+        clock: kernel.clock(),
+        directory: kernel.find(Directory::NAME).context(KernelSnafu)?,
+    };
     let handler = Arc::new(http::Handler::new(
         kernel.clock(),
         kernel.find(InForce::NAME).context(KernelSnafu)?,
         &options,
+        passing,
     ));
+    serve_passed(kernel, &handler).context(KernelSnafu)?;
     let endpoint = Endpoint::new_with_abstract_socket(
         endpoint_config(&options.keys, keyring, owner),
         Some(server_config(options.identity)?),
@@ -150,6 +163,17 @@
     Ok(())
 }
 
+/// Serves the requests that other agents pass on.
+fn serve_passed(kernel: &Kernel, handler: &Arc<http::Handler>) -> Result<(), KernelError> {
+    let control: Arc<Control> = kernel.find(Control::NAME)?;
+    let handler = handler.clone();
+    control.route(pass::PATH, move |passed: PassedRequest| {
+        let handler = handler.clone();
+        Box::pin(async move { handler.passed(passed).await })
+    });
+    Ok(())
+}
+
 fn endpoint_config(keys: &[FleetKey], keyring: Keyring, owner: Owner) -> EndpointConfig {
     let secret = keys[0].derive(Purpose::Reset);
     let reset_key = ring::hmac::Key::new(ring::hmac::HMAC_SHA256, &secret);
--- a/src/agent/feed.rs
+++ b/src/agent/feed.rs
@@ -3,15 +3,20 @@
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 
-use super::{answer::Outcome, http::Stream, job::Job, runner::Runner, upstream::UpstreamError};
+use super::{
+    answer::Outcome,
+    http::Stream,
+    job::Job,
+    runner::Runner,
+    upstream::{AnswerBody, UpstreamError},
+};
 use crate::consts::{OUTCOME_HEADER, SERVED_BY_HEADER};
 
 /// A feed that the backend server has opened.
 #[derive(Debug)]
 pub struct OpenFeed {
-    body: Incoming,
+    body: AnswerBody,
     head: Response<()>,
 }
 
@@ -22,7 +27,7 @@
 /// Fails if the backend server can't be reached.
 pub async fn open(job: &Job, runner: &Runner) -> Result<OpenFeed, UpstreamError> {
     let request: Request<Bytes> = job.request.clone();
-    let response = runner.upstream().send(request).await?;
+    let response = runner.upstream().send(request, job.deadline).await?;
     let head = Response::builder()
         .status(response.status())
         .header(OUTCOME_HEADER, Outcome::Answered.as_str())
--- a/src/agent/http.rs
+++ b/src/agent/http.rs
@@ -14,11 +14,12 @@
     feed,
     job::Job,
     once::Once,
+    pass::{PassedAnswer, PassedRequest, Passing},
     runner::Runner,
 };
 use crate::{
     clock::Clock,
-    consts::{BODY_BYTES, NEXT_KEY_HEADER, OUTCOME_HEADER, SERVED_BY_HEADER},
+    consts::{BODY_BYTES, KEY_HEADER, NEXT_KEY_HEADER, OUTCOME_HEADER, SERVED_BY_HEADER},
     kernel::StopSignal,
     settings::InForce,
 };
@@ -34,19 +35,24 @@
     clock: Clock,
     draining: watch::Sender<bool>,
     once: Once,
-    runner: Runner,
+    runner: Arc<Runner>,
     service: String,
     settings: Arc<InForce>,
 }
 
 impl Handler {
     /// Returns the handler of an agent.
-    pub fn new(clock: Clock, settings: Arc<InForce>, options: &AgentOptions) -> Self {
+    pub fn new(
+        clock: Clock,
+        settings: Arc<InForce>,
+        options: &AgentOptions,
+        passing: Passing,
+    ) -> Self {
         Self {
             clock,
             draining: watch::Sender::new(false),
-            once: Once::new(clock, &options.keys, options.owner),
-            runner: Runner::new(clock, options.server),
+            once: Once::new(clock, &options.keys, options.owner, passing),
+            runner: Arc::new(Runner::new(clock, options.server)),
             service: options.service.clone(),
             settings,
         }
@@ -57,23 +63,61 @@
         self.draining.send_replace(true);
     }
 
-    async fn handle(&self, request: Request<()>, mut stream: Stream) -> Result<(), StreamError> {
+    /// Waits until no request that runs only once is running.
+    pub async fn settled(&self) {
+        self.once.settled().await;
+    }
+
+    /// Answers a request that another agent passed on.
+    pub async fn passed(&self, passed: PassedRequest) -> PassedAnswer {
+        let time_left = passed.time_left();
+        let Some(request) = passed.request(&self.service) else {
+            return Answer::unknown().into();
+        };
+        let plan = self.settings.plan();
+        let head = Request::builder()
+            .method(request.method())
+            .uri(request.uri());
+        let head = head.body(()).unwrap_or_default();
+        let Some(found) = self.request_type(&plan, &head).cloned() else {
+            return Answer::unknown().into();
+        };
+        let now = self.clock.now();
+        let mut job = Job::new(request, found, now);
+        job.deadline = now + time_left;
+        self.once.run_passed(&job, &self.runner).await.into()
+    }
+
+    async fn handle(
+        &self,
+        request: Request<()>,
+        mut stream: Stream,
+        caller: &quinn::Connection,
+    ) -> Result<(), StreamError> {
         let plan = self.settings.plan();
         let found = self.request_type(&plan, &request);
         let Some(found) = found.cloned() else {
-            let why = "no such request type at this service";
-            let answer = Answer::not_run(StatusCode::NOT_FOUND, why);
+            let answer = not_found(&request);
             return self.reply(&mut stream, answer).await;
         };
         let Some(body) = read_body(&mut stream).await? else {
             let answer = Answer::not_run(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long");
             return self.reply(&mut stream, answer).await;
         };
+        if !is_whole(&request, &body) {
+            let answer = Answer::not_run(StatusCode::BAD_REQUEST, "the body is not whole");
+            return self.reply(&mut stream, answer).await;
+        }
         let job = Job::new(request.map(|()| body), found, self.clock.now());
         if job.plan.feed {
             return self.feed(&job, stream).await;
         }
-        let answer = self.run(&job).await;
+        let answer = tokio::select! {
+            answer = self.run(&job) => answer,
+            // The caller is gone: dropping the run cancels it at the backend server, unless it
+            // may run only once.
+            _ = caller.closed() => return Ok(()),
+        };
         tracing::info!(
             event = "request",
             id = job.id(),
@@ -98,7 +142,7 @@
     }
 
     async fn run(&self, job: &Job) -> Answer {
-        if job.plan.idempotent {
+        if job.idempotent() {
             return self.runner.run(job).await.unwrap_or_else(|answer| answer);
         }
         self.once.run(job, &self.runner).await
@@ -116,8 +160,10 @@
     async fn reply(&self, stream: &mut Stream, answer: Answer) -> Result<(), StreamError> {
         let mut head = Response::builder()
             .status(answer.status)
-            .header(OUTCOME_HEADER, answer.outcome.as_str())
-            .header(NEXT_KEY_HEADER, self.once.new_key());
+            .header(OUTCOME_HEADER, answer.outcome.as_str());
+        if let Some(key) = self.once.new_key() {
+            head = head.header(NEXT_KEY_HEADER, key);
+        }
         if answer.outcome == Outcome::NotRun {
             head = head.header(http::header::RETRY_AFTER, RETRY_AFTER_SECONDS);
         }
@@ -132,6 +178,27 @@
     }
 }
 
+/// Refuses a request of no known type; one with a key may have run under earlier settings.
+fn not_found(request: &Request<()>) -> Answer {
+    let why = "no such request type at this service";
+    let answer = Answer::not_run(StatusCode::NOT_FOUND, why);
+    match request.headers().contains_key(KEY_HEADER) {
+        true => Answer {
+            outcome: Outcome::Unknown,
+            ..answer
+        },
+        false => answer,
+    }
+}
+
+/// Returns whether a body has its stated length: a caller that goes away mid-way may end its stream
+/// as if the body were whole.
+fn is_whole(request: &Request<()>, body: &Bytes) -> bool {
+    let stated = request.headers().get(http::header::CONTENT_LENGTH);
+    let stated = stated.and_then(|value| value.to_str().ok());
+    stated.is_none_or(|text| text.parse() == Ok(body.len()))
+}
+
 async fn read_body(stream: &mut Stream) -> Result<Option<Bytes>, StreamError> {
     let mut body = Vec::new();
     while let Some(mut part) = stream.recv_data().await? {
@@ -168,8 +235,9 @@
         return;
     };
     let built = h3::server::builder()
-        .build(h3_quinn::Connection::new(connection))
+        .build(h3_quinn::Connection::new(connection.clone()))
         .await;
+    let caller = connection;
     let Ok(mut connection) = built else {
         return;
     };
@@ -188,11 +256,12 @@
             return;
         };
         let handler = handler.clone();
+        let caller = caller.clone();
         tokio::spawn(async move {
             let Ok((request, stream)) = resolver.resolve_request().await else {
                 return;
             };
-            if let Err(error) = handler.handle(request, stream).await {
+            if let Err(error) = handler.handle(request, stream, &caller).await {
                 tracing::debug!(event = "stream_closed", %error);
             }
         });
--- a/src/agent/once.rs
+++ b/src/agent/once.rs
@@ -1,16 +1,18 @@
 //! Runs requests that must run at most once, with the ledger of this incarnation.
 
-use std::sync::{
-    Mutex,
-    atomic::{AtomicU32, Ordering},
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, MutexGuard},
 };
 
 use http::StatusCode;
+use tokio::{sync::watch, time::timeout_at};
 
 use super::{
     answer::{Answer, Outcome},
     job::Job,
     ledger::{Begin, Ledger},
+    pass::{Keeper, Passing, keeper},
     runner::Runner,
 };
 use crate::{
@@ -24,67 +26,177 @@
 pub struct Once {
     clock: Clock,
     keyring: Keyring,
-    ledger: Mutex<Ledger>,
-    nonce: AtomicU32,
     owner: Owner,
+    passing: Passing,
+    shared: Arc<Shared>,
+}
+
+/// The ledger, and a channel for each running request that closes at its end.
+#[derive(Debug, Default)]
+struct Books {
+    ledger: Ledger,
+    running: HashMap<u32, watch::Receiver<()>>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    books: Mutex<Books>,
+    open: watch::Sender<usize>,
 }
 
 impl Once {
     /// Returns the service of one incarnation.
-    pub fn new(clock: Clock, keys: &[FleetKey], owner: Owner) -> Self {
+    pub fn new(clock: Clock, keys: &[FleetKey], owner: Owner, passing: Passing) -> Self {
         Self {
             clock,
             keyring: Keyring::new(keys, Purpose::Request),
-            ledger: Mutex::default(),
-            nonce: AtomicU32::new(1),
             owner,
+            passing,
+            shared: Arc::new(Shared {
+                books: Mutex::default(),
+                open: watch::Sender::new(0),
+            }),
         }
     }
 
-    /// Returns a new key that only this incarnation runs.
-    pub fn new_key(&self) -> String {
-        let nonce = self.nonce.fetch_add(1, Ordering::Relaxed);
-        hex::encode(self.keyring.seal(&self.owner, nonce))
+    /// Returns a new key that only this incarnation runs; `None` once it has none left.
+    pub fn new_key(&self) -> Option<String> {
+        let now = self.clock.now();
+        let nonce = self.shared.books().ledger.issue(now)?;
+        Some(hex::encode(self.keyring.seal(&self.owner, nonce)))
+    }
+
+    /// Waits until no request is running.
+    pub async fn settled(&self) {
+        let mut open = self.shared.open.subscribe();
+        // The channel closes with this service only.
+        let _ = open.wait_for(|count| *count == 0).await;
     }
 
-    /// Runs a request at most once and returns its answer.
-    pub async fn run(&self, job: &Job, runner: &Runner) -> Answer {
+    /// Runs a request at most once, here or where its key was issued, and returns its answer.
+    pub async fn run(&self, job: &Job, runner: &Arc<Runner>) -> Answer {
         let Some(key) = job.header(KEY_HEADER) else {
             let why = "repeat the request with the key of this answer";
             return Answer::not_run(StatusCode::PRECONDITION_REQUIRED, why);
         };
-        let Some(nonce) = self.own_nonce(key) else {
+        let Ok(id) = hex::decode(key) else {
+            let why = "the idempotency key is not one of this service";
+            return Answer::not_run(StatusCode::BAD_REQUEST, why);
+        };
+        let Some((owner, nonce)) = self.keyring.open(&id) else {
             return Answer::unknown();
         };
-        let begin = self
-            .ledger
-            .lock()
-            .expect("ledger lock")
-            .begin(nonce, self.clock.now());
+        let view = self.passing.directory.view();
+        let keeper = keeper(&owner, &self.owner, &view);
+        if keeper != Keeper::Local {
+            tracing::info!(event = "request_passed", id = job.id(), owner = %owner.address, ?keeper);
+        }
+        match keeper {
+            Keeper::Local => self.run_here(nonce, job, runner).await,
+            Keeper::Remote(peer) => self.passing.pass(&owner, peer, job).await,
+            Keeper::Gone => Answer::unknown(),
+            Keeper::Foreign => {
+                let why = "the idempotency key is not one of this service";
+                Answer::not_run(StatusCode::BAD_REQUEST, why)
+            }
+        }
+    }
+
+    /// Runs a request that another agent passed on; "unknown" if its key is not one of this life.
+    pub async fn run_passed(&self, job: &Job, runner: &Arc<Runner>) -> Answer {
+        let opened = job
+            .header(KEY_HEADER)
+            .and_then(|key| hex::decode(key).ok())
+            .and_then(|id| self.keyring.open(&id));
+        match opened {
+            Some((owner, nonce)) if owner == self.owner => self.run_here(nonce, job, runner).await,
+            _ => Answer::unknown(),
+        }
+    }
+
+    async fn run_here(&self, nonce: u32, job: &Job, runner: &Arc<Runner>) -> Answer {
+        let begin = self.shared.begin(nonce, job, &self.clock);
         match begin {
+            Ok(claim) => {
+                tokio::spawn(claim.run(job.clone(), runner.clone()));
+            }
+            Err(Begin::Run | Begin::Running) => {}
+            Err(Begin::Ended(answer)) => return answer,
+            Err(Begin::Unknown | Begin::NotIssued) => return Answer::unknown(),
+            Err(Begin::Mismatch) => {
+                let why = "the idempotency key belongs to another request";
+                return Answer::not_run(StatusCode::UNPROCESSABLE_ENTITY, why);
+            }
+            Err(Begin::Stale) => {
+                let why = "the idempotency key has expired; repeat with the key of this answer";
+                return Answer::not_run(StatusCode::PRECONDITION_REQUIRED, why);
+            }
+        }
+        let deadline = self.clock.instant(job.deadline);
+        self.shared.wait(nonce, deadline).await
+    }
+}
+
+impl Shared {
+    fn books(&self) -> MutexGuard<'_, Books> {
+        self.books.lock().expect("ledger lock")
+    }
+
+    /// Claims a key for a request; fails with what the ledger says if it may not run.
+    fn begin(self: &Arc<Self>, nonce: u32, job: &Job, clock: &Clock) -> Result<Claim, Begin> {
+        let mut books = self.books();
+        match books.ledger.begin(nonce, job.fingerprint(), clock.now()) {
             Begin::Run => {}
-            Begin::Running | Begin::Unknown => return Answer::unknown(),
-            Begin::Ended(answer) => return answer,
+            other => return Err(other),
+        }
+        let (end, receiver) = watch::channel(());
+        books.running.insert(nonce, receiver);
+        drop(books);
+        self.open.send_modify(|count| *count += 1);
+        Ok(Claim {
+            nonce,
+            shared: self.clone(),
+            _end: end,
+        })
+    }
+
+    /// Waits for the final answer of a key; "unknown" if none comes by the deadline.
+    async fn wait(&self, nonce: u32, deadline: tokio::time::Instant) -> Answer {
+        let receiver = self.books().running.get(&nonce).cloned();
+        if let Some(mut end) = receiver {
+            let closed = async { while end.changed().await.is_ok() {} };
+            let _ = timeout_at(deadline, closed).await;
         }
-        let result = runner.run(job).await;
-        self.record(nonce, &result);
-        result.unwrap_or_else(|answer| answer)
+        let books = self.books();
+        let answer = books.ledger.answer(nonce).cloned();
+        answer.unwrap_or_else(Answer::unknown)
     }
+}
+
+/// The right to run the request of a key; an outcome is recorded however it ends.
+#[derive(Debug)]
+struct Claim {
+    nonce: u32,
+    shared: Arc<Shared>,
+    _end: watch::Sender<()>,
+}
 
-    /// Returns the nonce of a key that this incarnation issued.
-    fn own_nonce(&self, key: &str) -> Option<u32> {
-        let id = hex::decode(key).ok()?;
-        let (owner, nonce) = self.keyring.open(&id)?;
-        (owner == self.owner).then_some(nonce)
+impl Claim {
+    async fn run(self, job: Job, runner: Arc<Runner>) {
+        let (Ok(answer) | Err(answer)) = runner.run(&job).await;
+        if answer.outcome == Outcome::Unknown {
+            return;
+        }
+        self.shared.books().ledger.end(self.nonce, answer);
     }
+}
 
-    fn record(&self, nonce: u32, result: &Result<Answer, Answer>) {
-        let now = self.clock.now();
-        let mut ledger = self.ledger.lock().expect("ledger lock");
-        match result {
-            Ok(answer) => ledger.end(nonce, answer.clone(), now),
-            Err(answer) if answer.outcome == Outcome::NotRun => ledger.release(nonce),
-            Err(_) => ledger.lose(nonce, now),
+impl Drop for Claim {
+    fn drop(&mut self) {
+        if let Ok(mut books) = self.shared.books.lock() {
+            books.ledger.lose(self.nonce);
+            books.running.remove(&self.nonce);
         }
+        self.shared.open.send_modify(|count| *count -= 1);
     }
 }
--- /dev/null
+++ b/src/agent/pass.rs
@@ -0,0 +1,174 @@
+//! Passes requests with a key to the incarnation that issued it.
+
+use std::{net::SocketAddrV4, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode};
+use serde::{Deserialize, Serialize};
+
+use super::{
+    answer::{Answer, Outcome},
+    job::Job,
+};
+use crate::{
+    clock::Clock,
+    control::ControlClient,
+    member::{Directory, MemberState, Role, View},
+    owner_id::Owner,
+};
+
+/// Path of passed requests on the control server.
+pub const PATH: &str = "/agent/request";
+
+/// Who answers for a key.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Keeper {
+    /// This incarnation.
+    Local,
+    /// The incarnation behind this control address.
+    Remote(SocketAddrV4),
+    /// Nobody any more.
+    Gone,
+    /// Nobody: the key belongs to another service.
+    Foreign,
+}
+
+/// Returns who answers for the keys of `owner`.
+pub fn keeper(owner: &Owner, own: &Owner, view: &View) -> Keeper {
+    if owner.service != own.service {
+        return Keeper::Foreign;
+    }
+    if owner == own {
+        return Keeper::Local;
+    }
+    let Some(record) = view.members.get(&owner.address) else {
+        return Keeper::Gone;
+    };
+    let left = matches!(record.state, MemberState::Dead | MemberState::Left);
+    if left || record.role != Role::Agent || record.incarnation != owner.incarnation {
+        return Keeper::Gone;
+    }
+    Keeper::Remote(record.control)
+}
+
+/// A request on its way to the incarnation that issued its key.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct PassedRequest {
+    body: Bytes,
+    headers: Vec<(String, Bytes)>,
+    method: String,
+    owner: Owner,
+    path: String,
+    timeout_ms: u64,
+}
+
+impl PassedRequest {
+    /// Returns the incarnation that it is meant for.
+    pub fn owner(&self) -> &Owner {
+        &self.owner
+    }
+
+    /// Returns the time left to the answer.
+    pub fn time_left(&self) -> Duration {
+        Duration::from_millis(self.timeout_ms)
+    }
+
+    /// Returns the request of a service; `None` if it is damaged.
+    pub fn request(self, service: &str) -> Option<Request<Bytes>> {
+        let mut request = Request::new(self.body);
+        *request.method_mut() = Method::from_bytes(self.method.as_bytes()).ok()?;
+        *request.uri_mut() = format!("https://{service}{}", self.path).parse().ok()?;
+        *request.headers_mut() = parse_headers(self.headers)?;
+        Some(request)
+    }
+}
+
+fn parse_headers(pairs: Vec<(String, Bytes)>) -> Option<HeaderMap> {
+    let mut headers = HeaderMap::with_capacity(pairs.len());
+    for (name, value) in pairs {
+        let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
+        headers.append(name, HeaderValue::from_maybe_shared(value).ok()?);
+    }
+    Some(headers)
+}
+
+/// The answer to a passed request.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct PassedAnswer {
+    body: Bytes,
+    outcome: Outcome,
+    server: Option<String>,
+    status: u16,
+}
+
+impl From<Answer> for PassedAnswer {
+    fn from(answer: Answer) -> Self {
+        Self {
+            body: answer.body,
+            outcome: answer.outcome,
+            server: answer.server,
+            status: answer.status.as_u16(),
+        }
+    }
+}
+
+impl From<PassedAnswer> for Answer {
+    fn from(passed: PassedAnswer) -> Self {
+        Self {
+            body: passed.body,
+            outcome: passed.outcome,
+            server: passed.server,
+            status: StatusCode::from_u16(passed.status).unwrap_or(StatusCode::BAD_GATEWAY),
+        }
+    }
+}
+
+/// Passes requests on over the control servers.
+#[derive(Debug)]
+pub struct Passing {
+    /// Sends the requests.
+    pub client: ControlClient,
+    /// Clock of the process.
+    pub clock: Clock,
+    /// Knows the control addresses.
+    pub directory: Arc<Directory>,
+}
+
+impl Passing {
+    /// Passes a request on and returns its answer.
+    ///
+    /// A request that can't be passed on may have run in an earlier attempt: the answer is
+    /// "unknown", whether or not this attempt left.
+    pub async fn pass(&self, owner: &Owner, peer: SocketAddrV4, job: &Job) -> Answer {
+        let left = job.deadline.since(self.clock.now());
+        let passed = PassedRequest {
+            body: job.request.body().clone(),
+            headers: headers(job),
+            method: job.request.method().to_string(),
+            owner: *owner,
+            path: path(job).to_owned(),
+            timeout_ms: left.as_millis() as u64,
+        };
+        let answer: Result<PassedAnswer, _> = self.client.post(peer, PATH, &passed, left).await;
+        match answer {
+            Ok(answer) => answer.into(),
+            Err(error) => {
+                tracing::info!(event = "request_not_passed", id = job.id(), %peer, %error);
+                Answer::unknown()
+            }
+        }
+    }
+}
+
+fn path(job: &Job) -> &str {
+    let uri = job.request.uri();
+    uri.path_and_query().map_or("/", |path| path.as_str())
+}
+
+fn headers(job: &Job) -> Vec<(String, Bytes)> {
+    let mut pairs = Vec::with_capacity(job.request.headers().len());
+    for (name, value) in job.request.headers() {
+        pairs.push((name.to_string(), Bytes::copy_from_slice(value.as_bytes())));
+    }
+    pairs
+}
--- a/src/agent/runner.rs
+++ b/src/agent/runner.rs
@@ -1,25 +1,30 @@
 //! Runs admitted requests on the backend server.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, sync::Mutex, time::Duration};
 
-use bytes::Bytes;
-use http::{Request, StatusCode};
-use http_body_util::BodyExt;
+use http::{Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
 use tokio::time::timeout_at;
 
 use super::{
     answer::{Answer, Outcome},
     job::Job,
-    upstream::{Upstream, UpstreamError},
+    upstream::{AnswerBody, Upstream, UpstreamError},
 };
 use crate::{
-    clock::Clock,
-    consts::{OUTCOME_HEADER, TIMEOUT_HEADER},
+    clock::{Clock, Time},
+    consts::{BODY_BYTES, OUTCOME_HEADER, REQUEST_ID_HEADER},
+    retry::RetryBudget,
 };
 
+/// Time past its deadline in which a request that runs only once may still end, so that its true
+/// outcome is recorded.
+const RUN_GRACE: Duration = Duration::from_secs(30);
+
 /// Runs the requests of one backend server.
 #[derive(Debug)]
 pub struct Runner {
+    budget: Mutex<RetryBudget>,
     clock: Clock,
     server: SocketAddr,
     upstream: Upstream,
@@ -29,9 +34,10 @@
     /// Returns the runner of a backend server.
     pub fn new(clock: Clock, server: SocketAddr) -> Self {
         Self {
+            budget: Mutex::new(RetryBudget::new(clock.now())),
             clock,
             server,
-            upstream: Upstream::new(server),
+            upstream: Upstream::new(clock, server),
         }
     }
 
@@ -51,45 +57,76 @@
     ///
     /// Returns the refusal, or "unknown" if the request may have run without an answer.
     pub async fn run(&self, job: &Job) -> Result<Answer, Answer> {
-        if self.clock.now() >= job.deadline {
-            let why = "the deadline has passed";
-            return Err(Answer::not_run(StatusCode::SERVICE_UNAVAILABLE, why));
+        self.budget.lock().expect("budget lock").deposit();
+        let first = self.attempt(job).await;
+        match first {
+            Err(UpstreamError::Lost) if self.may_repeat(job) => {}
+            _ => return settle(first),
         }
-        let work = self.exchange(self.outgoing(job));
-        match timeout_at(self.clock.instant(job.deadline), work).await {
-            Ok(Ok(answer)) if answer.outcome == Outcome::NotRun => Err(answer),
-            Ok(Ok(answer)) => Ok(answer),
-            Ok(Err(UpstreamError::NotSent)) => {
-                let why = "the backend server can't be reached";
-                Err(Answer::not_run(StatusCode::SERVICE_UNAVAILABLE, why))
-            }
-            Ok(Err(UpstreamError::Lost)) | Err(_) => Err(Answer::unknown()),
+        tracing::info!(event = "request_repeated", id = job.id(), server = %self.server);
+        match settle(self.attempt(job).await) {
+            Err(_) => Err(Answer::unknown()),
+            answered => answered,
         }
     }
 
-    async fn exchange(&self, request: Request<Bytes>) -> Result<Answer, UpstreamError> {
-        let response = self.upstream.send(request).await?;
+    fn may_repeat(&self, job: &Job) -> bool {
+        let now = self.clock.now();
+        let idempotent = job.idempotent() && now < job.deadline;
+        idempotent && self.budget.lock().expect("budget lock").withdraw(now)
+    }
+
+    async fn attempt(&self, job: &Job) -> Result<Answer, UpstreamError> {
+        let exchange = timeout_at(self.clock.instant(cutoff(job)), self.exchange(job));
+        exchange.await.unwrap_or(Err(UpstreamError::Lost))
+    }
+
+    async fn exchange(&self, job: &Job) -> Result<Answer, UpstreamError> {
+        let request = job.request.clone();
+        let response = self.upstream.send(request, job.deadline).await?;
         let status = response.status();
-        let outcome = response.headers().get(OUTCOME_HEADER).cloned();
+        if !belongs(&response, job) {
+            return Err(UpstreamError::Lost);
+        }
+        let outcome = response.headers().get(OUTCOME_HEADER);
         let shed = outcome.is_some_and(|value| value == Outcome::NotRun.as_str());
-        let body = response.into_body().collect().await;
-        let body = body.map_err(|_| UpstreamError::Lost)?.to_bytes();
+        let body = Limited::new(response.into_body(), BODY_BYTES)
+            .collect()
+            .await;
         if shed {
             let why = "the backend server shed the request";
             return Ok(Answer::not_run(status, why));
         }
         Ok(Answer {
-            body,
+            body: body.map_err(|_| UpstreamError::Lost)?.to_bytes(),
             outcome: Outcome::Answered,
             server: Some(self.server.to_string()),
             status,
         })
     }
+}
+
+/// Returns the point at which an open exchange with the backend server is given up.
+fn cutoff(job: &Job) -> Time {
+    match job.idempotent() {
+        true => job.deadline,
+        false => job.deadline + RUN_GRACE,
+    }
+}
+
+/// Returns whether an answer that names its request names this one.
+fn belongs(response: &Response<AnswerBody>, job: &Job) -> bool {
+    let named = response.headers().get(REQUEST_ID_HEADER);
+    named.is_none_or(|id| id.as_bytes() == job.id().as_bytes())
+}
 
-    fn outgoing(&self, job: &Job) -> Request<Bytes> {
-        let left = job.deadline.since(self.clock.now()).as_millis() as u64;
-        let mut request = job.request.clone();
-        request.headers_mut().insert(TIMEOUT_HEADER, left.into());
-        request
+fn settle(result: Result<Answer, UpstreamError>) -> Result<Answer, Answer> {
+    let refused = |why| Answer::not_run(StatusCode::SERVICE_UNAVAILABLE, why);
+    match result {
+        Ok(answer) if answer.outcome == Outcome::NotRun => Err(answer),
+        Ok(answer) => Ok(answer),
+        Err(UpstreamError::Late) => Err(refused("the deadline has passed")),
+        Err(UpstreamError::NotSent) => Err(refused("the backend server can't be reached")),
+        Err(UpstreamError::Lost) => Err(Answer::unknown()),
     }
 }
--- a/src/caller.rs
+++ b/src/caller.rs
@@ -12,7 +12,7 @@
 use rustls::{RootCertStore, pki_types::CertificateDer};
 use snafu::{ResultExt, Snafu};
 
-use crate::agent::transport_config;
+use crate::{agent::transport_config, clock::Clock, retry::RetryBudget};
 
 pub mod call;
 pub mod feed;
@@ -20,6 +20,7 @@
 
 pub use call::{Call, Reply};
 
+use call::KeptKey;
 use session::Session;
 
 /// An error at the start of a caller.
@@ -54,8 +55,10 @@
 
 /// A client of one service.
 pub struct Caller {
+    budget: Arc<Mutex<RetryBudget>>,
+    clock: Clock,
     endpoint: Endpoint,
-    key: Mutex<Option<String>>,
+    key: Mutex<Option<KeptKey>>,
     service: String,
     session: tokio::sync::Mutex<Option<Session>>,
     target: SocketAddr,
@@ -86,7 +89,10 @@
 
     /// Returns a client that shares an endpoint with others.
     pub fn with_endpoint(endpoint: Endpoint, target: SocketAddr, service: &str) -> Self {
+        let clock = Clock::start();
         Self {
+            budget: Arc::new(Mutex::new(RetryBudget::new(clock.now()))),
+            clock,
             endpoint,
             key: Mutex::default(),
             service: service.to_owned(),
@@ -95,9 +101,13 @@
         }
     }
 
-    /// Returns a client of the same service with no open connection.
+    /// Returns a client of the same service with no open connection and the same retry budget.
     pub fn fresh(&self) -> Self {
-        Self::with_endpoint(self.endpoint.clone(), self.target, &self.service)
+        Self {
+            budget: self.budget.clone(),
+            clock: self.clock,
+            ..Self::with_endpoint(self.endpoint.clone(), self.target, &self.service)
+        }
     }
 
     /// Closes the connection.
--- a/src/caller/call.rs
+++ b/src/caller/call.rs
@@ -3,20 +3,29 @@
 use std::time::Duration;
 
 use bytes::{Buf, Bytes};
-use http::{Method, Response};
-use tokio::time::{Instant, timeout_at};
+use http::{HeaderMap, Method, Response, header::RETRY_AFTER};
+use rand::Rng;
+use tokio::time::{Instant, sleep, timeout_at};
 
-use super::{AttemptError, Caller};
+use super::{AttemptError, Caller, Stream};
 use crate::{
     agent::answer::Outcome,
     consts::{
-        KEY_HEADER, NEXT_KEY_HEADER, OUTCOME_HEADER, REQUEST_ID_HEADER, SERVED_BY_HEADER,
-        TIMEOUT_HEADER,
+        KEEP_ALIVE, KEY_HEADER, NEXT_KEY_HEADER, OUTCOME_HEADER, REQUEST_ID_HEADER,
+        SERVED_BY_HEADER, TIMEOUT_HEADER,
     },
 };
 
 const FIRST_BACKOFF: Duration = Duration::from_millis(20);
 const MAX_BACKOFF: Duration = Duration::from_millis(500);
+/// Time in which a kept key is used; shorter than the agent's.
+const KEY_AGE: Duration = Duration::from_secs(60);
+/// Keep-alive intervals without a packet after which a connection is given up.
+const SILENT_INTERVALS: u32 = 3;
+/// Status of a request that did not leave the caller.
+const UNAVAILABLE: u16 = 503;
+/// Status that asks for a key.
+const KEY_REQUIRED: u16 = 428;
 
 /// A request to send.
 #[derive(Clone, Debug)]
@@ -46,98 +55,245 @@
     pub body: Bytes,
     /// Backend server that ran the request.
     pub server: Option<String>,
+    /// Time to wait before the request is sent again, if it was refused.
+    pub retry_after: Option<Duration>,
+}
+
+/// A key kept for the next request on the same connection.
+#[derive(Debug)]
+pub(super) struct KeptKey {
+    connection: usize,
+    key: String,
+    until: Instant,
+}
+
+/// What is known of a request while it is tried.
+#[derive(Debug, Default)]
+struct Progress {
+    key: Option<String>,
+    /// Whether a try may have reached the service.
+    sent: bool,
+    /// Whether a try was lost on its way.
+    lost: bool,
 }
 
 impl Caller {
     /// Sends a request until it has a final answer; `None` if none came before the deadline.
+    ///
+    /// A lost try is repeated on another connection with the same key. A request that never left
+    /// ends as "not run".
     pub async fn call(&self, call: &Call) -> Option<Reply> {
-        timeout_at(call.deadline, self.call_until_final(call))
-            .await
-            .ok()
+        self.deposit();
+        let mut progress = Progress::default();
+        let tried = timeout_at(call.deadline, self.call_until_final(call, &mut progress)).await;
+        match tried {
+            Ok(reply) => Some(reply),
+            Err(_) if progress.sent => None,
+            Err(_) => Some(Reply::not_sent()),
+        }
     }
 
-    async fn call_until_final(&self, call: &Call) -> Reply {
-        let mut key = if call.idempotent {
-            None
-        } else {
-            self.take_key()
-        };
+    /// Sends a request as [`Caller::call`] does, and again when it was refused and told when to
+    /// come back, within the retry budget.
+    pub async fn call_with_retries(&self, call: &Call) -> Option<Reply> {
+        loop {
+            let reply = self.call(call).await?;
+            let Some(pause) = reply.retry_after else {
+                return Some(reply);
+            };
+            let wake = Instant::now() + pause + jitter(pause / 2);
+            let refused = reply.outcome == Outcome::NotRun;
+            if !refused || wake >= call.deadline || !self.withdraw() {
+                return Some(reply);
+            }
+            tokio::time::sleep_until(wake).await;
+        }
+    }
+
+    async fn call_until_final(&self, call: &Call, progress: &mut Progress) -> Reply {
+        if !call.idempotent {
+            progress.key = self.take_key().await;
+        }
         let mut backoff = FIRST_BACKOFF;
+        let mut keys = 0;
         loop {
-            match self.attempt(call, key.as_deref()).await {
-                Ok((reply, next)) => {
-                    if !call.idempotent && reply.status == 428 {
-                        key = next;
+            match self.attempt(call, progress).await {
+                Ok((reply, next)) if reply.status == KEY_REQUIRED && !call.idempotent => {
+                    *progress = Progress {
+                        key: next,
+                        ..Progress::default()
+                    };
+                    if progress.key.is_none() {
+                        return reply;
+                    }
+                    keys += 1;
+                    if keys == 1 {
                         continue;
                     }
-                    self.put_key(next);
-                    return reply;
+                }
+                Ok((reply, next)) => {
+                    self.put_key(next).await;
+                    return settle(reply, call, progress);
                 }
                 Err(error) => {
                     tracing::debug!(event = "attempt_failed", id = call.id, %error);
+                    progress.lost |= error == AttemptError::Lost;
+                    if !progress.sent {
+                        // A first try with the key of a lost connection would end as "unknown".
+                        progress.key = None;
+                    }
+                    if !self.withdraw() {
+                        backoff = MAX_BACKOFF;
+                    }
                 }
             }
-            tokio::time::sleep(backoff).await;
+            sleep(backoff / 2 + jitter(backoff / 2)).await;
             backoff = MAX_BACKOFF.min(backoff * 2);
         }
     }
 
-    fn take_key(&self) -> Option<String> {
-        self.key.lock().expect("key lock").take()
+    fn deposit(&self) {
+        self.budget.lock().expect("budget lock").deposit();
     }
 
-    fn put_key(&self, next: Option<String>) {
-        if next.is_some() {
-            *self.key.lock().expect("key lock") = next;
-        }
+    fn withdraw(&self) -> bool {
+        let now = self.clock.now();
+        self.budget.lock().expect("budget lock").withdraw(now)
+    }
+
+    async fn take_key(&self) -> Option<String> {
+        let connection = self.connection().await?.stable_id();
+        let kept = self.key.lock().expect("key lock").take()?;
+        let fresh = kept.connection == connection && Instant::now() < kept.until;
+        fresh.then_some(kept.key)
+    }
+
+    async fn put_key(&self, next: Option<String>) {
+        let Some(connection) = self.connection().await else {
+            return;
+        };
+        *self.key.lock().expect("key lock") = next.map(|key| KeptKey {
+            connection: connection.stable_id(),
+            key,
+            until: Instant::now() + KEY_AGE,
+        });
+    }
+
+    async fn connection(&self) -> Option<quinn::Connection> {
+        let session = self.session.lock().await;
+        session.as_ref().map(|session| session.connection.clone())
     }
 
     async fn attempt(
         &self,
         call: &Call,
-        key: Option<&str>,
+        progress: &mut Progress,
     ) -> Result<(Reply, Option<String>), AttemptError> {
-        let left = call
-            .deadline
-            .saturating_duration_since(Instant::now())
-            .as_millis() as u64;
         let mut request = self.request(&call.method, &call.path);
-        let headers = request.headers_mut();
-        headers.insert(TIMEOUT_HEADER, left.into());
-        headers.insert(
-            REQUEST_ID_HEADER,
-            call.id.parse().map_err(|_| AttemptError::NotSent)?,
-        );
-        if let Some(key) = key {
-            headers.insert(KEY_HEADER, key.parse().map_err(|_| AttemptError::NotSent)?);
-        }
-        let mut stream = self.open(request).await?;
-        let lost = |_| AttemptError::Lost;
-        if !call.body.is_empty() {
-            stream.send_data(call.body.clone()).await.map_err(lost)?;
+        write_headers(request.headers_mut(), call, progress.key.as_deref())?;
+        let stream = self.open(request).await?;
+        progress.sent = true;
+        let Some(connection) = self.connection().await else {
+            return exchange(stream, call).await;
+        };
+        tokio::select! {
+            exchanged = exchange(stream, call) => exchanged,
+            () = silent(&connection) => {
+                tracing::debug!(event = "connection_silent", id = call.id);
+                self.disconnect().await;
+                Err(AttemptError::Lost)
+            }
         }
-        stream.finish().await.map_err(lost)?;
-        let head = stream.recv_response().await.map_err(lost)?;
-        let mut body = Vec::new();
-        while let Some(mut part) = stream.recv_data().await.map_err(lost)? {
-            body.extend_from_slice(&part.copy_to_bytes(part.remaining()));
+    }
+}
+
+impl Reply {
+    fn not_sent() -> Self {
+        Self {
+            status: UNAVAILABLE,
+            outcome: Outcome::NotRun,
+            body: Bytes::from_static(b"the request did not leave the caller"),
+            server: None,
+            retry_after: None,
         }
-        let next = text_header(&head, NEXT_KEY_HEADER).map(str::to_owned);
-        Ok((reply(&head, body.into()), next))
     }
 }
 
+/// Returns the answer as it holds for all tries: without a key, a refusal tells only of its own.
+fn settle(reply: Reply, call: &Call, progress: &Progress) -> Reply {
+    let unsure = call.idempotent && progress.lost && reply.outcome == Outcome::NotRun;
+    match unsure {
+        true => Reply {
+            outcome: Outcome::Unknown,
+            ..reply
+        },
+        false => reply,
+    }
+}
+
+/// Waits until nothing has come over a connection for some keep-alive intervals.
+async fn silent(connection: &quinn::Connection) {
+    let mut heard = connection.stats().udp_rx.datagrams;
+    let mut quiet = 0;
+    while quiet < SILENT_INTERVALS {
+        sleep(KEEP_ALIVE).await;
+        let now = connection.stats().udp_rx.datagrams;
+        quiet = if now == heard { quiet + 1 } else { 0 };
+        heard = now;
+    }
+}
+
+fn jitter(most: Duration) -> Duration {
+    most.mul_f64(rand::rng().random())
+}
+
+fn write_headers(
+    headers: &mut HeaderMap,
+    call: &Call,
+    key: Option<&str>,
+) -> Result<(), AttemptError> {
+    let left = call.deadline.saturating_duration_since(Instant::now());
+    headers.insert(TIMEOUT_HEADER, (left.as_millis() as u64).into());
+    headers.insert(http::header::CONTENT_LENGTH, call.body.len().into());
+    let invalid = |_| AttemptError::NotSent;
+    headers.insert(REQUEST_ID_HEADER, call.id.parse().map_err(invalid)?);
+    if let Some(key) = key {
+        headers.insert(KEY_HEADER, key.parse().map_err(invalid)?);
+    }
+    Ok(())
+}
+
+async fn exchange(
+    mut stream: Stream,
+    call: &Call,
+) -> Result<(Reply, Option<String>), AttemptError> {
+    let lost = |_| AttemptError::Lost;
+    if !call.body.is_empty() {
+        stream.send_data(call.body.clone()).await.map_err(lost)?;
+    }
+    stream.finish().await.map_err(lost)?;
+    let head = stream.recv_response().await.map_err(lost)?;
+    let mut body = Vec::new();
+    while let Some(mut part) = stream.recv_data().await.map_err(lost)? {
+        body.extend_from_slice(&part.copy_to_bytes(part.remaining()));
+    }
+    let next = text_header(&head, NEXT_KEY_HEADER).map(str::to_owned);
+    Ok((reply(&head, body.into()), next))
+}
+
 fn reply(head: &Response<()>, body: Bytes) -> Reply {
     let outcome = match text_header(head, OUTCOME_HEADER) {
         Some("not-run") => Outcome::NotRun,
         Some("unknown") => Outcome::Unknown,
         _ => Outcome::Answered,
     };
+    let retry_after = text_header(head, RETRY_AFTER.as_str()).and_then(|text| text.parse().ok());
     Reply {
         status: head.status().as_u16(),
         outcome,
         body,
         server: text_header(head, SERVED_BY_HEADER).map(str::to_owned),
+        retry_after: retry_after.map(Duration::from_secs),
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod packet;
 pub mod placement;
 pub mod proxy_header;
+pub mod retry;
 pub mod settings;
 pub mod standin;
 pub mod steering;
