Kill and freeze agents between every two steps of a check-in

Cause: the promises of requests were proved on state machines only.

Change: tests/processes/requests.rs runs a small fleet of processes with backend servers that tell the test what arrives and answer when told. The agent is killed, frozen for 3 s, or frozen for 8 s (past the deadline of 6 s) before a check-in arrives, before it is written, while it runs, and before its answer leaves; a second agent has joined, and the caller repeats over other balancers.

Ruled out: a check-in placed on the second agent made one early run hang; the second agent joins after the step is reached.

--- a/tests/processes/fleet.rs
+++ b/tests/processes/fleet.rs
@@ -1,11 +1,11 @@
 //! A small fleet of separate processes for one site.
 
-use std::{collections::BTreeMap, fs, net::SocketAddr, path::PathBuf};
+use std::{collections::BTreeMap, fs, io::BufReader, net::SocketAddr, path::PathBuf};
 
 use berylvalve::{
     config::{
         daemon::{AgentSettings, BalancerSettings, DaemonSettings, KeySettings},
-        site::Site,
+        site::{ServerGroup, Site},
         tree::Region,
     },
     dev,
@@ -13,6 +13,8 @@
     standin::server::ServerOptions,
 };
 
+use rustls::pki_types::CertificateDer;
+
 use crate::process::Process;
 
 const SERVERS_PER_SERVICE: usize = 2;
@@ -37,6 +39,18 @@
 impl Fleet {
     /// Starts the stand-ins, two balancers, and two agents for each service.
     pub async fn start(name: &str) -> Self {
+        let mut fleet = Self::without_agents(name).await;
+        let services: Vec<String> = fleet.tree.services.keys().cloned().collect();
+        for service in &services {
+            for _ in 0..SERVERS_PER_SERVICE {
+                fleet.start_agent(service).await;
+            }
+        }
+        fleet
+    }
+
+    /// Starts the fabric and two balancers.
+    pub async fn without_agents(name: &str) -> Self {
         let site = dev::site(name).unwrap();
         let folder =
             std::env::temp_dir().join(format!("berylvalve-test-{:016x}", rand::random::<u64>()));
@@ -70,12 +84,6 @@
         for _ in 0..2 {
             fleet.start_balancer().await;
         }
-        let services: Vec<String> = fleet.tree.services.keys().cloned().collect();
-        for service in &services {
-            for _ in 0..SERVERS_PER_SERVICE {
-                fleet.start_agent(service).await;
-            }
-        }
         let balancers = fleet.addresses.join(" ");
         fleet.fabric.send(&balancers).await;
         fleet
@@ -98,12 +106,7 @@
     }
 
     async fn start_agent(&mut self, service: &str) {
-        let group = self
-            .site
-            .servers
-            .iter()
-            .find(|g| g.service == service)
-            .unwrap();
+        let group = self.group(service);
         let mut answers = Vec::new();
         let mut feeds = Vec::new();
         for entry in self
@@ -132,10 +135,18 @@
         fs::write(&file, serde_json::to_string(&options).unwrap()).unwrap();
         let mut server = Process::tool(&["stand-in", "server", file.to_str().unwrap()]);
         let address = server.output_after("listening").await;
+        self.servers.push(server);
+        self.attach_agent(service, address.parse().unwrap()).await;
+    }
+
+    /// Starts an agent beside a backend server that is already there.
+    pub async fn attach_agent(&mut self, service: &str, server: SocketAddr) {
+        let group = self.group(service);
+        let number = self.agents.len();
         let mut settings = self.settings(Role::Agent, number);
         settings.agent = Some(AgentSettings {
             service: service.to_owned(),
-            server: address.parse().unwrap(),
+            server,
             slots: group.slots,
             connections: group.connections,
             certificate: self.certificate.clone(),
@@ -144,10 +155,22 @@
         let file = self.write(&format!("agent-{number}.json"), &settings);
         let mut agent = Process::daemon(&file);
         agent.event("started").await;
-        self.servers.push(server);
         self.agents.push(agent);
     }
 
+    fn group(&self, service: &str) -> &ServerGroup {
+        let mut groups = self.site.servers.iter();
+        groups.find(|group| group.service == service).unwrap()
+    }
+
+    /// Returns the certificate that callers trust.
+    pub fn roots(&self) -> Vec<CertificateDer<'static>> {
+        let mut file = BufReader::new(fs::File::open(&self.certificate).unwrap());
+        rustls_pemfile::certs(&mut file)
+            .map(Result::unwrap)
+            .collect()
+    }
+
     fn settings(&self, role: Role, number: usize) -> DaemonSettings {
         DaemonSettings {
             role,
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -1,7 +1,9 @@
 //! Sessions of separate processes, kept as golden files with addresses and times normalised.
 
 mod fleet;
+mod gated;
 mod process;
+mod requests;
 
 use std::fmt::Write;
 
--- a/tests/processes/process.rs
+++ b/tests/processes/process.rs
@@ -85,14 +85,16 @@
         self.input.flush().await.unwrap();
     }
 
+    /// Sends the process a signal, by its id.
+    pub async fn signal(&self, name: &str) {
+        let id = self.child.id().unwrap().to_string();
+        let sent = Command::new("kill").args(["-s", name, &id]).status();
+        assert!(sent.await.unwrap().success());
+    }
+
     /// Asks the process to stop and returns its exit status.
     pub async fn terminate(&mut self) -> i32 {
-        let id = self.child.id().unwrap().to_string();
-        Command::new("kill")
-            .args(["-TERM", &id])
-            .status()
-            .await
-            .unwrap();
+        self.signal("TERM").await;
         let status = timeout(PATIENCE, self.child.wait()).await.unwrap();
         status.unwrap().code().unwrap_or(-1)
     }
