--- a/src/agent.rs
+++ b/src/agent.rs
@@ -7,7 +7,6 @@
     ServerConfig, TransportConfig, crypto::rustls::QuicServerConfig,
 };
 use quinn_proto::InvalidCid;
-use rustls::pki_types::{CertificateDer, PrivateKeyDer};
 use snafu::{ResultExt, Snafu};
 use tokio::net::UdpSocket;
 
@@ -16,14 +15,18 @@
     control::{Control, ControlClient},
     kernel::{Kernel, KernelError},
     member::Directory,
-    membership::Signer,
+    membership::{LocalRecord, Signer},
     owner_id::{FleetKey, Keyring, Owner, Purpose},
     settings::InForce,
 };
 
+pub mod admission;
 pub mod answer;
+pub mod capacity;
 pub mod feed;
+pub mod gate;
 pub mod http;
+pub mod identity;
 pub mod intake;
 pub mod job;
 pub mod ledger;
@@ -34,6 +37,8 @@
 pub mod socket;
 pub mod upstream;
 
+use gate::Gate;
+use identity::LiveIdentity;
 use pass::{PassedRequest, Passing};
 use pressure::Pressure;
 use socket::FrameSocket;
@@ -41,9 +46,9 @@
 /// An error at the start of an agent.
 #[derive(Debug, Snafu)]
 pub enum AgentError {
-    /// The certificate or the private key does not fit.
-    #[snafu(display("certificate: {source}"))]
-    Certificate {
+    /// The version of TLS does not fit.
+    #[snafu(display("TLS: {source}"))]
+    Tls {
         /// The library's error.
         source: rustls::Error,
     },
@@ -67,15 +72,6 @@
     },
 }
 
-/// Certificate chain and private key of a service.
-#[derive(Debug)]
-pub struct Identity {
-    /// Certificate chain.
-    pub chain: Vec<CertificateDer<'static>>,
-    /// Private key.
-    pub key: PrivateKeyDer<'static>,
-}
-
 /// What an agent is started with.
 #[derive(Debug)]
 pub struct AgentOptions {
@@ -85,10 +81,14 @@
     pub service: String,
     /// Address of the backend server.
     pub server: std::net::SocketAddr,
+    /// Requests that the backend server works on at once.
+    pub slots: u32,
+    /// Connections that the backend server holds.
+    pub connections: u32,
     /// Fleet keys; the first one seals.
     pub keys: Vec<FleetKey>,
-    /// Certificate and key of the service.
-    pub identity: Identity,
+    /// Certificate of the service.
+    pub identity: Arc<LiveIdentity>,
 }
 
 /// A running agent, under the name [`Agent::NAME`].
@@ -120,7 +120,7 @@
 ///
 /// # Errors
 ///
-/// Fails if the certificate does not fit or if the endpoint can't start.
+/// Fails if the cipher suites do not fit or if the endpoint can't start.
 pub fn start(kernel: &Kernel, socket: UdpSocket, options: AgentOptions) -> Result<(), AgentError> {
     let keyring = Keyring::new(&options.keys, Purpose::Connection);
     let owner = options.owner;
@@ -130,14 +130,17 @@
         owner.service,
         owner.incarnation,
         keyring.clone(),
+        kernel.find(Directory::NAME).context(KernelSnafu)?,
     ));
     let passing = Passing {
         client: ControlClient::new(Signer::new(&options.keys)),
         clock: kernel.clock(),
         directory: kernel.find(Directory::NAME).context(KernelSnafu)?,
     };
+    let gate = start_gate(kernel, &options).context(KernelSnafu)?;
     let handler = Arc::new(http::Handler::new(
         kernel.clock(),
+        gate,
         kernel.find(InForce::NAME).context(KernelSnafu)?,
         &options,
         passing,
@@ -145,12 +148,11 @@
     serve_passed(kernel, &handler).context(KernelSnafu)?;
     let endpoint = Endpoint::new_with_abstract_socket(
         endpoint_config(&options.keys, keyring, owner),
-        Some(server_config(options.identity)?),
+        Some(server_config(options.identity.clone())?),
         socket.clone(),
         Arc::new(quinn::TokioRuntime),
     )
     .context(EndpointSnafu)?;
-    kernel.publish(Pressure::NAME, Arc::new(Pressure::default()));
     kernel.publish(
         Agent::NAME,
         Arc::new(Agent {
@@ -159,6 +161,7 @@
             socket,
         }),
     );
+    kernel.spawn(options.identity.watch());
     kernel.spawn(http::serve(endpoint, handler, kernel.stop_signal()));
     Ok(())
 }
@@ -174,6 +177,22 @@
     Ok(())
 }
 
+/// Starts and publishes the gate in front of the backend server.
+fn start_gate(kernel: &Kernel, options: &AgentOptions) -> Result<Arc<Gate>, KernelError> {
+    let pressure = Arc::new(Pressure::default());
+    kernel.publish(Pressure::NAME, pressure.clone());
+    let gate = Arc::new(Gate::new(
+        kernel.clock(),
+        (options.slots, options.connections),
+        kernel.find(Directory::NAME)?,
+        kernel.find(LocalRecord::NAME)?,
+        pressure,
+    ));
+    kernel.publish(Gate::NAME, gate.clone());
+    kernel.spawn(gate.clone().run());
+    Ok(gate)
+}
+
 fn endpoint_config(keys: &[FleetKey], keyring: Keyring, owner: Owner) -> EndpointConfig {
     let secret = keys[0].derive(Purpose::Reset);
     let reset_key = ring::hmac::Key::new(ring::hmac::HMAC_SHA256, &secret);
@@ -182,15 +201,14 @@
     config
 }
 
-fn server_config(identity: Identity) -> Result<ServerConfig, AgentError> {
+fn server_config(identity: Arc<LiveIdentity>) -> Result<ServerConfig, AgentError> {
     let mut tls = rustls::ServerConfig::builder_with_provider(Arc::new(
         rustls::crypto::ring::default_provider(),
     ))
     .with_protocol_versions(&[&rustls::version::TLS13])
-    .context(CertificateSnafu)?
+    .context(TlsSnafu)?
     .with_no_client_auth()
-    .with_single_cert(identity.chain, identity.key)
-    .context(CertificateSnafu)?;
+    .with_cert_resolver(identity);
     tls.alpn_protocols = vec![b"h3".to_vec()];
     let crypto = QuicServerConfig::try_from(tls).context(SuitesSnafu)?;
     let mut config = ServerConfig::with_crypto(Arc::new(crypto));
--- a/src/agent/pass.rs
+++ b/src/agent/pass.rs
@@ -11,7 +11,7 @@
     job::Job,
 };
 use crate::{
-    clock::Clock,
+    clock::{Clock, Time},
     control::ControlClient,
     member::{Directory, MemberState, Role, View},
     owner_id::Owner,
@@ -97,28 +97,33 @@
 pub struct PassedAnswer {
     body: Bytes,
     outcome: Outcome,
+    retry_ms: Option<u64>,
     server: Option<String>,
     status: u16,
 }
 
-impl From<Answer> for PassedAnswer {
-    fn from(answer: Answer) -> Self {
+impl PassedAnswer {
+    /// Returns an answer as it is sent at `now`.
+    pub fn new(answer: Answer, now: Time) -> Self {
+        let retry_ms = answer.retry_at.map(|at| at.since(now).as_millis() as u64);
         Self {
             body: answer.body,
             outcome: answer.outcome,
+            retry_ms,
             server: answer.server,
             status: answer.status.as_u16(),
         }
     }
-}
 
-impl From<PassedAnswer> for Answer {
-    fn from(passed: PassedAnswer) -> Self {
-        Self {
-            body: passed.body,
-            outcome: passed.outcome,
-            server: passed.server,
-            status: StatusCode::from_u16(passed.status).unwrap_or(StatusCode::BAD_GATEWAY),
+    /// Returns the answer as it is received at `now`.
+    pub fn answer(self, now: Time) -> Answer {
+        let status = StatusCode::from_u16(self.status);
+        Answer {
+            body: self.body,
+            outcome: self.outcome,
+            retry_at: self.retry_ms.map(|left| now + Duration::from_millis(left)),
+            server: self.server,
+            status: status.unwrap_or(StatusCode::BAD_GATEWAY),
         }
     }
 }
@@ -151,7 +156,7 @@
         };
         let answer: Result<PassedAnswer, _> = self.client.post(peer, PATH, &passed, left).await;
         match answer {
-            Ok(answer) => answer.into(),
+            Ok(answer) => answer.answer(self.clock.now()),
             Err(error) => {
                 tracing::info!(event = "request_not_passed", id = job.id(), %peer, %error);
                 Answer::unknown()
--- a/src/caller/call.rs
+++ b/src/caller/call.rs
@@ -120,7 +120,7 @@
             match self.attempt(call, progress).await {
                 Ok((reply, next)) if reply.status == KEY_REQUIRED && !call.idempotent => {
                     *progress = Progress {
-                        key: next,
+                        key: next.map(|kept| kept.key),
                         ..Progress::default()
                     };
                     if progress.key.is_none() {
@@ -132,14 +132,15 @@
                     }
                 }
                 Ok((reply, next)) => {
-                    self.put_key(next).await;
+                    *self.key.lock().expect("key lock") = next;
                     return settle(reply, call, progress);
                 }
                 Err(error) => {
                     tracing::debug!(event = "attempt_failed", id = call.id, %error);
                     progress.lost |= error == AttemptError::Lost;
-                    if !progress.sent {
-                        // A first try with the key of a lost connection would end as "unknown".
+                    progress.sent = progress.lost;
+                    if !progress.lost {
+                        // No incarnation has seen the key, so that any may run the request.
                         progress.key = None;
                     }
                     if !self.withdraw() {
@@ -162,48 +163,35 @@
     }
 
     async fn take_key(&self) -> Option<String> {
-        let connection = self.connection().await?.stable_id();
+        let connection = self.session.lock().await.as_ref()?.connection.stable_id();
         let kept = self.key.lock().expect("key lock").take()?;
         let fresh = kept.connection == connection && Instant::now() < kept.until;
         fresh.then_some(kept.key)
     }
 
-    async fn put_key(&self, next: Option<String>) {
-        let Some(connection) = self.connection().await else {
-            return;
-        };
-        *self.key.lock().expect("key lock") = next.map(|key| KeptKey {
-            connection: connection.stable_id(),
-            key,
-            until: Instant::now() + KEY_AGE,
-        });
-    }
-
-    async fn connection(&self) -> Option<quinn::Connection> {
-        let session = self.session.lock().await;
-        session.as_ref().map(|session| session.connection.clone())
-    }
-
     async fn attempt(
         &self,
         call: &Call,
         progress: &mut Progress,
-    ) -> Result<(Reply, Option<String>), AttemptError> {
+    ) -> Result<(Reply, Option<KeptKey>), AttemptError> {
         let mut request = self.request(&call.method, &call.path);
         write_headers(request.headers_mut(), call, progress.key.as_deref())?;
-        let stream = self.open(request).await?;
+        let (stream, session) = self.open(request).await?;
         progress.sent = true;
-        let Some(connection) = self.connection().await else {
-            return exchange(stream, call).await;
-        };
-        tokio::select! {
-            exchanged = exchange(stream, call) => exchanged,
-            () = silent(&connection) => {
+        let (reply, next) = tokio::select! {
+            exchanged = exchange(stream, call) => exchanged?,
+            () = silent(&session.connection) => {
                 tracing::debug!(event = "connection_silent", id = call.id);
-                self.disconnect().await;
-                Err(AttemptError::Lost)
+                self.forget(&session).await;
+                return Err(AttemptError::Lost);
             }
-        }
+        };
+        let kept = next.map(|key| KeptKey {
+            connection: session.connection.stable_id(),
+            key,
+            until: Instant::now() + KEY_AGE,
+        });
+        Ok((reply, kept))
     }
 }
 
@@ -267,7 +255,7 @@
     mut stream: Stream,
     call: &Call,
 ) -> Result<(Reply, Option<String>), AttemptError> {
-    let lost = |_| AttemptError::Lost;
+    let lost = AttemptError::of;
     if !call.body.is_empty() {
         stream.send_data(call.body.clone()).await.map_err(lost)?;
     }
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -2,6 +2,7 @@
 
 mod fleet;
 mod gated;
+mod operations;
 mod process;
 mod requests;
 
--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -112,6 +112,7 @@
     Answer {
         body: "done".into(),
         outcome: Outcome::Answered,
+        retry_at: None,
         server: None,
         status: StatusCode::OK,
     }
