--- a/src/agent.rs
+++ b/src/agent.rs
@@ -12,9 +12,10 @@
 
 use crate::{
     consts::{IDLE_TIMEOUT, KEEP_ALIVE, OWNER_ID_BYTES, QUIC_MTU_BYTES},
+    control::{Control, ControlClient},
     kernel::{Kernel, KernelError},
     member::Directory,
-    membership::LocalRecord,
+    membership::{LocalRecord, Signer},
     owner_id::{FleetKey, Keyring, Owner, Purpose},
     settings::InForce,
 };
@@ -30,6 +31,7 @@
 pub mod job;
 pub mod ledger;
 pub mod once;
+pub mod pass;
 pub mod pressure;
 pub mod runner;
 pub mod socket;
@@ -37,6 +39,7 @@
 
 use gate::Gate;
 use identity::LiveIdentity;
+use pass::{PassedRequest, Passing};
 use pressure::Pressure;
 use socket::FrameSocket;
 
@@ -106,9 +109,10 @@
         self.handler.drain();
     }
 
-    /// Waits until no connection is open.
+    /// Waits until no connection is open and no request is running.
     pub async fn drained(&self) {
         self.endpoint.wait_idle().await;
+        self.handler.settled().await;
     }
 }
 
@@ -128,13 +132,20 @@
         keyring.clone(),
         kernel.find(Directory::NAME).context(KernelSnafu)?,
     ));
+    let passing = Passing {
+        client: ControlClient::new(Signer::new(&options.keys)),
+        clock: kernel.clock(),
+        directory: kernel.find(Directory::NAME).context(KernelSnafu)?,
+    };
     let gate = start_gate(kernel, &options).context(KernelSnafu)?;
     let handler = Arc::new(http::Handler::new(
         kernel.clock(),
         gate,
         kernel.find(InForce::NAME).context(KernelSnafu)?,
         &options,
+        passing,
     ));
+    serve_passed(kernel, &handler).context(KernelSnafu)?;
     let endpoint = Endpoint::new_with_abstract_socket(
         endpoint_config(&options.keys, keyring, owner),
         Some(server_config(options.identity.clone())?),
@@ -155,6 +166,17 @@
     Ok(())
 }
 
+/// Serves the requests that other agents pass on.
+fn serve_passed(kernel: &Kernel, handler: &Arc<http::Handler>) -> Result<(), KernelError> {
+    let control: Arc<Control> = kernel.find(Control::NAME)?;
+    let handler = handler.clone();
+    control.route(pass::PATH, move |passed: PassedRequest| {
+        let handler = handler.clone();
+        Box::pin(async move { handler.passed(passed).await })
+    });
+    Ok(())
+}
+
 /// Starts and publishes the gate in front of the backend server.
 fn start_gate(kernel: &Kernel, options: &AgentOptions) -> Result<Arc<Gate>, KernelError> {
     let pressure = Arc::new(Pressure::default());
--- a/src/agent/http.rs
+++ b/src/agent/http.rs
@@ -18,11 +18,14 @@
     gate::Gate,
     job::Job,
     once::Once,
+    pass::{PassedAnswer, PassedRequest, Passing},
     runner::Runner,
 };
 use crate::{
     clock::Clock,
-    consts::{BODY_BYTES, KEEP_ALIVE, NEXT_KEY_HEADER, OUTCOME_HEADER, SERVED_BY_HEADER},
+    consts::{
+        BODY_BYTES, KEEP_ALIVE, KEY_HEADER, NEXT_KEY_HEADER, OUTCOME_HEADER, SERVED_BY_HEADER,
+    },
     kernel::StopSignal,
     settings::InForce,
 };
@@ -56,7 +59,7 @@
     clock: Clock,
     draining: watch::Sender<bool>,
     once: Once,
-    runner: Runner,
+    runner: Arc<Runner>,
     service: String,
     settings: Arc<InForce>,
 }
@@ -68,12 +71,13 @@
         gate: Arc<Gate>,
         settings: Arc<InForce>,
         options: &AgentOptions,
+        passing: Passing,
     ) -> Self {
         Self {
             clock,
             draining: watch::Sender::new(false),
-            once: Once::new(clock, &options.keys, options.owner),
-            runner: Runner::new(clock, gate, options.server),
+            once: Once::new(clock, &options.keys, options.owner, passing),
+            runner: Arc::new(Runner::new(clock, gate, options.server)),
             service: options.service.clone(),
             settings,
         }
@@ -84,23 +88,66 @@
         self.draining.send_replace(true);
     }
 
-    async fn handle(&self, request: Request<()>, mut stream: Stream) -> Result<(), StreamError> {
+    /// Waits until no request that runs only once is running.
+    pub async fn settled(&self) {
+        self.once.settled().await;
+    }
+
+    /// Answers a request that another agent passed on.
+    pub async fn passed(&self, passed: PassedRequest) -> PassedAnswer {
+        let answer = self.run_passed(passed).await;
+        PassedAnswer::new(answer, self.clock.now())
+    }
+
+    async fn run_passed(&self, passed: PassedRequest) -> Answer {
+        let time_left = passed.time_left();
+        let Some(request) = passed.request(&self.service) else {
+            return Answer::unknown();
+        };
+        let plan = self.settings.plan();
+        let head = Request::builder()
+            .method(request.method())
+            .uri(request.uri());
+        let head = head.body(()).unwrap_or_default();
+        let Some(found) = self.request_type(&plan, &head).cloned() else {
+            return Answer::unknown();
+        };
+        let now = self.clock.now();
+        let mut job = Job::new(request, found, now);
+        job.deadline = now + time_left;
+        self.once.run_passed(&job, &self.runner).await
+    }
+
+    async fn handle(
+        &self,
+        request: Request<()>,
+        mut stream: Stream,
+        caller: &quinn::Connection,
+    ) -> Result<(), StreamError> {
         let plan = self.settings.plan();
         let found = self.request_type(&plan, &request);
         let Some(found) = found.cloned() else {
-            let why = "no such request type at this service";
-            let answer = Answer::not_run(StatusCode::NOT_FOUND, why);
+            let answer = not_found(&request);
             return self.reply(&mut stream, answer).await;
         };
         let Some(body) = read_body(&mut stream).await? else {
             let answer = Answer::not_run(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long");
             return self.reply(&mut stream, answer).await;
         };
+        if !is_whole(&request, &body) {
+            let answer = Answer::not_run(StatusCode::BAD_REQUEST, "the body is not whole");
+            return self.reply(&mut stream, answer).await;
+        }
         let job = Job::new(request.map(|()| body), found, self.clock.now());
         if job.plan.feed {
             return self.feed(&job, stream).await;
         }
-        let answer = self.run(&job).await;
+        let answer = tokio::select! {
+            answer = self.run(&job) => answer,
+            // The caller is gone: dropping the run cancels it at the backend server, unless it
+            // may run only once.
+            _ = caller.closed() => return Ok(()),
+        };
         tracing::info!(
             event = "request",
             id = job.id(),
@@ -125,7 +172,7 @@
     }
 
     async fn run(&self, job: &Job) -> Answer {
-        if job.plan.idempotent {
+        if job.idempotent() {
             return self.runner.run(job).await.unwrap_or_else(|answer| answer);
         }
         self.once.run(job, &self.runner).await
@@ -149,8 +196,10 @@
     async fn reply(&self, stream: &mut Stream, answer: Answer) -> Result<(), StreamError> {
         let mut head = Response::builder()
             .status(answer.status)
-            .header(OUTCOME_HEADER, answer.outcome.as_str())
-            .header(NEXT_KEY_HEADER, self.once.new_key());
+            .header(OUTCOME_HEADER, answer.outcome.as_str());
+        if let Some(key) = self.once.new_key() {
+            head = head.header(NEXT_KEY_HEADER, key);
+        }
         if answer.outcome == Outcome::NotRun {
             let left = answer.retry_at.map(|at| at.since(self.clock.now()));
             let seconds = left.map_or(RETRY_AFTER_SECONDS, |left| left.as_secs_f64().ceil() as u64);
@@ -167,6 +216,27 @@
     }
 }
 
+/// Refuses a request of no known type; one with a key may have run under earlier settings.
+fn not_found(request: &Request<()>) -> Answer {
+    let why = "no such request type at this service";
+    let answer = Answer::not_run(StatusCode::NOT_FOUND, why);
+    match request.headers().contains_key(KEY_HEADER) {
+        true => Answer {
+            outcome: Outcome::Unknown,
+            ..answer
+        },
+        false => answer,
+    }
+}
+
+/// Returns whether a body has its stated length: a caller that goes away mid-way may end its stream
+/// as if the body were whole.
+fn is_whole(request: &Request<()>, body: &Bytes) -> bool {
+    let stated = request.headers().get(http::header::CONTENT_LENGTH);
+    let stated = stated.and_then(|value| value.to_str().ok());
+    stated.is_none_or(|text| text.parse() == Ok(body.len()))
+}
+
 async fn read_body(stream: &mut Stream) -> Result<Option<Bytes>, StreamError> {
     let mut body = Vec::new();
     while let Some(mut part) = stream.recv_data().await? {
@@ -232,7 +302,8 @@
                 tokio::spawn(reject(resolver));
             }
             Ok(Some(resolver)) => {
-                tokio::spawn(resolve(resolver, handler.clone(), open.clone()));
+                let work = resolve(resolver, handler.clone(), quic.clone(), open.clone());
+                tokio::spawn(work);
             }
             Ok(None) => {
                 told = true;
@@ -243,11 +314,16 @@
     }
 }
 
-async fn resolve(resolver: Resolver, handler: Arc<Handler>, open: OpenRequests) {
+async fn resolve(
+    resolver: Resolver,
+    handler: Arc<Handler>,
+    caller: quinn::Connection,
+    open: OpenRequests,
+) {
     let Ok((request, stream)) = resolver.resolve_request().await else {
         return;
     };
-    if let Err(error) = handler.handle(request, stream).await {
+    if let Err(error) = handler.handle(request, stream, &caller).await {
         tracing::debug!(event = "stream_closed", %error);
     }
     drop(open);
