Explain requests at the agent, and count them

Requests and feeds are recorded with the decisions of the process, so that explain-flow shows them beside the routing of their flow; the test asks for both by the request's name and by the caller's address. It failed before: agents logged requests but remembered none.

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -13,9 +13,11 @@
 use crate::{
     consts::{IDLE_TIMEOUT, KEEP_ALIVE, OWNER_ID_BYTES, QUIC_MTU_BYTES},
     control::{Control, ControlClient},
+    decision::Decisions,
     kernel::{Kernel, KernelError},
     member::Directory,
     membership::{LocalRecord, Signer},
+    metrics::Metrics,
     owner_id::{FleetKey, Keyring, Owner, Purpose},
     settings::InForce,
 };
@@ -140,8 +142,12 @@
     let gate = start_gate(kernel, &options).context(KernelSnafu)?;
     let handler = Arc::new(http::Handler::new(
         kernel.clock(),
-        gate,
-        kernel.find(InForce::NAME).context(KernelSnafu)?,
+        http::HandlerServices {
+            decisions: kernel.find(Decisions::NAME).context(KernelSnafu)?,
+            gate,
+            metrics: kernel.find(Metrics::NAME).context(KernelSnafu)?,
+            settings: kernel.find(InForce::NAME).context(KernelSnafu)?,
+        },
         &options,
         passing,
     ));
--- a/src/agent/http.rs
+++ b/src/agent/http.rs
@@ -26,7 +26,10 @@
     consts::{
         BODY_BYTES, KEEP_ALIVE, KEY_HEADER, NEXT_KEY_HEADER, OUTCOME_HEADER, SERVED_BY_HEADER,
     },
+    decision::{Decision, Decisions, unix_ms},
     kernel::StopSignal,
+    metrics::Metrics,
+    owner_id::ServiceTag,
     settings::InForce,
 };
 
@@ -57,29 +60,47 @@
 #[derive(Debug)]
 pub struct Handler {
     clock: Clock,
+    decisions: Arc<Decisions>,
     draining: watch::Sender<bool>,
+    metrics: Arc<Metrics>,
     once: Once,
     runner: Arc<Runner>,
     service: String,
     settings: Arc<InForce>,
+    tag: ServiceTag,
+}
+
+/// Services of the kernel that a handler uses.
+#[derive(Debug)]
+pub struct HandlerServices {
+    /// Decisions for the log.
+    pub decisions: Arc<Decisions>,
+    /// Admission of requests.
+    pub gate: Arc<Gate>,
+    /// Counters of the process.
+    pub metrics: Arc<Metrics>,
+    /// Settings in force.
+    pub settings: Arc<InForce>,
 }
 
 impl Handler {
     /// Returns the handler of an agent.
     pub fn new(
         clock: Clock,
-        gate: Arc<Gate>,
-        settings: Arc<InForce>,
+        services: HandlerServices,
         options: &AgentOptions,
         passing: Passing,
     ) -> Self {
         Self {
             clock,
+            decisions: services.decisions,
             draining: watch::Sender::new(false),
+            metrics: services.metrics,
             once: Once::new(clock, &options.keys, options.owner, passing),
-            runner: Arc::new(Runner::new(clock, gate, options.server)),
+            runner: Arc::new(Runner::new(clock, services.gate, options.server)),
             service: options.service.clone(),
-            settings,
+            settings: services.settings,
+            tag: options.owner.service,
         }
     }
 
@@ -140,7 +161,7 @@
         }
         let job = Job::new(request.map(|()| body), found, self.clock.now());
         if job.plan.feed {
-            return self.feed(&job, stream).await;
+            return self.feed(&job, stream, caller).await;
         }
         let answer = tokio::select! {
             answer = self.run(&job) => answer,
@@ -148,17 +169,26 @@
             // may run only once.
             _ = caller.closed() => return Ok(()),
         };
-        tracing::info!(
-            event = "request",
-            id = job.id(),
-            kind = job.plan.name,
-            server = %self.runner.server(),
-            status = answer.status.as_u16(),
-            outcome = answer.outcome.as_str(),
-        );
+        self.explain("request", &job, caller, answer.outcome);
         self.reply(&mut stream, answer).await
     }
 
+    /// Logs and counts where a request went and how it ended.
+    fn explain(&self, event: &str, job: &Job, caller: &quinn::Connection, outcome: Outcome) {
+        self.metrics.count_request(outcome.as_str());
+        self.decisions.record(Decision {
+            unix_ms: unix_ms(),
+            event: event.to_owned(),
+            caller: caller.remote_address(),
+            service: self.tag,
+            chosen: Some(self.runner.server()),
+            second: None,
+            version: self.settings.plan().revision,
+            reason: outcome.as_str().to_owned(),
+            request: Some(job.id().to_owned()),
+        });
+    }
+
     fn request_type<'a>(
         &self,
         plan: &'a crate::settings::Plan,
@@ -178,11 +208,20 @@
         self.once.run(job, &self.runner).await
     }
 
-    async fn feed(&self, job: &Job, mut stream: Stream) -> Result<(), StreamError> {
+    async fn feed(
+        &self,
+        job: &Job,
+        mut stream: Stream,
+        caller: &quinn::Connection,
+    ) -> Result<(), StreamError> {
         let permit = match self.runner.gate().open_feed() {
             Ok(permit) => permit,
-            Err(refusal) => return self.reply(&mut stream, Answer::refused(&refusal)).await,
+            Err(refusal) => {
+                self.explain("feed", job, caller, Outcome::NotRun);
+                return self.reply(&mut stream, Answer::refused(&refusal)).await;
+            }
         };
+        self.explain("feed", job, caller, Outcome::Answered);
         let Ok(open) = feed::open(job, &self.runner).await else {
             let why = "the backend server can't be reached";
             let answer = Answer::not_run(StatusCode::SERVICE_UNAVAILABLE, why);
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -81,6 +81,8 @@
     pub method: http::Method,
     /// Path and query.
     pub path: String,
+    /// Name of the request for the logs.
+    pub id: Option<String>,
     /// Body.
     pub body: String,
     /// Time to the deadline.
@@ -223,6 +225,7 @@
         service: args.value_from_str("--service")?,
         timeout: Duration::from_millis(timeout_ms.unwrap_or(5000)),
         feed: args.opt_value_from_str("--feed")?,
+        id: args.opt_value_from_str("--id")?,
         address: args.free_from_str()?,
         method: args.free_from_str()?,
         path: args.free_from_str()?,
--- a/src/cli/help.rs
+++ b/src/cli/help.rs
@@ -165,6 +165,7 @@
   --service NAME   name of the service
   --timeout-ms N   time to the request's deadline (default: 5000)
   --feed N         follow a feed for N events
+  --id NAME        name of the request for the logs and for explain-flow
 
 EXAMPLE:
   berylvalve call --root root.pem --service wind 127.0.0.1:4433 POST /checkin 'kite 7'
--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -168,7 +168,7 @@
         idempotent: matches!(options.method.as_str(), "GET" | "HEAD"),
         method: options.method,
         path: options.path,
-        id: format!("call-{:08x}", rand::random::<u32>()),
+        id: options.id.unwrap_or_else(random_id),
         body: Bytes::from(options.body),
         deadline: Instant::now() + options.timeout,
     };
@@ -186,6 +186,10 @@
     })
 }
 
+fn random_id() -> String {
+    format!("call-{:08x}", rand::random::<u32>())
+}
+
 fn read_roots(file: &Path) -> std::io::Result<Vec<CertificateDer<'static>>> {
     rustls_pemfile::certs(&mut BufReader::new(File::open(file)?)).collect()
 }
--- a/tests/processes/operations.rs
+++ b/tests/processes/operations.rs
@@ -54,6 +54,51 @@
     assert_eq!(ended.iter().filter(|ended| **ended).count(), 1);
 }
 
+/// Returns the decisions that the fleet remembers about a subject, as pairs of event and reason.
+async fn explained(access: &str, subject: &str) -> Vec<(Value, String)> {
+    let args = ["explain-flow", "--fleet", access, "--json", subject];
+    let finished = run_tool(&args).await;
+    assert_eq!(finished.code, 0, "{}", finished.errors);
+    let found: Vec<(String, Value)> = serde_json::from_str(&finished.output).unwrap();
+    let pair = |d: &Value| {
+        format!(
+            "{} {}",
+            d["event"].as_str().unwrap(),
+            d["reason"].as_str().unwrap()
+        )
+    };
+    found.iter().map(|(_, d)| (d.clone(), pair(d))).collect()
+}
+
+#[tokio::test]
+async fn the_fleet_explains_where_a_request_and_its_flow_went() {
+    let fleet = Fleet::start("haverkamp").await;
+    let access = fleet.access_file();
+    let args = fleet.call("wind", &["--id", "school-7", "POST", "/checkin"]);
+    let args: Vec<&str> = args.iter().map(String::as_str).collect();
+    let called = run_tool(&args).await;
+    assert_eq!(called.code, 0, "{}", called.errors);
+    let request = explained(&access, "school-7").await;
+    let steps: Vec<&str> = request.iter().map(|(_, pair)| pair.as_str()).collect();
+    // A plain caller's first try brings the key that the second one runs with.
+    assert_eq!(steps, ["request not-run", "request answered"]);
+    let server = request[1].0["chosen"].as_str().unwrap();
+    assert!(called.output.contains(server), "{} {server}", called.output);
+    let caller = request[1].0["caller"].as_str().unwrap();
+    let flow = explained(&access, caller).await;
+    for expected in ["routed placed", "routed owner", "request answered"] {
+        assert!(
+            flow.iter().any(|(_, pair)| pair == expected),
+            "{expected}: {flow:?}"
+        );
+    }
+    let nothing = run_tool(&["explain-flow", "--fleet", &access, "school-8"]).await;
+    assert_eq!(
+        nothing.output,
+        "no member remembers a decision about school-8\n"
+    );
+}
+
 #[tokio::test]
 async fn a_stranger_can_neither_see_nor_drain() {
     let mut fleet = Fleet::start("dolbom").await;
