Decide intake with time, reset flows of dead agents, reopen silent paths

Cause: a busy or draining first choice had no memory of what it handed on; a balancer's wrong belief that an owner is dead reset a live flow; flows without an owner id had no code; connections whose address the fabric had lost stayed silent until the idle timeout.

Reset tokens are signed with the key that the connection id names, so that a rotation does not split them; resets are no longer limited to 50 a second. A caller's silent path gets a new local port after 1.25 s. Placement always finds a second choice where there is one.

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -15,6 +15,7 @@
     consts::{IDLE_TIMEOUT, KEEP_ALIVE, OWNER_ID_BYTES, QUIC_MTU_BYTES},
     kernel::{Kernel, KernelError},
     member::Directory,
+    metrics::Metrics,
     owner_id::{FleetKey, Keyring, Owner, Purpose},
     settings::InForce,
 };
@@ -27,12 +28,18 @@
 pub mod ledger;
 pub mod once;
 pub mod pressure;
+pub mod reset;
 pub mod runner;
 pub mod socket;
 pub mod upstream;
 
 use pressure::Pressure;
-use socket::FrameSocket;
+use reset::ResetKeys;
+use socket::{FrameSocket, SocketOptions};
+
+/// Shortest time between two stateless resets; the flows of a dead agent are reset by the others
+/// within a second.
+const MIN_RESET_INTERVAL: Duration = Duration::from_micros(100);
 
 /// An error at the start of an agent.
 #[derive(Debug, Snafu)]
@@ -105,6 +112,11 @@
         self.handler.drain();
     }
 
+    /// Sends and receives nothing from now, as if the VM had died.
+    pub fn sever(&self) {
+        self.socket.sever();
+    }
+
     /// Waits until no connection is open.
     pub async fn drained(&self) {
         self.endpoint.wait_idle().await;
@@ -119,14 +131,17 @@
 pub fn start(kernel: &Kernel, socket: UdpSocket, options: AgentOptions) -> Result<(), AgentError> {
     let keyring = Keyring::new(&options.keys, Purpose::Connection);
     let owner = options.owner;
-    let socket = Arc::new(FrameSocket::new(
-        socket,
-        owner.address,
-        owner.service,
-        owner.incarnation,
-        keyring.clone(),
-        kernel.find(Directory::NAME).context(KernelSnafu)?,
-    ));
+    let pressure = Arc::new(Pressure::default());
+    kernel.publish(Pressure::NAME, pressure.clone());
+    let socket_options = SocketOptions {
+        owner,
+        keyring: keyring.clone(),
+        clock: kernel.clock(),
+        directory: kernel.find(Directory::NAME).context(KernelSnafu)?,
+        metrics: kernel.find(Metrics::NAME).context(KernelSnafu)?,
+        pressure,
+    };
+    let socket = Arc::new(FrameSocket::new(socket, socket_options));
     let handler = Arc::new(http::Handler::new(
         kernel.clock(),
         kernel.find(InForce::NAME).context(KernelSnafu)?,
@@ -139,7 +154,6 @@
         Arc::new(quinn::TokioRuntime),
     )
     .context(EndpointSnafu)?;
-    kernel.publish(Pressure::NAME, Arc::new(Pressure::default()));
     kernel.publish(
         Agent::NAME,
         Arc::new(Agent {
@@ -153,9 +167,8 @@
 }
 
 fn endpoint_config(keys: &[FleetKey], keyring: Keyring, owner: Owner) -> EndpointConfig {
-    let secret = keys[0].derive(Purpose::Reset);
-    let reset_key = ring::hmac::Key::new(ring::hmac::HMAC_SHA256, &secret);
-    let mut config = EndpointConfig::new(Arc::new(reset_key));
+    let mut config = EndpointConfig::new(Arc::new(ResetKeys::new(keys)));
+    config.min_reset_interval(MIN_RESET_INTERVAL);
     config.cid_generator(move || Box::new(OwnerIds::new(keyring.clone(), owner)));
     config
 }
--- a/src/agent/socket.rs
+++ b/src/agent/socket.rs
@@ -18,83 +18,112 @@
 };
 use tokio::{io::ReadBuf, net::UdpSocket};
 
-use super::intake::{self, Intake, Standing};
+use super::{
+    intake::{Gate, Intake, Standing},
+    pressure::Pressure,
+};
 use crate::{
+    clock::Clock,
     consts::DATAGRAM_BYTES,
     frame::{self, Header},
     member::{Directory, MemberState, Record, Role},
-    owner_id::{Incarnation, Keyring, ServiceTag},
+    metrics::Metrics,
+    owner_id::{Keyring, Owner},
 };
 
 /// Callers whose balancer is remembered; the map is cleared when it is full.
 const MAX_PATHS: usize = 8192;
 
+/// What a data socket is opened with.
+#[derive(Debug)]
+pub struct SocketOptions {
+    /// The agent as connection ids name it.
+    pub owner: Owner,
+    /// Keys of the owner ids.
+    pub keyring: Keyring,
+    /// The process clock.
+    pub clock: Clock,
+    /// Members of the fleet.
+    pub directory: Arc<Directory>,
+    /// Counters of the process.
+    pub metrics: Arc<Metrics>,
+    /// How busy the backend server is.
+    pub pressure: Arc<Pressure>,
+}
+
 /// A UDP socket whose datagrams are wrapped in frames.
 #[derive(Debug)]
 pub struct FrameSocket {
-    address: SocketAddrV4,
-    directory: Arc<Directory>,
     draining: AtomicBool,
-    incarnation: Incarnation,
-    keyring: Keyring,
+    gate: Mutex<Gate>,
+    options: SocketOptions,
     paths: Mutex<HashMap<SocketAddr, SocketAddrV4>>,
-    service: ServiceTag,
+    severed: AtomicBool,
     socket: UdpSocket,
 }
 
 impl FrameSocket {
     /// Returns the socket of an agent.
-    pub fn new(
-        socket: UdpSocket,
-        address: SocketAddrV4,
-        service: ServiceTag,
-        incarnation: Incarnation,
-        keyring: Keyring,
-        directory: Arc<Directory>,
-    ) -> Self {
+    pub fn new(socket: UdpSocket, options: SocketOptions) -> Self {
         Self {
-            address,
-            directory,
             draining: AtomicBool::new(false),
-            incarnation,
-            keyring,
+            gate: Mutex::default(),
+            options,
             paths: Mutex::default(),
-            service,
+            severed: AtomicBool::new(false),
             socket,
         }
     }
 
+    /// Sends and receives nothing from now, as if the VM had died.
+    pub fn sever(&self) {
+        self.severed.store(true, Ordering::Relaxed);
+    }
+
     /// Hands new flows on from now.
     pub fn drain(&self) {
         self.draining.store(true, Ordering::Relaxed);
     }
 
     fn standing(&self) -> Standing {
+        let owner = &self.options.owner;
         Standing {
-            address: self.address,
-            service: self.service,
-            incarnation: self.incarnation,
+            address: owner.address,
+            service: owner.service,
+            incarnation: owner.incarnation,
             draining: self.draining.load(Ordering::Relaxed),
+            pressure: self.options.pressure.get(),
         }
     }
 
     /// Returns the payload of a datagram that QUIC gets.
     fn accept<'a>(&self, datagram: &'a [u8]) -> Option<(SocketAddr, &'a [u8])> {
+        if self.severed.load(Ordering::Relaxed) {
+            return None;
+        }
         let Ok((header, payload)) = frame::decode(datagram) else {
-            tracing::debug!(event = "dropped", reason = "damaged_frame");
+            self.options.metrics.count_drop("damaged_frame");
             return None;
         };
-        match intake::decide(&self.standing(), &self.keyring, &header, payload) {
+        let intake = self.gate.lock().expect("gate lock").decide(
+            self.options.clock.now(),
+            &self.standing(),
+            &self.options.directory.view(),
+            &self.options.keyring,
+            &header,
+            payload,
+        );
+        match intake {
             Intake::Take => {
                 self.remember(&header);
                 Some((header.caller, payload))
             }
-            Intake::HandOn(other) => {
-                self.hand_on(header, payload, other);
+            Intake::HandOn { agent, others } => {
+                self.hand_on(Header { others, ..header }, payload, agent);
                 None
             }
             Intake::Drop(reason) => {
-                tracing::debug!(event = "dropped", reason, caller = %header.caller);
+                self.options.metrics.count_drop(reason.as_str());
                 None
             }
         }
@@ -111,7 +140,7 @@
     /// Returns the balancer last heard on a flow, or another one when that one is leaving or gone.
     fn balancer(&self, caller: SocketAddr) -> Option<SocketAddrV4> {
         let heard = self.paths.lock().expect("paths lock").get(&caller).copied();
-        let view = self.directory.view();
+        let view = self.options.directory.view();
         let state = heard.and_then(|heard| Some(view.members.get(&heard)?.state));
         // A balancer that the agent does not know yet has just proved that it lives.
         if heard.is_some() && state.is_none_or(|state| state == MemberState::Ready) {
@@ -133,7 +162,8 @@
     }
 
     fn hand_on(&self, mut header: Header, payload: &[u8], other: SocketAddrV4) {
-        tracing::debug!(event = "handed_on", caller = %header.caller, agent = %other);
+        self.options.metrics.count_route("handed_on");
+        tracing::info!(event = "handed_on", caller = %header.caller, agent = %other, hops = header.hops);
         header.hops += 1;
         let mut buffer = Vec::with_capacity(DATAGRAM_BYTES);
         if frame::encode(&header, payload, &mut buffer).is_ok() {
@@ -148,12 +178,15 @@
     }
 
     fn try_send(&self, transmit: &Transmit<'_>) -> io::Result<()> {
+        if self.severed.load(Ordering::Relaxed) {
+            return Ok(());
+        }
         let Some(balancer) = self.balancer(transmit.destination) else {
             return Ok(());
         };
         let header = Header {
             caller: transmit.destination,
-            service: self.service,
+            service: self.options.owner.service,
             version: 0,
             balancer,
             others: [None, None],
@@ -195,7 +228,7 @@
     }
 
     fn local_addr(&self) -> io::Result<SocketAddr> {
-        Ok(self.address.into())
+        Ok(self.options.owner.address.into())
     }
 }
 
--- a/src/caller.rs
+++ b/src/caller.rs
@@ -19,6 +19,7 @@
 
 pub mod call;
 pub mod feed;
+pub mod path;
 pub mod session;
 
 pub use call::{Call, Reply};
--- /dev/null
+++ b/src/caller/path.rs
@@ -0,0 +1,104 @@
+//! Silent paths: a connection that sends and hears nothing moves to a new local port.
+//!
+//! The connection survives by QUIC's migration (RFC 9000, section 9).
+
+use std::{
+    io,
+    net::{SocketAddr, UdpSocket},
+    time::Duration,
+};
+
+use quinn::{Connection, Endpoint};
+use tokio::time::Instant;
+
+use crate::consts::KEEP_ALIVE;
+
+/// Interval between two looks at a connection.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Time without a datagram after which a path counts as silent; both ends send keep-alives.
+const FIRST_SILENCE: Duration = KEEP_ALIVE.saturating_mul(5).checked_div(2).unwrap();
+
+/// Longest time between two new ports of a path that stays silent.
+const MAX_SILENCE: Duration = Duration::from_secs(6);
+
+/// Decides when a path gets a new local port.
+#[derive(Clone, Copy, Debug)]
+pub struct PathWatch {
+    deadline: Instant,
+    received: u64,
+    sent: u64,
+    silence: Duration,
+}
+
+impl PathWatch {
+    /// Returns the watch of a path from now.
+    pub fn new(now: Instant) -> Self {
+        Self {
+            deadline: now + FIRST_SILENCE,
+            received: 0,
+            sent: 0,
+            silence: FIRST_SILENCE,
+        }
+    }
+
+    /// Returns whether the path is silent, by the datagrams sent and received so far.
+    ///
+    /// A path that was given a new port is given time, twice as much after each.
+    pub fn silent(&mut self, now: Instant, sent: u64, received: u64) -> bool {
+        if received != self.received {
+            self.silence = FIRST_SILENCE;
+            self.restart(now, sent, received);
+            return false;
+        }
+        if now < self.deadline || sent == self.sent {
+            return false;
+        }
+        self.silence = MAX_SILENCE.min(self.silence * 2);
+        self.restart(now, sent, received);
+        true
+    }
+
+    fn restart(&mut self, now: Instant, sent: u64, received: u64) {
+        self.deadline = now + self.silence;
+        self.received = received;
+        self.sent = sent;
+    }
+}
+
+/// Watches a connection until it closes.
+pub(super) async fn watch(endpoint: Endpoint, connection: Connection) {
+    let mut path = PathWatch::new(Instant::now());
+    let mut port = endpoint.local_addr().ok();
+    while connection.close_reason().is_none() {
+        tokio::time::sleep(CHECK_INTERVAL).await;
+        let stats = connection.stats();
+        let (sent, received) = (stats.udp_tx.datagrams, stats.udp_rx.datagrams);
+        if !path.silent(Instant::now(), sent, received) {
+            continue;
+        }
+        reopen(&endpoint, port);
+        port = endpoint.local_addr().ok();
+        if stats.frame_rx.handshake_done == 0 {
+            // The agent may still be in the handshake, in which a connection can't move.
+            connection.close(0_u32.into(), b"path lost");
+        }
+    }
+}
+
+/// Moves an endpoint to a new port, unless another connection has moved it away from `old`.
+pub(super) fn reopen(endpoint: &Endpoint, old: Option<SocketAddr>) {
+    if endpoint.local_addr().ok() != old {
+        return;
+    }
+    let reopened = bind().and_then(|socket| endpoint.rebind(socket));
+    match reopened {
+        Ok(()) => tracing::info!(event = "path_reopened", reason = "silent"),
+        Err(error) => tracing::warn!(event = "path_not_reopened", %error),
+    }
+}
+
+fn bind() -> io::Result<UdpSocket> {
+    let any: SocketAddr = ([0, 0, 0, 0], 0).into();
+    UdpSocket::bind(any)
+}
--- a/src/caller/session.rs
+++ b/src/caller/session.rs
@@ -6,7 +6,7 @@
 use h3::client::SendRequest;
 use http::Request;
 
-use super::{AttemptError, Caller, Stream};
+use super::{AttemptError, Caller, Stream, path};
 
 /// Longest wait for one attempt to open a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -49,8 +49,13 @@
         {
             return Ok(session.clone());
         }
+        let port = self.endpoint.local_addr().ok();
         let opened = tokio::time::timeout(CONNECT_TIMEOUT, self.connect()).await;
-        let session = opened.map_err(|_| AttemptError::NotSent)??;
+        let Ok(opened) = opened else {
+            path::reopen(&self.endpoint, port);
+            return Err(AttemptError::NotSent);
+        };
+        let session = opened?;
         *current = Some(session.clone());
         Ok(session)
     }
@@ -79,6 +84,7 @@
         tokio::spawn(async move {
             poll_fn(|cx| driver.poll_close(cx)).await;
         });
+        tokio::spawn(path::watch(self.endpoint.clone(), connection.clone()));
         Ok(Session { connection, sender })
     }
 }
--- a/src/cli/help.rs
+++ b/src/cli/help.rs
@@ -146,7 +146,7 @@
 OPTIONS:
   --site NAME     haverkamp or dolbom (default: haverkamp)
   --seconds N     time in which requests are sent
-  --faults KIND   none or rolling (default: none)
+  --faults KIND   none, forgetting or rolling (default: none)
   --seed S        seed of the fabric and of the callers (default: 1)
   --json          print the report as one JSON object on the last line
 
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -179,6 +179,9 @@
 
     /// Stops at once, as if the VM had died.
     pub async fn kill(&self) {
+        if let Ok(agent) = self.kernel.find::<Agent>(Agent::NAME) {
+            agent.sever();
+        }
         self.kernel.stop().await;
     }
 }
--- a/src/dev/faults.rs
+++ b/src/dev/faults.rs
@@ -7,6 +7,9 @@
 /// Interval between two health checks of the fabric.
 const HEALTH_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Interval between two addresses that the fabric loses track of.
+const FORGET_INTERVAL: Duration = Duration::from_secs(1);
+
 const PAUSE: Duration = Duration::from_millis(300);
 
 /// A kind of disturbance.
@@ -15,6 +18,8 @@
     /// Nothing is disturbed.
     #[default]
     None,
+    /// The fabric loses track of one caller's address after the other.
+    Forgetting,
     /// Every balancer and every backend server is drained and replaced in turn.
     Rolling,
 }
@@ -24,10 +29,11 @@
 
     fn from_str(text: &str) -> Result<Self, String> {
         match text {
+            "forgetting" => Ok(Faults::Forgetting),
             "none" => Ok(Faults::None),
             "rolling" => Ok(Faults::Rolling),
             _ => Err(format!(
-                "no faults named {text}; there are none and rolling"
+                "no faults named {text}; there are none, forgetting and rolling"
             )),
         }
     }
@@ -35,11 +41,23 @@
 
 /// Applies the disturbance until it is aborted.
 pub async fn apply(fleet: Arc<Fleet>, faults: Faults) {
-    if faults == Faults::None {
-        return;
+    match faults {
+        Faults::None => {}
+        Faults::Forgetting => forget(&fleet).await,
+        Faults::Rolling => {
+            if let Err(error) = roll(&fleet).await {
+                tracing::error!(event = "rolling_failed", %error);
+            }
+        }
     }
-    if let Err(error) = roll(&fleet).await {
-        tracing::error!(event = "rolling_failed", %error);
+}
+
+async fn forget(fleet: &Fleet) {
+    loop {
+        tokio::time::sleep(FORGET_INTERVAL).await;
+        if let Some(caller) = fleet.fabric().callers().first() {
+            fleet.fabric().forget(*caller);
+        }
     }
 }
 
--- a/src/dev/fleet.rs
+++ b/src/dev/fleet.rs
@@ -114,6 +114,11 @@
         Ok(fleet)
     }
 
+    /// Returns the stand-in for the fabric.
+    pub fn fabric(&self) -> &Fabric {
+        &self.fabric
+    }
+
     /// Returns the address of a service.
     pub fn address(&self, service: &str) -> Option<SocketAddr> {
         self.tree.services.get(service).map(|s| s.address)
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod datagram;
 pub mod decision;
 pub mod dev;
+pub mod flow;
 pub mod frame;
 pub mod kernel;
 pub mod log;
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -76,16 +76,31 @@
             return None;
         }
         let first = self.lookup(hash(flow, service, FIRST_SEED));
-        let mut second = None;
+        let second = self.second(first, service, flow);
+        Some(Choice { first, second })
+    }
+
+    /// Returns another agent than `first`; `None` only if there is no other.
+    fn second(
+        &self,
+        first: SocketAddrV4,
+        service: ServiceTag,
+        flow: &[u8],
+    ) -> Option<SocketAddrV4> {
+        if self.addresses.len() < 2 {
+            return None;
+        }
         for attempt in 0..SECOND_TRIES {
             let other = self.lookup(hash(flow, service, SECOND_SEED + attempt));
-            if other == first {
-                continue;
+            if other != first {
+                return Some(other);
             }
-            second = Some(other);
-            break;
         }
-        Some(Choice { first, second })
+        let start = (hash(flow, service, SECOND_SEED) % self.slots.len() as u64) as usize;
+        let (before, after) = self.slots.split_at(start);
+        let mut others = after.iter().chain(before);
+        let other = others.find(|i| self.addresses[usize::from(**i)] != first)?;
+        Some(self.addresses[usize::from(*other)])
     }
 
     /// Returns the agent in each slot, in order.
--- a/src/standin/fabric.rs
+++ b/src/standin/fabric.rs
@@ -1,10 +1,10 @@
 //! A stand-in for the fabric: sprays each datagram over the balancers.
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeMap, HashMap},
     io,
     net::{SocketAddr, SocketAddrV4},
-    sync::{Arc, RwLock},
+    sync::{Arc, Mutex, RwLock},
 };
 
 use rand::{Rng, SeedableRng, rngs::SmallRng};
@@ -20,9 +20,13 @@
 #[derive(Debug)]
 pub struct Fabric {
     balancers: Arc<RwLock<Vec<SocketAddrV4>>>,
+    callers: Callers,
     inside: Arc<UdpSocket>,
 }
 
+/// Addresses of callers, and whether the fabric has lost track of them.
+type Callers = Arc<Mutex<BTreeMap<SocketAddr, bool>>>;
+
 impl Fabric {
     /// Opens the socket that balancers answer to.
     ///
@@ -32,6 +36,7 @@
     pub async fn start(kernel: &Kernel, services: Vec<UdpSocket>, seed: u64) -> io::Result<Self> {
         let inside = Arc::new(UdpSocket::bind("127.0.0.1:0").await?);
         let balancers = Arc::new(RwLock::new(Vec::new()));
+        let callers = Callers::default();
         let mut sockets = HashMap::new();
         for (index, socket) in services.into_iter().enumerate() {
             let address = socket.local_addr()?;
@@ -43,11 +48,16 @@
                 address,
                 inside.clone(),
                 balancers.clone(),
+                callers.clone(),
                 random,
             ));
         }
-        kernel.spawn(give_back(inside.clone(), sockets));
-        Ok(Self { balancers, inside })
+        kernel.spawn(give_back(inside.clone(), sockets, callers.clone()));
+        Ok(Self {
+            balancers,
+            callers,
+            inside,
+        })
     }
 
     /// Returns the address that balancers send answers to.
@@ -59,6 +69,19 @@
         self.inside.local_addr()
     }
 
+    /// Returns the addresses of callers that were heard and are not lost.
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        let callers = self.callers.lock().expect("callers lock");
+        let known = callers.iter().filter(|(_, lost)| !**lost);
+        known.map(|(address, _)| *address).collect()
+    }
+
+    /// Drops all datagrams from and to a caller's address from now.
+    pub fn forget(&self, caller: SocketAddr) {
+        let mut callers = self.callers.lock().expect("callers lock");
+        callers.insert(caller, true);
+    }
+
     /// Sets the balancers that get datagrams from now.
     pub fn set_balancers(&self, balancers: Vec<SocketAddrV4>) {
         *self.balancers.write().expect("balancers lock") = balancers;
@@ -70,6 +93,7 @@
     address: SocketAddr,
     inside: Arc<UdpSocket>,
     balancers: Arc<RwLock<Vec<SocketAddrV4>>>,
+    callers: Callers,
     mut random: SmallRng,
 ) {
     let mut buffer = vec![0; DATAGRAM_BYTES];
@@ -78,6 +102,14 @@
         let Ok((length, source)) = socket.recv_from(&mut buffer).await else {
             continue;
         };
+        if *callers
+            .lock()
+            .expect("callers lock")
+            .entry(source)
+            .or_default()
+        {
+            continue;
+        }
         let chosen = {
             let balancers = balancers.read().expect("balancers lock");
             if balancers.is_empty() {
@@ -94,7 +126,11 @@
     }
 }
 
-async fn give_back(inside: Arc<UdpSocket>, sockets: HashMap<SocketAddr, Arc<UdpSocket>>) {
+async fn give_back(
+    inside: Arc<UdpSocket>,
+    sockets: HashMap<SocketAddr, Arc<UdpSocket>>,
+    callers: Callers,
+) {
     let mut buffer = vec![0; 2 * DATAGRAM_BYTES];
     loop {
         let Ok((length, _)) = inside.recv_from(&mut buffer).await else {
@@ -103,6 +139,14 @@
         let Some((ends, payload)) = proxy_header::unwrap(&buffer[..length]) else {
             continue;
         };
+        let lost = callers
+            .lock()
+            .expect("callers lock")
+            .get(&ends.target)
+            .copied();
+        if lost == Some(true) {
+            continue;
+        }
         let Some(socket) = sockets.get(&ends.source) else {
             continue;
         };
