--- a/src/agent.rs
+++ b/src/agent.rs
@@ -7,32 +7,41 @@
     ServerConfig, TransportConfig, crypto::rustls::QuicServerConfig,
 };
 use quinn_proto::InvalidCid;
-use rustls::pki_types::{CertificateDer, PrivateKeyDer};
 use snafu::{ResultExt, Snafu};
 use tokio::net::UdpSocket;
 
 use crate::{
     consts::{IDLE_TIMEOUT, KEEP_ALIVE, OWNER_ID_BYTES, QUIC_MTU_BYTES},
+    control::{Control, ControlClient},
     kernel::{Kernel, KernelError},
     member::Directory,
+    membership::{LocalRecord, Signer},
     metrics::Metrics,
     owner_id::{FleetKey, Keyring, Owner, Purpose},
     settings::InForce,
 };
 
+pub mod admission;
 pub mod answer;
+pub mod capacity;
 pub mod feed;
+pub mod gate;
 pub mod http;
+pub mod identity;
 pub mod intake;
 pub mod job;
 pub mod ledger;
 pub mod once;
+pub mod pass;
 pub mod pressure;
 pub mod reset;
 pub mod runner;
 pub mod socket;
 pub mod upstream;
 
+use gate::Gate;
+use identity::LiveIdentity;
+use pass::{PassedRequest, Passing};
 use pressure::Pressure;
 use reset::ResetKeys;
 use socket::{FrameSocket, SocketOptions};
@@ -44,9 +53,9 @@
 /// An error at the start of an agent.
 #[derive(Debug, Snafu)]
 pub enum AgentError {
-    /// The certificate or the private key does not fit.
-    #[snafu(display("certificate: {source}"))]
-    Certificate {
+    /// The version of TLS does not fit.
+    #[snafu(display("TLS: {source}"))]
+    Tls {
         /// The library's error.
         source: rustls::Error,
     },
@@ -70,15 +79,6 @@
     },
 }
 
-/// Certificate chain and private key of a service.
-#[derive(Debug)]
-pub struct Identity {
-    /// Certificate chain.
-    pub chain: Vec<CertificateDer<'static>>,
-    /// Private key.
-    pub key: PrivateKeyDer<'static>,
-}
-
 /// What an agent is started with.
 #[derive(Debug)]
 pub struct AgentOptions {
@@ -88,10 +88,14 @@
     pub service: String,
     /// Address of the backend server.
     pub server: std::net::SocketAddr,
+    /// Requests that the backend server works on at once.
+    pub slots: u32,
+    /// Connections that the backend server holds.
+    pub connections: u32,
     /// Fleet keys; the first one seals.
     pub keys: Vec<FleetKey>,
-    /// Certificate and key of the service.
-    pub identity: Identity,
+    /// Certificate of the service.
+    pub identity: Arc<LiveIdentity>,
 }
 
 /// A running agent, under the name [`Agent::NAME`].
@@ -112,14 +116,20 @@
         self.handler.drain();
     }
 
+    /// Returns the number of open connections.
+    pub fn connections(&self) -> usize {
+        self.endpoint.open_connections()
+    }
+
     /// Sends and receives nothing from now, as if the VM had died.
     pub fn sever(&self) {
         self.socket.sever();
     }
 
-    /// Waits until no connection is open.
+    /// Waits until no connection is open and no request is running.
     pub async fn drained(&self) {
         self.endpoint.wait_idle().await;
+        self.handler.settled().await;
     }
 }
 
@@ -127,7 +137,7 @@
 ///
 /// # Errors
 ///
-/// Fails if the certificate does not fit or if the endpoint can't start.
+/// Fails if the cipher suites do not fit or if the endpoint can't start.
 pub fn start(kernel: &Kernel, socket: UdpSocket, options: AgentOptions) -> Result<(), AgentError> {
     let keyring = Keyring::new(&options.keys, Purpose::Connection);
     let owner = options.owner;
@@ -139,17 +149,26 @@
         clock: kernel.clock(),
         directory: kernel.find(Directory::NAME).context(KernelSnafu)?,
         metrics: kernel.find(Metrics::NAME).context(KernelSnafu)?,
-        pressure,
+        pressure: pressure.clone(),
     };
     let socket = Arc::new(FrameSocket::new(socket, socket_options));
+    let passing = Passing {
+        client: ControlClient::new(Signer::new(&options.keys)),
+        clock: kernel.clock(),
+        directory: kernel.find(Directory::NAME).context(KernelSnafu)?,
+    };
+    let gate = start_gate(kernel, &options, pressure).context(KernelSnafu)?;
     let handler = Arc::new(http::Handler::new(
         kernel.clock(),
+        gate,
         kernel.find(InForce::NAME).context(KernelSnafu)?,
         &options,
+        passing,
     ));
+    serve_passed(kernel, &handler).context(KernelSnafu)?;
     let endpoint = Endpoint::new_with_abstract_socket(
         endpoint_config(&options.keys, keyring, owner),
-        Some(server_config(options.identity)?),
+        Some(server_config(options.identity.clone())?),
         socket.clone(),
         Arc::new(quinn::TokioRuntime),
     )
@@ -162,10 +181,40 @@
             socket,
         }),
     );
+    kernel.spawn(options.identity.watch());
     kernel.spawn(http::serve(endpoint, handler, kernel.stop_signal()));
     Ok(())
 }
 
+/// Serves the requests that other agents pass on.
+fn serve_passed(kernel: &Kernel, handler: &Arc<http::Handler>) -> Result<(), KernelError> {
+    let control: Arc<Control> = kernel.find(Control::NAME)?;
+    let handler = handler.clone();
+    control.route(pass::PATH, move |passed: PassedRequest| {
+        let handler = handler.clone();
+        Box::pin(async move { handler.passed(passed).await })
+    });
+    Ok(())
+}
+
+/// Starts and publishes the gate in front of the backend server.
+fn start_gate(
+    kernel: &Kernel,
+    options: &AgentOptions,
+    pressure: Arc<Pressure>,
+) -> Result<Arc<Gate>, KernelError> {
+    let gate = Arc::new(Gate::new(
+        kernel.clock(),
+        (options.slots, options.connections),
+        kernel.find(Directory::NAME)?,
+        kernel.find(LocalRecord::NAME)?,
+        pressure,
+    ));
+    kernel.publish(Gate::NAME, gate.clone());
+    kernel.spawn(gate.clone().run());
+    Ok(gate)
+}
+
 fn endpoint_config(keys: &[FleetKey], keyring: Keyring, owner: Owner) -> EndpointConfig {
     let mut config = EndpointConfig::new(Arc::new(ResetKeys::new(keys)));
     config.min_reset_interval(MIN_RESET_INTERVAL);
@@ -173,15 +222,14 @@
     config
 }
 
-fn server_config(identity: Identity) -> Result<ServerConfig, AgentError> {
+fn server_config(identity: Arc<LiveIdentity>) -> Result<ServerConfig, AgentError> {
     let mut tls = rustls::ServerConfig::builder_with_provider(Arc::new(
         rustls::crypto::ring::default_provider(),
     ))
     .with_protocol_versions(&[&rustls::version::TLS13])
-    .context(CertificateSnafu)?
+    .context(TlsSnafu)?
     .with_no_client_auth()
-    .with_single_cert(identity.chain, identity.key)
-    .context(CertificateSnafu)?;
+    .with_cert_resolver(identity);
     tls.alpn_protocols = vec![b"h3".to_vec()];
     let crypto = QuicServerConfig::try_from(tls).context(SuitesSnafu)?;
     let mut config = ServerConfig::with_crypto(Arc::new(crypto));
--- a/src/agent/intake.rs
+++ b/src/agent/intake.rs
@@ -65,11 +65,11 @@
 
 /// Decides about datagrams and remembers flows without an owner id for a while.
 #[derive(Debug, Default)]
-pub struct Gate {
+pub struct FlowTable {
     flows: Recent<Settled>,
 }
 
-impl Gate {
+impl FlowTable {
     /// Decides what to do with a QUIC datagram.
     pub fn decide(
         &mut self,
--- a/src/agent/socket.rs
+++ b/src/agent/socket.rs
@@ -19,7 +19,7 @@
 use tokio::{io::ReadBuf, net::UdpSocket};
 
 use super::{
-    intake::{Gate, Intake, Standing},
+    intake::{FlowTable, Intake, Standing},
     pressure::Pressure,
 };
 use crate::{
@@ -55,7 +55,7 @@
 #[derive(Debug)]
 pub struct FrameSocket {
     draining: AtomicBool,
-    gate: Mutex<Gate>,
+    flows: Mutex<FlowTable>,
     options: SocketOptions,
     paths: Mutex<HashMap<SocketAddr, SocketAddrV4>>,
     severed: AtomicBool,
@@ -67,7 +67,7 @@
     pub fn new(socket: UdpSocket, options: SocketOptions) -> Self {
         Self {
             draining: AtomicBool::new(false),
-            gate: Mutex::default(),
+            flows: Mutex::default(),
             options,
             paths: Mutex::default(),
             severed: AtomicBool::new(false),
@@ -105,7 +105,7 @@
             self.options.metrics.count_drop("damaged_frame");
             return None;
         };
-        let intake = self.gate.lock().expect("gate lock").decide(
+        let intake = self.flows.lock().expect("flows lock").decide(
             self.options.clock.now(),
             &self.standing(),
             &self.options.directory.view(),
--- a/src/flow.rs
+++ b/src/flow.rs
@@ -100,7 +100,7 @@
 pub enum Fate {
     /// It runs, as far as is known.
     Lives,
-    /// It has left, died, or been replaced at its address.
+    /// It has left or died, or its address serves another service.
     Gone,
     /// Nothing is known.
     Unknown,
@@ -114,10 +114,11 @@
     if record.incarnation < owner.incarnation {
         return Fate::Unknown;
     }
-    let same = record.incarnation == owner.incarnation && record.service == owner.service;
-    match record.state {
-        MemberState::Dead | MemberState::Left => Fate::Gone,
-        _ if same => Fate::Lives,
-        _ => Fate::Gone,
+    let stopped = matches!(record.state, MemberState::Dead | MemberState::Left);
+    // A later life at the address may still hold the flow, if it was only frozen; if not, it
+    // resets the flow itself.
+    match stopped || record.service != owner.service {
+        true => Fate::Gone,
+        false => Fate::Lives,
     }
 }
--- a/tests/flows_decisions.rs
+++ b/tests/flows_decisions.rs
@@ -6,7 +6,7 @@
 };
 
 use berylvalve::{
-    agent::intake::{Gate, HAND_ON_PRESSURE, Intake, Standing},
+    agent::intake::{FlowTable, HAND_ON_PRESSURE, Intake, Standing},
     clock::Time,
     consts::MAX_HOPS,
     flow::{DropReason, Flow, Opening},
@@ -95,7 +95,7 @@
 }
 
 struct Agent {
-    gate: Gate,
+    flows: FlowTable,
     standing: Standing,
     view: View,
 }
@@ -115,7 +115,7 @@
 impl Fleet {
     fn new(views: &[View], draining: &[bool], pressure: &[u32]) -> Self {
         let agents = (0..AGENTS).map(|n| Agent {
-            gate: Gate::default(),
+            flows: FlowTable::default(),
             standing: Standing {
                 address: address(n),
                 service: service(n),
@@ -168,7 +168,7 @@
             };
             let now = Time::from_millis(now);
             match agent
-                .gate
+                .flows
                 .decide_flow(now, &agent.standing, &agent.view, &header, flow)
             {
                 Intake::Take => {
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -1,8 +1,10 @@
 //! Sessions of separate processes, kept as golden files with addresses and times normalised.
 
 mod fleet;
+mod gated;
 mod operations;
 mod process;
+mod requests;
 
 use std::fmt::Write;
 
