Place small services by rendezvous hashing; prove flows on one schedule

Ruled out: one large table for all services (4,099 entries for each of 16,000 services with the earlier table: 262 MB, over the control budget of 128 MB).

Change: up to 128 members a service is placed by weighted rendezvous hashing, above by Maglev's table.

--- a/src/placement.rs
+++ b/src/placement.rs
@@ -1,8 +1,6 @@
 //! Weighted tables that place the first packets of a flow.
 //!
-//! The table is Maglev's (Eisenbud et al., "Maglev: A Fast and Reliable Software Network Load
-//! Balancer", NSDI 2016, section 3.4) with weights: each member takes turns in proportion to its
-//! weight. All processes with the same members compute the same table.
+//! All processes that know the same members compute the same table.
 
 use std::net::SocketAddrV4;
 
@@ -10,17 +8,14 @@
 
 use crate::owner_id::ServiceTag;
 
-const ENTRIES_PER_MEMBER: usize = 100;
-const OFFSET_SEED: u64 = 1;
-const SKIP_SEED: u64 = 2;
-const FIRST_SEED: u64 = 3;
-const SECOND_SEED: u64 = 4;
-const SECOND_TRIES: u64 = 4;
+mod slots;
 
-/// Prime table sizes; the smallest that holds the members is used.
-const SIZES: [usize; 8] = [
-    251, 1_021, 4_099, 16_381, 65_537, 262_147, 1_048_573, 4_194_301,
-];
+pub use slots::Slots;
+
+/// Members up to which rendezvous hashing is used: its lookups cost in proportion to them.
+const MAX_RANKED: usize = 128;
+
+const RANK_SEED: u64 = 5;
 
 /// A member that can be placed on.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -41,18 +36,18 @@
 }
 
 /// A placement table of one service.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct Table {
-    addresses: Vec<SocketAddrV4>,
-    slots: Vec<u16>,
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Table {
+    /// Rendezvous hashing over a few members.
+    Ranked(Vec<Candidate>),
+    /// Maglev's table over many members.
+    Slotted(Slots),
 }
 
-struct Turn {
-    offset: usize,
-    skip: usize,
-    next: usize,
-    credit: u32,
-    weight: u32,
+impl Default for Table {
+    fn default() -> Self {
+        Table::Ranked(Vec::new())
+    }
 }
 
 impl Table {
@@ -61,121 +56,68 @@
         let mut sorted = candidates.to_vec();
         sorted.sort_unstable();
         sorted.dedup_by_key(|c| c.address);
-        if sorted.is_empty() {
-            return Self::default();
+        match sorted.len() > MAX_RANKED {
+            true => Table::Slotted(Slots::build(&sorted)),
+            false => Table::Ranked(sorted),
         }
-        let size = table_size(sorted.len());
-        let slots = fill(&sorted, size);
-        let addresses = sorted.iter().map(|c| c.address).collect();
-        Self { addresses, slots }
     }
 
     /// Returns the agents for a flow, or `None` if the table is empty.
     pub fn choose(&self, service: ServiceTag, flow: &[u8]) -> Option<Choice> {
-        if self.slots.is_empty() {
-            return None;
+        match self {
+            Table::Ranked(candidates) => rank(candidates, service, flow),
+            Table::Slotted(slots) => slots.choose(service, flow),
         }
-        let first = self.lookup(hash(flow, service, FIRST_SEED));
-        let second = self.second(first, service, flow);
-        Some(Choice { first, second })
     }
 
-    /// Returns another agent than `first`; `None` only if there is no other.
-    fn second(
-        &self,
-        first: SocketAddrV4,
-        service: ServiceTag,
-        flow: &[u8],
-    ) -> Option<SocketAddrV4> {
-        if self.addresses.len() < 2 {
-            return None;
+    /// Returns the members, in order.
+    pub fn members(&self) -> Vec<SocketAddrV4> {
+        match self {
+            Table::Ranked(candidates) => candidates.iter().map(|c| c.address).collect(),
+            Table::Slotted(slots) => slots.members().to_vec(),
         }
-        for attempt in 0..SECOND_TRIES {
-            let other = self.lookup(hash(flow, service, SECOND_SEED + attempt));
-            if other != first {
-                return Some(other);
-            }
-        }
-        let start = (hash(flow, service, SECOND_SEED) % self.slots.len() as u64) as usize;
-        let (before, after) = self.slots.split_at(start);
-        let mut others = after.iter().chain(before);
-        let other = others.find(|i| self.addresses[usize::from(**i)] != first)?;
-        Some(self.addresses[usize::from(*other)])
-    }
-
-    /// Returns the agent in each slot, in order.
-    pub fn slots(&self) -> impl Iterator<Item = SocketAddrV4> {
-        self.slots.iter().map(|i| self.addresses[usize::from(*i)])
     }
 
     /// Returns the memory that the table holds, in bytes.
     pub fn bytes(&self) -> usize {
-        self.slots.capacity() * size_of::<u16>()
-            + self.addresses.capacity() * size_of::<SocketAddrV4>()
-    }
-
-    fn lookup(&self, hash: u64) -> SocketAddrV4 {
-        let slot = (hash % self.slots.len() as u64) as usize;
-        self.addresses[usize::from(self.slots[slot])]
+        match self {
+            Table::Ranked(candidates) => candidates.capacity() * size_of::<Candidate>(),
+            Table::Slotted(slots) => slots.bytes(),
+        }
     }
 }
 
-fn table_size(members: usize) -> usize {
-    let wanted = members * ENTRIES_PER_MEMBER;
-    let found = SIZES.iter().find(|size| **size >= wanted);
-    *found.unwrap_or(&SIZES[SIZES.len() - 1])
-}
-
-fn hash(flow: &[u8], service: ServiceTag, seed: u64) -> u64 {
-    xxh3_64_with_seed(flow, seed ^ (u64::from(service.0) << 16))
-}
-
-fn fill(candidates: &[Candidate], size: usize) -> Vec<u16> {
-    const EMPTY: u16 = u16::MAX;
-    let heaviest = candidates
-        .iter()
-        .map(|c| c.weight)
-        .max()
-        .unwrap_or(1)
-        .max(1);
-    let mut turns: Vec<Turn> = candidates.iter().map(|c| turn(c, size)).collect();
-    let mut slots = vec![EMPTY; size];
-    let mut filled = 0;
-    while filled < size {
-        for (index, turn) in turns.iter_mut().enumerate() {
-            turn.credit += turn.weight;
-            if turn.credit < u32::from(heaviest) {
-                continue;
-            }
-            turn.credit -= u32::from(heaviest);
-            let slot = next_empty(turn, &slots, EMPTY);
-            slots[slot] = index as u16;
-            filled += 1;
-            if filled == size {
-                break;
-            }
+/// Returns the two highest scores of weighted rendezvous hashing (Thaler and Ravishankar, IEEE/ACM
+/// Transactions on Networking 6, 1998; weights as by Schindelhauer and Schomaker, SPAA 2005).
+///
+/// The second choice is the one that takes the place of the first when that one leaves.
+pub fn rank(candidates: &[Candidate], service: ServiceTag, flow: &[u8]) -> Option<Choice> {
+    let key = hash(flow, service, RANK_SEED);
+    let mut first = None;
+    let mut second = None;
+    for candidate in candidates {
+        let entry = Some((score(candidate, key), candidate.address));
+        if entry > first {
+            second = first;
+            first = entry;
+        } else if entry > second {
+            second = entry;
         }
     }
-    slots
+    Some(Choice {
+        first: first?.1,
+        second: second.map(|(_, address)| address),
+    })
 }
 
-fn turn(candidate: &Candidate, size: usize) -> Turn {
-    let name = candidate.address.to_string();
-    Turn {
-        offset: (xxh3_64_with_seed(name.as_bytes(), OFFSET_SEED) % size as u64) as usize,
-        skip: (xxh3_64_with_seed(name.as_bytes(), SKIP_SEED) % (size as u64 - 1)) as usize + 1,
-        next: 0,
-        credit: 0,
-        weight: u32::from(candidate.weight.max(1)),
-    }
+fn score(candidate: &Candidate, key: u64) -> f64 {
+    let address = u64::from(candidate.address.ip().to_bits()) << 16;
+    let seed = address | u64::from(candidate.address.port());
+    let hash = xxh3_64_with_seed(&key.to_le_bytes(), seed);
+    let uniform = (hash as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+    f64::from(candidate.weight.max(1)) / -uniform.ln()
 }
 
-fn next_empty(turn: &mut Turn, slots: &[u16], empty: u16) -> usize {
-    loop {
-        let slot = (turn.offset + turn.next * turn.skip) % slots.len();
-        turn.next += 1;
-        if slots[slot] == empty {
-            return slot;
-        }
-    }
+fn hash(flow: &[u8], service: ServiceTag, seed: u64) -> u64 {
+    xxh3_64_with_seed(flow, seed ^ (u64::from(service.0) << 16))
 }
--- a/src/trial.rs
+++ b/src/trial.rs
@@ -2,7 +2,9 @@
 
 use serde_json::Value;
 
+pub mod flows;
 pub mod latency;
+pub mod placement;
 pub mod relay;
 
 pub mod membership;
@@ -20,6 +22,11 @@
 
 /// All measurements.
 pub const TRIALS: &[Trial] = &[
+    Trial {
+        name: "flows",
+        about: "flows broken by planned changes: consistent hash, earlier owners, owner ids",
+        run: flows::run,
+    },
     Trial {
         name: "latency",
         about: "the time that the fleet adds to a request, in loopback hops",
@@ -30,6 +37,11 @@
         about: "a balancer's datagrams a second and memory against a bare UDP relay",
         run: relay::run,
     },
+    Trial {
+        name: "placement",
+        about: "Maglev's table against weighted rendezvous hashing: time, bytes, moves, imbalance",
+        run: placement::run,
+    },
 ];
 
 /// Returns the measurement of a name.
