--- a/src/agent/upstream.rs
+++ b/src/agent/upstream.rs
@@ -129,6 +129,11 @@
         }
     }
 
+    /// Returns the clock by which deadlines are kept.
+    pub fn clock(&self) -> Clock {
+        self.clock
+    }
+
     /// Sends a request before `deadline` and returns the answer's head with its open body.
     ///
     /// # Errors
--- /dev/null
+++ b/tests/flows_feed.rs
@@ -0,0 +1,98 @@
+//! The agent's side of a feed: a backend server's connection that is lost or falls silent.
+
+use std::time::Duration;
+
+use berylvalve::{
+    agent::{feed::Source, upstream::Upstream},
+    clock::Clock,
+};
+use bytes::Bytes;
+use http::Request;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    time::timeout,
+};
+
+const PATIENCE: Duration = Duration::from_secs(10);
+const HEAD: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+
+/// What a connection does after its events.
+#[derive(Clone, Copy)]
+enum Fault {
+    /// It is closed in the middle of an event.
+    Cut,
+    /// It stays open and brings nothing more.
+    Silence,
+}
+
+async fn read_head(socket: &mut TcpStream) -> String {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(socket.read_u8().await.unwrap());
+    }
+    String::from_utf8(head).unwrap()
+}
+
+async fn send(socket: &mut TcpStream, events: &str) {
+    let chunk = format!("{:x}\r\n{events}\r\n", events.len());
+    socket.write_all(chunk.as_bytes()).await.unwrap();
+}
+
+/// Serves one feed twice; returns the head of the second request.
+async fn serve(listener: TcpListener, fault: Fault) -> String {
+    let (mut first, _) = listener.accept().await.unwrap();
+    read_head(&mut first).await;
+    first.write_all(HEAD.as_bytes()).await.unwrap();
+    send(&mut first, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda").await;
+    if matches!(fault, Fault::Cut) {
+        drop(first);
+        return continued(&listener).await;
+    }
+    let head = continued(&listener).await;
+    drop(first);
+    head
+}
+
+async fn continued(listener: &TcpListener) -> String {
+    let (mut second, _) = listener.accept().await.unwrap();
+    let head = read_head(&mut second).await;
+    second.write_all(HEAD.as_bytes()).await.unwrap();
+    send(&mut second, "id: 3\ndata: c\n\n").await;
+    second.write_all(b"0\r\n\r\n").await.unwrap();
+    head
+}
+
+async fn continued_after(fault: Fault) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let server = tokio::spawn(serve(listener, fault));
+    let clock = Clock::start();
+    let request = Request::get("/gusts").body(Bytes::new()).unwrap();
+    let upstream = Upstream::new(clock, address);
+    let opened = Source::open(upstream, request, clock.now() + PATIENCE).await;
+    let (mut source, _) = opened.unwrap();
+    let mut received = String::new();
+    let follow = async {
+        while let Some(events) = source.next().await {
+            received.push_str(std::str::from_utf8(&events).unwrap());
+        }
+    };
+    timeout(PATIENCE, follow).await.unwrap();
+    assert_eq!(
+        received,
+        "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"
+    );
+    let head = server.await.unwrap();
+    assert!(head.contains("last-event-id: 2\r\n"), "{head}");
+}
+
+#[tokio::test]
+async fn a_feed_is_continued_when_its_connection_is_cut_in_an_event() {
+    continued_after(Fault::Cut).await;
+}
+
+#[tokio::test]
+async fn a_feed_is_continued_when_its_connection_falls_silent() {
+    continued_after(Fault::Silence).await;
+}
