--- a/src/trial.rs
+++ b/src/trial.rs
@@ -2,6 +2,7 @@
 
 use serde_json::Value;
 
+pub mod connections;
 pub mod latency;
 pub mod relay;
 
@@ -20,6 +21,11 @@
 
 /// All measurements.
 pub const TRIALS: &[Trial] = &[
+    Trial {
+        name: "connections",
+        about: "memory of open flows at callers and agents together",
+        run: connections::run,
+    },
     Trial {
         name: "latency",
         about: "the time that the fleet adds to a request, in loopback hops",
--- a/src/trial/relay.rs
+++ b/src/trial/relay.rs
@@ -1,7 +1,6 @@
 //! A balancer's datagrams a second against a bare UDP relay on the same sockets, and its memory.
 
 use std::{
-    fs,
     net::{SocketAddr, SocketAddrV4, UdpSocket as StdSocket},
     sync::{
         Arc,
@@ -14,6 +13,7 @@
 use serde_json::{Value, json};
 use tokio::{net::UdpSocket, runtime::Builder, sync::oneshot};
 
+use super::connections::resident_bytes;
 use crate::{
     balancer::{self, BalancerOptions},
     config::tree::{Region, ServiceSettings},
@@ -36,7 +36,6 @@
 /// Datagrams under way, so that no socket buffer overflows.
 const WINDOW: u64 = 256;
 const MEMORY_STEPS: [usize; 2] = [100_000, 300_000];
-const PAGE_BYTES: u64 = 4096;
 const SERVICE: ServiceTag = ServiceTag(1);
 
 #[derive(Clone, Copy)]
@@ -177,12 +176,6 @@
     Value::Array(steps)
 }
 
-fn resident_bytes() -> u64 {
-    let statm = fs::read_to_string("/proc/self/statm").unwrap_or_default();
-    let pages = statm.split(' ').nth(1).and_then(|field| field.parse().ok());
-    pages.unwrap_or(0_u64) * PAGE_BYTES
-}
-
 fn keys() -> Vec<FleetKey> {
     vec![FleetKey {
         id: 1,
