Lose, delay, cut, cross and double answers at the backend server

Cause: what an agent makes of a bad answer was not proved over the whole path.

Change: tests/processes/answers.rs runs agents beside a server that names its faults by request. A check-in whose answer is lost, cut or crossed ends as "unknown" and ran once; a late one ends as "unknown" before the caller's deadline and is not cut off; an answer sent twice reaches only its request. A chart is repeated once. A caller that goes away cancels a chart or a feed at the server, never a check-in.

Seen to fail on a scratch copy: no comparison of the request id in the answer (another's answer is delivered), repeats of any request (doubled), no time set aside for the answer's way (no final word), no watch on the caller's connection (the chart is not cancelled), a check-in cut off at its deadline. The first form of the cancellation test passed without the watch, since the deadline cancelled the chart first; its deadline is now later.

--- a/src/agent/http.rs
+++ b/src/agent/http.rs
@@ -140,7 +140,10 @@
         }
         let job = Job::new(request.map(|()| body), found, self.clock.now());
         if job.plan.feed {
-            return self.feed(&job, stream).await;
+            return tokio::select! {
+                relayed = self.feed(&job, stream) => relayed,
+                _ = caller.closed() => Ok(()),
+            };
         }
         let answer = tokio::select! {
             answer = self.run(&job) => answer,
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -1,5 +1,7 @@
 //! Sessions of separate processes, kept as golden files with addresses and times normalised.
 
+mod answers;
+mod faulty;
 mod fleet;
 mod gated;
 mod operations;
