--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -274,7 +274,8 @@
 
     fn request(&mut self, caller: usize, attempt: u32, key: Key, to: usize) {
         let agent = &self.agents[to];
-        match keeper(&key.0, &owner(to, agent.incarnation), &agent.view.view()) {
+        let lives = [owner(to, agent.incarnation)];
+        match keeper(&key.0, &lives, &agent.view.view()) {
             Keeper::Local => self.run_here(caller, attempt, key.1, to),
             Keeper::Remote(peer) => {
                 let to = usize::from(peer.port()) - 1000;
@@ -554,3 +555,31 @@
     assert!(budget.withdraw(now + Duration::from_secs(1)));
     assert!(!budget.withdraw(now + Duration::from_secs(1)));
 }
+
+#[test]
+fn keys_are_answered_for_by_the_life_that_issued_them() {
+    let lives = [owner(0, 1), owner(0, 2)];
+    let directory = Directory::default();
+    let mut members = BTreeMap::new();
+    members.insert(address(1), record(1, 5, MemberState::Draining));
+    members.insert(address(2), record(2, 5, MemberState::Dead));
+    directory.publish(members);
+    let view = directory.view();
+    let foreign = Owner {
+        service: ServiceTag(2),
+        ..owner(1, 5)
+    };
+    let expected = [
+        (owner(0, 1), Keeper::Local),
+        (owner(0, 2), Keeper::Local),
+        (owner(0, 3), Keeper::Gone),
+        (owner(1, 5), Keeper::Remote(address(1))),
+        (owner(1, 4), Keeper::Gone),
+        (owner(2, 5), Keeper::Gone),
+        (owner(7, 1), Keeper::Gone),
+        (foreign, Keeper::Foreign),
+    ];
+    for (key, answers) in expected {
+        assert_eq!(keeper(&key, &lives, &view), answers, "{key:?}");
+    }
+}
