--- a/src/trial.rs
+++ b/src/trial.rs
@@ -3,6 +3,7 @@
 use serde_json::Value;
 
 pub mod latency;
+pub mod ledger;
 pub mod relay;
 
 pub mod membership;
@@ -25,6 +26,11 @@
         about: "the time that the fleet adds to a request, in loopback hops",
         run: latency::run,
     },
+    Trial {
+        name: "ledger",
+        about: "the ledger of one incarnation against a record in the store for each request",
+        run: ledger::run,
+    },
     Trial {
         name: "relay",
         about: "a balancer's datagrams a second and memory against a bare UDP relay",
