--- a/src/agent.rs
+++ b/src/agent.rs
@@ -160,6 +160,7 @@
         client: ControlClient::new(Signer::new(&options.keys)),
         clock: kernel.clock(),
         directory: kernel.find(Directory::NAME).context(KernelSnafu)?,
+        local: kernel.find(LocalRecord::NAME).context(KernelSnafu)?,
     };
     let gate = start_gate(kernel, &options, pressure).context(KernelSnafu)?;
     let handler = Arc::new(http::Handler::new(
--- a/src/agent/feed.rs
+++ b/src/agent/feed.rs
@@ -42,17 +42,16 @@
 ///
 /// Fails if the backend server can't be reached.
 pub async fn open(job: &Job, runner: &Runner) -> Result<OpenFeed, UpstreamError> {
-    let upstream = runner.upstream().clone();
-    let opened = Source::open(upstream, job.request.clone(), job.deadline).await;
-    let (source, status) = opened?;
+    let response = runner.open(job).await?;
     let head = Response::builder()
-        .status(status)
+        .status(response.status())
         .header(OUTCOME_HEADER, Outcome::Answered.as_str())
         .header(SERVED_BY_HEADER, runner.server().to_string())
         .header(http::header::CONTENT_TYPE, "text/event-stream");
+    let upstream = runner.upstream().clone();
     Ok(OpenFeed {
         head: head.body(()).expect("valid head"),
-        source,
+        source: Source::new(upstream, job.request.clone(), response.into_body()),
     })
 }
 
--- a/src/agent/feed/source.rs
+++ b/src/agent/feed/source.rs
@@ -3,13 +3,13 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http::{HeaderValue, Request, StatusCode};
+use http::{HeaderValue, Request};
 use http_body_util::BodyExt;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::{
-    agent::upstream::{AnswerBody, Upstream, UpstreamError},
-    clock::{Clock, Time},
+    agent::upstream::{AnswerBody, Upstream},
+    clock::Clock,
 };
 
 const LAST_EVENT_ID: &str = "last-event-id";
@@ -39,20 +39,10 @@
 }
 
 impl Source {
-    /// Opens a feed and returns it with the status of the answer.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the backend server can't be reached by `deadline`.
-    pub async fn open(
-        upstream: Upstream,
-        request: Request<Bytes>,
-        deadline: Time,
-    ) -> Result<(Self, StatusCode), UpstreamError> {
-        let response = upstream.send(request.clone(), deadline).await?;
-        let status = response.status();
-        let source = Self {
-            body: response.into_body(),
+    /// Returns the feed that `request` opened with an answer of this body.
+    pub fn new(upstream: Upstream, request: Request<Bytes>, body: AnswerBody) -> Self {
+        Self {
+            body,
             clock: upstream.clock(),
             events: Events::default(),
             lost: false,
@@ -60,8 +50,7 @@
             silence: FIRST_SILENCE,
             silent_at: Instant::now() + FIRST_SILENCE,
             upstream,
-        };
-        Ok((source, status))
+        }
     }
 
     /// Returns the next whole events, or `None` at the end of the feed.
--- a/src/agent/http.rs
+++ b/src/agent/http.rs
@@ -161,7 +161,10 @@
         }
         let job = Job::new(request.map(|()| body), found, self.clock.now());
         if job.plan.feed {
-            return self.feed(&job, stream, caller).await;
+            return tokio::select! {
+                relayed = self.feed(&job, stream, caller) => relayed,
+                _ = caller.closed() => Ok(()),
+            };
         }
         let answer = tokio::select! {
             answer = self.run(&job) => answer,
@@ -222,10 +225,9 @@
             }
         };
         self.explain("feed", job, caller, Outcome::Answered);
-        let Ok(open) = feed::open(job, &self.runner).await else {
-            let why = "the backend server can't be reached";
-            let answer = Answer::not_run(StatusCode::SERVICE_UNAVAILABLE, why);
-            return self.reply(&mut stream, answer).await;
+        let open = match feed::open(job, &self.runner).await {
+            Ok(open) => open,
+            Err(error) => return self.reply(&mut stream, Answer::from(&error)).await,
         };
         let relayed = open.relay(&mut stream, self.draining.subscribe()).await;
         drop(permit);
--- a/src/agent/pass.rs
+++ b/src/agent/pass.rs
@@ -14,6 +14,7 @@
     clock::{Clock, Time},
     control::ControlClient,
     member::{Directory, MemberState, Role, View},
+    membership::LocalRecord,
     owner_id::Owner,
 };
 
@@ -33,14 +34,14 @@
     Foreign,
 }
 
-/// Returns who answers for the keys of `owner`.
-pub fn keeper(owner: &Owner, own: &Owner, view: &View) -> Keeper {
-    if owner.service != own.service {
-        return Keeper::Foreign;
-    }
-    if owner == own {
+/// Returns who answers for the keys of `owner`; `lives` are those that this process began.
+pub fn keeper(owner: &Owner, lives: &[Owner], view: &View) -> Keeper {
+    if lives.contains(owner) {
         return Keeper::Local;
     }
+    if lives.iter().all(|life| life.service != owner.service) {
+        return Keeper::Foreign;
+    }
     let Some(record) = view.members.get(&owner.address) else {
         return Keeper::Gone;
     };
@@ -137,6 +138,8 @@
     pub clock: Clock,
     /// Knows the control addresses.
     pub directory: Arc<Directory>,
+    /// Knows the incarnation of this process.
+    pub local: Arc<LocalRecord>,
 }
 
 impl Passing {
--- a/src/trial.rs
+++ b/src/trial.rs
@@ -2,8 +2,10 @@
 
 use serde_json::Value;
 
+pub mod connections;
 pub mod flows;
 pub mod latency;
+pub mod ledger;
 pub mod placement;
 pub mod relay;
 
@@ -22,6 +24,11 @@
 
 /// All measurements.
 pub const TRIALS: &[Trial] = &[
+    Trial {
+        name: "connections",
+        about: "memory of open flows at callers and agents together",
+        run: connections::run,
+    },
     Trial {
         name: "flows",
         about: "flows broken by planned changes: consistent hash, earlier owners, owner ids",
@@ -32,6 +39,11 @@
         about: "the time that the fleet adds to a request, in loopback hops",
         run: latency::run,
     },
+    Trial {
+        name: "ledger",
+        about: "the ledger of one incarnation against a record in the store for each request",
+        run: ledger::run,
+    },
     Trial {
         name: "relay",
         about: "a balancer's datagrams a second and memory against a bare UDP relay",
--- a/tests/flows_feed.rs
+++ b/tests/flows_feed.rs
@@ -70,8 +70,8 @@
     let clock = Clock::start();
     let request = Request::get("/gusts").body(Bytes::new()).unwrap();
     let upstream = Upstream::new(clock, address);
-    let opened = Source::open(upstream, request, clock.now() + PATIENCE).await;
-    let (mut source, _) = opened.unwrap();
+    let answer = upstream.send(request.clone(), clock.now() + PATIENCE).await;
+    let mut source = Source::new(upstream, request, answer.unwrap().into_body());
     let mut received = String::new();
     let follow = async {
         while let Some(events) = source.next().await {
