--- a/src/trial.rs
+++ b/src/trial.rs
@@ -3,8 +3,10 @@
 use serde_json::Value;
 
 pub mod connections;
+pub mod flows;
 pub mod latency;
 pub mod ledger;
+pub mod placement;
 pub mod relay;
 
 pub mod membership;
@@ -27,6 +29,11 @@
         about: "memory of open flows at callers and agents together",
         run: connections::run,
     },
+    Trial {
+        name: "flows",
+        about: "flows broken by planned changes: consistent hash, earlier owners, owner ids",
+        run: flows::run,
+    },
     Trial {
         name: "latency",
         about: "the time that the fleet adds to a request, in loopback hops",
@@ -42,6 +49,11 @@
         about: "a balancer's datagrams a second and memory against a bare UDP relay",
         run: relay::run,
     },
+    Trial {
+        name: "placement",
+        about: "Maglev's table against weighted rendezvous hashing: time, bytes, moves, imbalance",
+        run: placement::run,
+    },
 ];
 
 /// Returns the measurement of a name.
