--- a/tests/processes/answers.rs
+++ b/tests/processes/answers.rs
@@ -15,6 +15,8 @@
 };
 
 const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Time that a refusal asks to wait.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
 const SPREAD_TIME: Duration = Duration::from_millis(800);
 
 struct Site {
@@ -88,12 +90,13 @@
         ("cross-1", Outcome::Unknown),
         ("double-1", Outcome::Answered),
         ("plain-1", Outcome::Answered),
-        ("shed-1", Outcome::NotRun),
     ];
     for (id, outcome) in expected {
         assert_eq!(check_in(&site, id).await, outcome, "{id}");
         assert_eq!(site.journal.runs(id), 1, "{id}");
     }
+    assert_eq!(check_in(&site, "shed-1").await, Outcome::NotRun);
+    assert_eq!(site.journal.runs("shed-1"), 0);
     sleep(LATE_TIME).await;
     assert_eq!(check_in(&site, "plain-2").await, Outcome::Answered);
     assert_eq!(
@@ -145,3 +148,27 @@
     assert_eq!(site.journal.runs("late-2"), 1);
     assert_eq!(site.journal.cancelled("late-2"), 0);
 }
+
+#[tokio::test]
+async fn a_refused_check_in_is_sent_again_when_it_was_told_to_come_back() {
+    let site = site().await;
+    let start = Instant::now();
+    let busy = Call {
+        deadline: start + 4 * CALL_TIMEOUT,
+        ..call("busy-1", false)
+    };
+    let reply = site.check_in.call_with_retries(&busy).await;
+    assert_eq!(judge("busy-1", reply), Outcome::Answered);
+    assert!(start.elapsed() >= RETRY_AFTER);
+    assert_eq!(site.journal.arrivals("busy-1"), 2);
+    assert_eq!(site.journal.runs("busy-1"), 1);
+    let start = Instant::now();
+    let shed = Call {
+        deadline: start + 3 * RETRY_AFTER,
+        ..call("shed-1", false)
+    };
+    let reply = site.check_in.call_with_retries(&shed).await;
+    assert_eq!(judge("shed-1", reply), Outcome::NotRun);
+    assert!(start.elapsed() <= 3 * RETRY_AFTER);
+    assert!(site.journal.arrivals("shed-1") <= 3);
+}
--- a/tests/processes/faulty.rs
+++ b/tests/processes/faulty.rs
@@ -16,14 +16,22 @@
 /// Time before a late answer; the caller has given up by then.
 pub const LATE_TIME: Duration = Duration::from_millis(2500);
 
+const SHED: &[u8] = b"HTTP/1.1 503 Busy\r\noutcome: not-run\r\ncontent-length: 0\r\n\r\n";
+
 /// What the server wrote down.
 #[derive(Clone, Debug, Default)]
 pub struct Journal {
+    arrivals: Arc<Mutex<Vec<String>>>,
     cancelled: Arc<Mutex<Vec<String>>>,
     runs: Arc<Mutex<Vec<String>>>,
 }
 
 impl Journal {
+    /// Returns how often a request came, whether it ran or was shed.
+    pub fn arrivals(&self, id: &str) -> usize {
+        count(&self.arrivals, id)
+    }
+
     /// Returns how often a request ran.
     pub fn runs(&self, id: &str) -> usize {
         count(&self.runs, id)
@@ -57,9 +65,16 @@
 async fn serve(socket: TcpStream, journal: Journal) {
     let mut socket = BufReader::new(socket);
     while let Some(id) = read_request(&mut socket).await {
-        journal.runs.lock().unwrap().push(id.clone());
-        let first = journal.runs(&id) == 1;
+        journal.arrivals.lock().unwrap().push(id.clone());
+        let first = journal.arrivals(&id) == 1;
         let fault = id.split('-').next().unwrap_or_default();
+        if fault == "shed" || (fault == "busy" && first) {
+            if socket.write_all(SHED).await.is_err() {
+                return;
+            }
+            continue;
+        }
+        journal.runs.lock().unwrap().push(id.clone());
         let whole = answer(&id, &id);
         let sent = match fault {
             "lose" if first => return,
@@ -77,9 +92,6 @@
             }
             "cross" if first => answer("another", "another"),
             "double" => format!("{whole}{}", answer("another", "another")),
-            "shed" => {
-                "HTTP/1.1 503 Busy\r\noutcome: not-run\r\ncontent-length: 0\r\n\r\n".to_owned()
-            }
             _ => whole,
         };
         if socket.write_all(sent.as_bytes()).await.is_err() {
