Prove that a connection that went silent for good costs no final word

Cause: the caller's silence rule had no test that fails without it, since a dead agent's flow is reset by another one.

Change: a relay in the test drops everything until the caller opens a new connection. The check-in is repeated there with its key and runs once.

--- a/tests/processes/answers.rs
+++ b/tests/processes/answers.rs
@@ -12,6 +12,7 @@
 use crate::{
     faulty::{self, Journal, LATE_TIME},
     fleet::Fleet,
+    relay::Relay,
 };
 
 const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -23,7 +24,7 @@
     chart: Caller,
     check_in: Caller,
     journal: Journal,
-    _fleet: Fleet,
+    fleet: Fleet,
 }
 
 async fn site() -> Site {
@@ -41,7 +42,7 @@
         chart: caller("charts"),
         check_in: caller("wind"),
         journal,
-        _fleet: fleet,
+        fleet,
     }
 }
 
@@ -172,3 +173,21 @@
     assert!(start.elapsed() <= 3 * RETRY_AFTER);
     assert!(site.journal.arrivals("shed-1") <= 3);
 }
+
+#[tokio::test]
+async fn a_check_in_on_a_connection_that_went_silent_for_good_is_repeated_on_another() {
+    let site = site().await;
+    let service = site.fleet.tree.services["wind"].address;
+    let relay = Relay::start(service).await;
+    let caller = Caller::new(relay.address, "wind", &site.fleet.roots()).unwrap();
+    let reply = caller.call(&call("plain-1", false)).await;
+    assert_eq!(judge("plain-1", reply), Outcome::Answered);
+    relay.cut();
+    let silent = Call {
+        deadline: Instant::now() + 4 * CALL_TIMEOUT,
+        ..call("plain-2", false)
+    };
+    let reply = caller.call(&silent).await;
+    assert_eq!(judge("plain-2", reply), Outcome::Answered);
+    assert_eq!(site.journal.runs("plain-2"), 1);
+}
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -6,6 +6,7 @@
 mod gated;
 mod operations;
 mod process;
+mod relay;
 mod requests;
 
 use std::fmt::Write;
