Start the keys of a life at a random number

Cause: a restart within a tenth of a second, or a clock set back, can give two lives one incarnation. Both issued keys from 0, so that an old key could run again once the new life had issued its number.

Change: the first key is random (28 bits); keys below it count as unknown.

--- a/src/agent/ledger.rs
+++ b/src/agent/ledger.rs
@@ -116,6 +116,17 @@
         }
     }
 
+    /// Returns an empty ledger whose first key is `first`.
+    ///
+    /// Two lives that came to have one incarnation then issue different keys.
+    pub fn starting_at(first: u32) -> Self {
+        Self {
+            floor: first,
+            next: first,
+            ..Self::default()
+        }
+    }
+
     /// Issues a key; `None` once all keys of this incarnation are used up.
     pub fn issue(&mut self, now: Time) -> Option<u32> {
         let key = self.next;
--- a/src/agent/once.rs
+++ b/src/agent/once.rs
@@ -21,6 +21,9 @@
     owner_id::{FleetKey, Keyring, Owner, Purpose},
 };
 
+/// Bits by which the random first key of a life is shortened, so that nearly all keys are left.
+const FIRST_KEY_SHIFT: u32 = 4;
+
 /// Gives out idempotency keys and runs each at most once.
 #[derive(Debug)]
 pub struct Once {
@@ -33,7 +36,7 @@
 }
 
 /// The ledger, and a channel for each running request that closes at its end.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Books {
     ledger: Ledger,
     running: HashMap<u32, watch::Receiver<()>>,
@@ -54,7 +57,10 @@
             lives: Mutex::new(vec![owner]),
             passing,
             shared: Arc::new(Shared {
-                books: Mutex::default(),
+                books: Mutex::new(Books {
+                    ledger: Ledger::starting_at(rand::random::<u32>() >> FIRST_KEY_SHIFT),
+                    running: HashMap::new(),
+                }),
                 open: watch::Sender::new(0),
             }),
         }
--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -523,6 +523,18 @@
     assert_eq!(ledger.bytes(), 0);
 }
 
+#[test]
+fn a_key_of_another_life_with_the_same_incarnation_never_starts() {
+    let now = Time::from_millis(5);
+    let mut ledger = Ledger::starting_at(1000);
+    let key = ledger.issue(now).unwrap();
+    for other in [0, key - 1] {
+        assert_eq!(ledger.begin(other, Fingerprint(1), now), Begin::Unknown);
+    }
+    assert_eq!(ledger.begin(key + 1, Fingerprint(1), now), Begin::NotIssued);
+    assert_eq!(ledger.begin(key, Fingerprint(1), now), Begin::Run);
+}
+
 #[test]
 fn the_memory_of_the_ledger_is_bounded() {
     let limit = 10 * ENTRY_BYTES;
