Weigh ways to spread requests, and choose passing to agents with room

Cause: flows are long, so all requests of a connection meet one agent; a table of equal weights and reported loads leave servers idle beside full ones. Change: 'berylvalve trial balance' runs admission, capacity, placement and the choice of peers under virtual time; peers are asked by weight, left alone for a doubling time after a refusal, and a request of higher priority may still ask.

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -30,6 +30,7 @@
 pub mod job;
 pub mod ledger;
 pub mod once;
+pub mod peers;
 pub mod pressure;
 pub mod runner;
 pub mod socket;
--- a/src/agent/admission.rs
+++ b/src/agent/admission.rs
@@ -184,6 +184,12 @@
         self.running < self.pace.limit && self.order.is_empty()
     }
 
+    /// Returns whether a request would get a slot at once, or the place of one of lower priority.
+    pub fn has_room(&self, priority: u8) -> bool {
+        let last = self.order.last().map(|(rank, _)| rank);
+        self.has_free_slot() || last.is_some_and(|l| l.unreserved && l.priority > priority)
+    }
+
     /// Sets what the server can carry.
     pub fn set_pace(&mut self, pace: Pace) {
         self.pace = pace;
--- a/src/trial.rs
+++ b/src/trial.rs
@@ -2,6 +2,8 @@
 
 use serde_json::Value;
 
+pub mod balance;
+
 /// A measurement that anyone can run again.
 #[derive(Clone, Copy)]
 pub struct Trial {
@@ -14,7 +16,11 @@
 }
 
 /// All measurements.
-pub const TRIALS: &[Trial] = &[];
+pub const TRIALS: &[Trial] = &[Trial {
+    name: "balance",
+    about: "ways to spread requests over servers of different speed",
+    run: balance::run,
+}];
 
 /// Returns the measurement of a name.
 pub fn find(name: &str) -> Option<&'static Trial> {
