--- a/src/caller.rs
+++ b/src/caller.rs
@@ -6,13 +6,16 @@
 };
 
 use bytes::Bytes;
-use h3::client::RequestStream;
+use h3::{
+    client::RequestStream,
+    error::{Code, StreamError},
+};
 use http::{Method, Request};
 use quinn::{ClientConfig, Endpoint, crypto::rustls::QuicClientConfig};
 use rustls::{RootCertStore, pki_types::CertificateDer};
 use snafu::{ResultExt, Snafu};
 
-use crate::agent::transport_config;
+use crate::{agent::transport_config, clock::Clock, retry::RetryBudget};
 
 pub mod call;
 pub mod feed;
@@ -20,6 +23,7 @@
 
 pub use call::{Call, Reply};
 
+use call::KeptKey;
 use session::Session;
 
 /// An error at the start of a caller.
@@ -42,7 +46,7 @@
 /// Why one attempt got no answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Snafu)]
 pub enum AttemptError {
-    /// The request did not leave the caller.
+    /// The request did not leave the caller, or was rejected without running.
     #[snafu(display("no connection"))]
     NotSent,
     /// The request left and its answer did not come.
@@ -50,12 +54,27 @@
     Lost,
 }
 
+impl AttemptError {
+    /// Returns what an error of a request's stream means: a rejected request did not run
+    /// (RFC 9114, section 4.1.1).
+    fn of(error: StreamError) -> Self {
+        match error {
+            StreamError::RemoteTerminate { code, .. } if code == Code::H3_REQUEST_REJECTED => {
+                AttemptError::NotSent
+            }
+            _ => AttemptError::Lost,
+        }
+    }
+}
+
 type Stream = RequestStream<h3_quinn::BidiStream<Bytes>, Bytes>;
 
 /// A client of one service.
 pub struct Caller {
+    budget: Arc<Mutex<RetryBudget>>,
+    clock: Clock,
     endpoint: Endpoint,
-    key: Mutex<Option<String>>,
+    key: Mutex<Option<KeptKey>>,
     service: String,
     session: tokio::sync::Mutex<Option<Session>>,
     target: SocketAddr,
@@ -86,7 +105,10 @@
 
     /// Returns a client that shares an endpoint with others.
     pub fn with_endpoint(endpoint: Endpoint, target: SocketAddr, service: &str) -> Self {
+        let clock = Clock::start();
         Self {
+            budget: Arc::new(Mutex::new(RetryBudget::new(clock.now()))),
+            clock,
             endpoint,
             key: Mutex::default(),
             service: service.to_owned(),
@@ -95,9 +117,13 @@
         }
     }
 
-    /// Returns a client of the same service with no open connection.
+    /// Returns a client of the same service with no open connection and the same retry budget.
     pub fn fresh(&self) -> Self {
-        Self::with_endpoint(self.endpoint.clone(), self.target, &self.service)
+        Self {
+            budget: self.budget.clone(),
+            clock: self.clock,
+            ..Self::with_endpoint(self.endpoint.clone(), self.target, &self.service)
+        }
     }
 
     /// Closes the connection.
--- a/src/trial.rs
+++ b/src/trial.rs
@@ -3,6 +3,9 @@
 use serde_json::Value;
 
 pub mod balance;
+pub mod latency;
+pub mod membership;
+pub mod relay;
 
 /// A measurement that anyone can run again.
 #[derive(Clone, Copy)]
@@ -16,11 +19,23 @@
 }
 
 /// All measurements.
-pub const TRIALS: &[Trial] = &[Trial {
-    name: "balance",
-    about: "ways to spread requests over servers of different speed",
-    run: balance::run,
-}];
+pub const TRIALS: &[Trial] = &[
+    Trial {
+        name: "balance",
+        about: "ways to spread requests over servers of different speed",
+        run: balance::run,
+    },
+    Trial {
+        name: "latency",
+        about: "the time that the fleet adds to a request, in loopback hops",
+        run: latency::run,
+    },
+    Trial {
+        name: "relay",
+        about: "a balancer's datagrams a second and memory against a bare UDP relay",
+        run: relay::run,
+    },
+];
 
 /// Returns the measurement of a name.
 pub fn find(name: &str) -> Option<&'static Trial> {
