Pass requests without a slot to an agent with room

Cause: flows are long, so a busy agent keeps its callers while others have free slots. Change: an agent with no room asks up to two peers over the control server; the peer runs the request only if a slot is free or if it outranks a waiter. The ledger of a request that runs at most once stays where its key was issued. A control message that never left is told apart, so that such a request may still run elsewhere or here; one that may have arrived ends as unknown. Not proved: the passing between processes has no test of its own yet; the decisions have.

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -32,6 +32,7 @@
 pub mod intake;
 pub mod job;
 pub mod ledger;
+pub mod offload;
 pub mod once;
 pub mod pass;
 pub mod peers;
@@ -146,6 +147,7 @@
         http::HandlerServices {
             decisions: kernel.find(Decisions::NAME).context(KernelSnafu)?,
             gate,
+            local: kernel.find(LocalRecord::NAME).context(KernelSnafu)?,
             metrics: kernel.find(Metrics::NAME).context(KernelSnafu)?,
             settings: kernel.find(InForce::NAME).context(KernelSnafu)?,
         },
@@ -176,11 +178,17 @@
 /// Serves the requests that other agents pass on.
 fn serve_passed(kernel: &Kernel, handler: &Arc<http::Handler>) -> Result<(), KernelError> {
     let control: Arc<Control> = kernel.find(Control::NAME)?;
+    let borrower = handler.clone();
     let handler = handler.clone();
     control.route(pass::PATH, move |passed: PassedRequest| {
         let handler = handler.clone();
         Box::pin(async move { handler.passed(passed).await })
     });
+    let handler = borrower;
+    control.route(offload::PATH, move |passed: PassedRequest| {
+        let handler = handler.clone();
+        Box::pin(async move { handler.offloaded(passed).await })
+    });
     Ok(())
 }
 
--- a/src/agent/gate.rs
+++ b/src/agent/gate.rs
@@ -115,17 +115,10 @@
         decision
     }
 
-    /// Takes a slot if one is free now.
-    pub fn try_admit(self: &Arc<Self>, arrival: &Arrival) -> Option<Permit> {
-        self.step(|gate, state, now| {
-            if !state.admission.has_free_slot() {
-                return None;
-            }
-            match state.admission.arrive(arrival, now) {
-                Verdict::Start => Some(gate.permit(now)),
-                Verdict::Wait(_) | Verdict::Refuse(_) => None,
-            }
-        })
+    /// Returns whether a request would get a slot at once, or the place of one of lower priority.
+    pub fn has_room(&self, priority: u8) -> bool {
+        let state = self.state.lock().expect("gate lock");
+        state.admission.has_room(priority)
     }
 
     /// Takes a connection for a feed.
--- a/src/agent/http.rs
+++ b/src/agent/http.rs
@@ -17,6 +17,7 @@
     feed,
     gate::Gate,
     job::Job,
+    offload::{Offload, Offloaded},
     once::Once,
     pass::{PassedAnswer, PassedRequest, Passing},
     runner::Runner,
@@ -28,6 +29,7 @@
     },
     decision::{Decision, Decisions, unix_ms},
     kernel::StopSignal,
+    membership::LocalRecord,
     metrics::Metrics,
     owner_id::ServiceTag,
     settings::InForce,
@@ -60,6 +62,7 @@
 #[derive(Debug)]
 pub struct Handler {
     clock: Clock,
+    borrowed: watch::Sender<usize>,
     decisions: Arc<Decisions>,
     draining: watch::Sender<bool>,
     metrics: Arc<Metrics>,
@@ -77,6 +80,8 @@
     pub decisions: Arc<Decisions>,
     /// Admission of requests.
     pub gate: Arc<Gate>,
+    /// Record of this process.
+    pub local: Arc<LocalRecord>,
     /// Counters of the process.
     pub metrics: Arc<Metrics>,
     /// Settings in force.
@@ -91,13 +96,15 @@
         options: &AgentOptions,
         passing: Passing,
     ) -> Self {
+        let offload = Offload::new(passing.clone(), services.local);
         Self {
             clock,
+            borrowed: watch::Sender::new(0),
             decisions: services.decisions,
             draining: watch::Sender::new(false),
             metrics: services.metrics,
             once: Once::new(clock, &options.keys, options.owner, passing),
-            runner: Arc::new(Runner::new(clock, services.gate, options.server)),
+            runner: Arc::new(Runner::new(clock, services.gate, offload, options.server)),
             service: options.service.clone(),
             settings: services.settings,
             tag: options.owner.service,
@@ -109,34 +116,55 @@
         self.draining.send_replace(true);
     }
 
-    /// Waits until no request that runs only once is running.
+    /// Waits until no request that runs only once, and none of another agent, is running.
     pub async fn settled(&self) {
         self.once.settled().await;
+        let mut borrowed = self.borrowed.subscribe();
+        // The channel closes with this handler only.
+        let _ = borrowed.wait_for(|count| *count == 0).await;
     }
 
-    /// Answers a request that another agent passed on.
-    pub async fn passed(&self, passed: PassedRequest) -> PassedAnswer {
-        let answer = self.run_passed(passed).await;
-        PassedAnswer::new(answer, self.clock.now())
+    /// Runs a request of another agent if there is room for it.
+    pub async fn offloaded(&self, passed: PassedRequest) -> Offloaded {
+        let Some(job) = self.passed_job(passed) else {
+            return Offloaded::Busy;
+        };
+        let room = self.runner.gate().has_room(job.plan.priority);
+        if *self.draining.borrow() || !room {
+            return Offloaded::Busy;
+        }
+        let _borrowed = Borrowed::new(&self.borrowed);
+        let (Ok(answer) | Err(answer)) = self.runner.run_here(&job).await;
+        Offloaded::Ended(PassedAnswer::new(answer, self.clock.now()))
     }
 
-    async fn run_passed(&self, passed: PassedRequest) -> Answer {
+    /// Returns the job of a request that another agent passed on; `None` if its type is unknown.
+    fn passed_job(&self, passed: PassedRequest) -> Option<Job> {
         let time_left = passed.time_left();
-        let Some(request) = passed.request(&self.service) else {
-            return Answer::unknown();
-        };
+        let request = passed.request(&self.service)?;
         let plan = self.settings.plan();
         let head = Request::builder()
             .method(request.method())
             .uri(request.uri());
         let head = head.body(()).unwrap_or_default();
-        let Some(found) = self.request_type(&plan, &head).cloned() else {
-            return Answer::unknown();
-        };
+        let found = self.request_type(&plan, &head).cloned()?;
         let now = self.clock.now();
         let mut job = Job::new(request, found, now);
         job.deadline = now + time_left;
-        self.once.run_passed(&job, &self.runner).await
+        Some(job)
+    }
+
+    /// Answers a request that another agent passed on.
+    pub async fn passed(&self, passed: PassedRequest) -> PassedAnswer {
+        let answer = self.run_passed(passed).await;
+        PassedAnswer::new(answer, self.clock.now())
+    }
+
+    async fn run_passed(&self, passed: PassedRequest) -> Answer {
+        match self.passed_job(passed) {
+            Some(job) => self.once.run_passed(&job, &self.runner).await,
+            None => Answer::unknown(),
+        }
     }
 
     async fn handle(
@@ -255,6 +283,22 @@
     }
 }
 
+/// Counts a request of another agent while it runs.
+struct Borrowed<'a>(&'a watch::Sender<usize>);
+
+impl<'a> Borrowed<'a> {
+    fn new(count: &'a watch::Sender<usize>) -> Self {
+        count.send_modify(|count| *count += 1);
+        Self(count)
+    }
+}
+
+impl Drop for Borrowed<'_> {
+    fn drop(&mut self) {
+        self.0.send_modify(|count| *count -= 1);
+    }
+}
+
 /// Refuses a request of no known type; one with a key may have run under earlier settings.
 fn not_found(request: &Request<()>) -> Answer {
     let why = "no such request type at this service";
--- a/src/agent/pass.rs
+++ b/src/agent/pass.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode};
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 use super::{
     answer::{Answer, Outcome},
@@ -12,7 +12,7 @@
 };
 use crate::{
     clock::{Clock, Time},
-    control::ControlClient,
+    control::{ControlClient, ControlError},
     member::{Directory, MemberState, Role, View},
     owner_id::Owner,
 };
@@ -129,7 +129,7 @@
 }
 
 /// Passes requests on over the control servers.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Passing {
     /// Sends the requests.
     pub client: ControlClient,
@@ -145,6 +145,30 @@
     /// A request that can't be passed on may have run in an earlier attempt: the answer is
     /// "unknown", whether or not this attempt left.
     pub async fn pass(&self, owner: &Owner, peer: SocketAddrV4, job: &Job) -> Answer {
+        let answer: Result<PassedAnswer, _> = self.send(PATH, owner, peer, job).await;
+        match answer {
+            Ok(answer) => answer.answer(self.clock.now()),
+            Err(error) => {
+                tracing::info!(event = "request_not_passed", id = job.id(), %peer, %error);
+                Answer::unknown()
+            }
+        }
+    }
+}
+
+impl Passing {
+    /// Sends a request to a route of another agent and returns what that answers.
+    ///
+    /// # Errors
+    ///
+    /// Tells whether the request may have arrived.
+    pub async fn send<A: DeserializeOwned>(
+        &self,
+        route: &str,
+        owner: &Owner,
+        peer: SocketAddrV4,
+        job: &Job,
+    ) -> Result<A, ControlError> {
         let left = job.deadline.since(self.clock.now());
         let passed = PassedRequest {
             body: job.request.body().clone(),
@@ -154,14 +178,7 @@
             path: path(job).to_owned(),
             timeout_ms: left.as_millis() as u64,
         };
-        let answer: Result<PassedAnswer, _> = self.client.post(peer, PATH, &passed, left).await;
-        match answer {
-            Ok(answer) => answer.answer(self.clock.now()),
-            Err(error) => {
-                tracing::info!(event = "request_not_passed", id = job.id(), %peer, %error);
-                Answer::unknown()
-            }
-        }
+        self.client.post(peer, route, &passed, left).await
     }
 }
 
--- a/src/agent/runner.rs
+++ b/src/agent/runner.rs
@@ -16,6 +16,7 @@
     capacity::Ended,
     gate::Gate,
     job::Job,
+    offload::Offload,
     upstream::{AnswerBody, Upstream, UpstreamError},
 };
 use crate::{
@@ -34,17 +35,19 @@
     budget: Mutex<RetryBudget>,
     clock: Clock,
     gate: Arc<Gate>,
+    offload: Offload,
     server: SocketAddr,
     upstream: Upstream,
 }
 
 impl Runner {
     /// Returns the runner of a backend server.
-    pub fn new(clock: Clock, gate: Arc<Gate>, server: SocketAddr) -> Self {
+    pub fn new(clock: Clock, gate: Arc<Gate>, offload: Offload, server: SocketAddr) -> Self {
         Self {
             budget: Mutex::new(RetryBudget::new(clock.now())),
             clock,
             gate,
+            offload,
             server,
             upstream: Upstream::new(clock, server),
         }
@@ -65,12 +68,29 @@
         &self.upstream
     }
 
-    /// Runs a request and returns its answer.
+    /// Runs a request here, or where there is room, and returns its answer.
     ///
     /// # Errors
     ///
     /// Returns the refusal, or "unknown" if the request may have run without an answer.
     pub async fn run(&self, job: &Job) -> Result<Answer, Answer> {
+        if !self.gate.has_room(job.plan.priority)
+            && let Some(answer) = self.offload.run(job).await
+        {
+            return match answer.outcome {
+                Outcome::Answered => Ok(answer),
+                Outcome::NotRun | Outcome::Unknown => Err(answer),
+            };
+        }
+        self.run_here(job).await
+    }
+
+    /// Runs a request on this agent's backend server and returns its answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal, or "unknown" if the request may have run without an answer.
+    pub async fn run_here(&self, job: &Job) -> Result<Answer, Answer> {
         let admitted = self.gate.admit(&Arrival::from(job)).await;
         let permit = admitted.map_err(|refusal| self.refused(job, &refusal))?;
         let result = self.run_admitted(job).await;
--- a/src/control.rs
+++ b/src/control.rs
@@ -34,12 +34,21 @@
     metrics::Metrics,
 };
 
+/// Longest wait for a connection to a peer.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// Largest control message, in bytes.
 const MESSAGE_BYTES: usize = 2 * BODY_BYTES;
 
 /// An error of a control request.
 #[derive(Debug, Snafu)]
 pub enum ControlError {
+    /// There is no connection to the peer: the message did not leave.
+    #[snafu(display("no connection to {peer}"))]
+    NotSent {
+        /// Control address of the peer.
+        peer: SocketAddrV4,
+    },
     /// The peer can't be reached or did not answer in time.
     #[snafu(display("{peer} does not answer"))]
     Unreachable {
@@ -215,7 +224,9 @@
 impl ControlClient {
     /// Returns a client that signs with a fleet key.
     pub fn new(signer: Signer) -> Self {
-        let client = Client::builder(TokioExecutor::new()).build_http();
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        let client = Client::builder(TokioExecutor::new()).build(connector);
         Self { client, signer }
     }
 
@@ -239,18 +250,21 @@
         let request = Request::post(format!("http://{peer}{path}")).body(body);
         let request = request.map_err(|_| ControlError::Unreachable { peer })?;
         let exchange = async {
-            let response = self.client.request(request).await.ok()?;
+            let sent = self.client.request(request).await;
+            let response = sent.map_err(|error| match error.is_connect() {
+                true => ControlError::NotSent { peer },
+                false => ControlError::Unreachable { peer },
+            })?;
             let status = response.status();
             let body = Limited::new(response.into_body(), MESSAGE_BYTES)
                 .collect()
                 .await
-                .ok()?;
-            Some((status, body.to_bytes()))
-        };
-        let answered = timeout(patience, exchange).await.ok().flatten();
-        let Some((status, body)) = answered else {
-            return UnreachableSnafu { peer }.fail();
+                .map_err(|_| ControlError::Unreachable { peer })?;
+            Ok((status, body.to_bytes()))
         };
+        let answered = timeout(patience, exchange).await;
+        let answered = answered.unwrap_or_else(|_| UnreachableSnafu { peer }.fail());
+        let (status, body) = answered?;
         if status != StatusCode::OK {
             return RefusedSnafu { peer, status }.fail();
         }
