Send a share of what the servers can carry, and report use by server

Cause: the development run sent fixed rates far below what the servers carry, over one connection a request, and could show neither imbalance nor refusals. A stand-in counts the slot time of cancelled requests too.

--- a/src/agent/gate.rs
+++ b/src/agent/gate.rs
@@ -56,7 +56,7 @@
 
 /// Takes a request out of the queue when its caller is gone.
 struct Waiting<'a> {
-    gate: &'a Gate,
+    gate: &'a Arc<Gate>,
     id: WaiterId,
 }
 
@@ -239,8 +239,9 @@
 
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
-        let mut state = self.gate.state.lock().expect("gate lock");
-        state.admission.cancel(self.id);
-        state.senders.remove(self.id);
+        self.gate.step(|_, state, _| {
+            state.admission.cancel(self.id);
+            state.senders.remove(self.id);
+        });
     }
 }
--- a/src/caller.rs
+++ b/src/caller.rs
@@ -126,6 +126,11 @@
         }
     }
 
+    /// Opens the connection ahead of the first request; returns whether it is open.
+    pub async fn connect_ahead(&self) -> bool {
+        self.session().await.is_ok()
+    }
+
     /// Closes the connection.
     pub async fn disconnect(&self) {
         let session = self.session.lock().await.take();
--- a/src/caller/session.rs
+++ b/src/caller/session.rs
@@ -42,7 +42,7 @@
         Err(AttemptError::NotSent)
     }
 
-    async fn session(&self) -> Result<Session, AttemptError> {
+    pub(super) async fn session(&self) -> Result<Session, AttemptError> {
         let mut current = self.session.lock().await;
         if let Some(session) = current.as_ref()
             && session.connection.close_reason().is_none()
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -11,7 +11,7 @@
 use pico_args::Arguments;
 use snafu::Snafu;
 
-use crate::dev::Faults;
+use crate::dev::{Faults, Load};
 
 pub mod fleet;
 pub mod help;
@@ -64,6 +64,8 @@
     pub faults: Faults,
     /// Seed of the fabric and of the callers.
     pub seed: u64,
+    /// What is sent in place of the site's rates.
+    pub load: Option<Load>,
     /// Whether the report is one JSON object.
     pub json: bool,
 }
@@ -207,6 +209,8 @@
 
 fn parse_dev(args: &mut Arguments) -> Result<DevOptions, UsageError> {
     let seconds: Option<f64> = args.opt_value_from_str("--seconds")?;
+    let factor: Option<f64> = args.opt_value_from_str("--load")?;
+    let burst = args.contains("--burst");
     Ok(DevOptions {
         site: args
             .opt_value_from_str("--site")?
@@ -214,6 +218,7 @@
         time: seconds.map(Duration::from_secs_f64),
         faults: args.opt_value_from_str("--faults")?.unwrap_or_default(),
         seed: args.opt_value_from_str("--seed")?.unwrap_or(1),
+        load: factor.map(|factor| Load { factor, burst }),
         json: args.contains("--json"),
     })
 }
--- a/src/cli/help.rs
+++ b/src/cli/help.rs
@@ -148,6 +148,8 @@
   --seconds N     time in which requests are sent
   --faults KIND   none or rolling (default: none)
   --seed S        seed of the fabric and of the callers (default: 1)
+  --load X        send X times what the servers can carry, on connections that stay open
+  --burst         send that load in bursts: five times as much for a fifth of the time
   --json          print the report as one JSON object on the last line
 
 EXAMPLE:
--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -132,6 +132,7 @@
         time,
         faults: options.faults,
         seed: options.seed,
+        load: options.load,
     };
     let report = dev::run(&site, run_options).await?;
     if options.json {
--- a/src/dev.rs
+++ b/src/dev.rs
@@ -78,6 +78,17 @@
     pub faults: Faults,
     /// Seed of the fabric and of the callers.
     pub seed: u64,
+    /// What is sent in place of the site's rates.
+    pub load: Option<Load>,
+}
+
+/// A load relative to what the backend servers can carry.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Load {
+    /// Share of what the servers can carry.
+    pub factor: f64,
+    /// Whether it comes as a burst: five times the load for a fifth of the time.
+    pub burst: bool,
 }
 
 /// Returns one of the sites of the repository.
--- a/src/dev/mix.rs
+++ b/src/dev/mix.rs
@@ -17,10 +17,10 @@
 use tokio::{
     sync::watch,
     task::JoinSet,
-    time::{Instant, sleep, timeout},
+    time::{Instant, sleep, sleep_until, timeout},
 };
 
-use super::{ClientSnafu, DevError, RunOptions, fleet::Fleet};
+use super::{ClientSnafu, DevError, Load, RunOptions, fleet::Fleet};
 use crate::{
     agent::answer::Outcome,
     caller::{Call, Caller, client_endpoint},
@@ -29,6 +29,13 @@
 };
 
 const ENDPOINTS: usize = 8;
+/// Connections of each service's callers for each backend server, when a load is given.
+const CALLERS_PER_SERVER: usize = 50;
+/// Connections opened at once before a load is sent.
+const CONNECTS_AT_ONCE: usize = 10;
+/// A burst sends this many times the mean rate for one part in as many of each period.
+const BURST_FACTOR: u32 = 5;
+const BURST_PERIOD: Duration = Duration::from_secs(5);
 const CALL_TIMEOUT: Duration = Duration::from_secs(5);
 const FEED_SILENCE: Duration = Duration::from_secs(3);
 const FEED_RETRY: Duration = Duration::from_millis(100);
@@ -48,6 +55,8 @@
     pub intact: bool,
     /// Time to the end.
     pub latency: Duration,
+    /// Rank of the request under overload.
+    pub priority: u8,
 }
 
 /// What all callers saw.
@@ -70,11 +79,14 @@
 }
 
 struct Source {
+    burst: bool,
     callers: Vec<Arc<Caller>>,
     entry: MixEntry,
     idempotent: bool,
     method: Method,
     path: String,
+    pool: Vec<Arc<Caller>>,
+    priority: u8,
     seen: Arc<Seen>,
 }
 
@@ -94,7 +106,12 @@
             endpoints.push(client_endpoint(&roots).context(ClientSnafu)?);
         }
         for (index, entry) in site.mix.iter().enumerate() {
-            let source = Arc::new(source(fleet, &endpoints, entry, &seen));
+            let mut source = source(fleet, &endpoints, entry, &seen);
+            if let Some(load) = &options.load {
+                source.apply(load, site);
+                source.connect_ahead().await;
+            }
+            let source = Arc::new(source);
             let seed = options.seed.wrapping_mul(1000) + index as u64;
             if entry.open > 0 {
                 for _ in 0..entry.open {
@@ -144,11 +161,14 @@
         )));
     }
     Source {
+        burst: false,
         callers,
         entry: entry.clone(),
         idempotent: plan.idempotent,
         method: plan.method.parse().expect("checked method"),
         path: plan.path.clone(),
+        pool: Vec::new(),
+        priority: plan.priority,
         seen: seen.clone(),
     }
 }
@@ -158,6 +178,54 @@
     fn new_caller(&self, number: usize) -> Arc<Caller> {
         Arc::new(self.callers[number % self.callers.len()].fresh())
     }
+
+    /// Returns the caller of a request: one that stays connected if there are any.
+    fn caller(&self, number: usize) -> Arc<Caller> {
+        match self.pool.get(number % self.pool.len().max(1)) {
+            Some(caller) => caller.clone(),
+            None => self.new_caller(number),
+        }
+    }
+
+    /// Sends a share of what the servers can carry, over connections that stay open.
+    fn apply(&mut self, load: &Load, site: &Site) {
+        let same = |entry: &&MixEntry| entry.service == self.entry.service;
+        let total: f64 = site.mix.iter().filter(same).map(|entry| entry.rate).sum();
+        let mut groups = site.servers.iter();
+        let Some(group) = groups.find(|g| g.service == self.entry.service) else {
+            return;
+        };
+        let rates = group.service_ms.iter().map(|ms| 1000.0 / *ms as f64);
+        let capacity = rates.sum::<f64>() * f64::from(group.slots);
+        self.burst = load.burst;
+        if total > 0.0 {
+            self.entry.rate *= capacity * load.factor / total;
+        }
+        for number in 0..CALLERS_PER_SERVER * group.service_ms.len() {
+            let caller = self.new_caller(number);
+            self.pool.push(caller);
+        }
+    }
+
+    /// Opens the connections that stay open.
+    async fn connect_ahead(&self) {
+        for callers in self.pool.chunks(CONNECTS_AT_ONCE) {
+            let opened = callers.iter().map(|caller| caller.connect_ahead());
+            futures::future::join_all(opened).await;
+        }
+    }
+
+    /// Returns the mean gap between two requests now, in seconds.
+    fn mean_gap(&self, since: Duration) -> f64 {
+        let gap = 1.0 / self.entry.rate;
+        let loud = BURST_PERIOD / BURST_FACTOR;
+        let within = Duration::from_millis((since.as_millis() % BURST_PERIOD.as_millis()) as u64);
+        match self.burst {
+            false => gap,
+            true if within < loud => gap / f64::from(BURST_FACTOR),
+            true => (BURST_PERIOD - within).as_secs_f64(),
+        }
+    }
 }
 
 async fn send_requests(
@@ -168,13 +236,15 @@
 ) {
     let mut tasks = JoinSet::new();
     let mut number = 0;
+    let start = Instant::now();
+    let mut due = start;
     loop {
         // Exponential gaps make a Poisson process.
         let uniform: f64 = random.random_range(f64::EPSILON..1.0);
-        let gap = Duration::from_secs_f64(-uniform.ln() / source.entry.rate);
+        due += Duration::from_secs_f64(-uniform.ln() * source.mean_gap(due - start));
         tokio::select! {
             _ = stop.changed() => break,
-            () = sleep(gap) => {}
+            () = sleep_until(due) => {}
         }
         number += 1;
         tasks.spawn(send_one(source.clone(), number));
@@ -185,7 +255,7 @@
 
 async fn send_one(source: Arc<Source>, number: usize) {
     let id = format!("{}-{}-{number}", source.entry.service, source.entry.request);
-    let caller = source.new_caller(number);
+    let caller = source.caller(number);
     let start = Instant::now();
     let call = Call {
         method: source.method.clone(),
@@ -209,6 +279,7 @@
             .as_ref()
             .is_none_or(|r| r.outcome != Outcome::Answered || r.body == expected),
         latency: start.elapsed(),
+        priority: source.priority,
         id,
     };
     source
@@ -217,7 +288,9 @@
         .lock()
         .expect("requests lock")
         .push(observed);
-    caller.disconnect().await;
+    if source.pool.is_empty() {
+        caller.disconnect().await;
+    }
 }
 
 async fn hold_feed(source: Arc<Source>, endpoints: Vec<Endpoint>, mut stop: watch::Receiver<()>) {
--- a/src/dev/report.rs
+++ b/src/dev/report.rs
@@ -1,6 +1,9 @@
 //! The judgement of a development run, from what callers saw and what backend servers wrote down.
 
-use std::{collections::HashMap, sync::atomic::Ordering};
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::atomic::Ordering,
+};
 
 use hdrhistogram::Histogram;
 use serde::Serialize;
@@ -45,6 +48,12 @@
     pub p50_ms: f64,
     /// 99th percentile of the time to an answer, in milliseconds.
     pub p99_ms: f64,
+    /// 99th percentile of the time to a refusal, in milliseconds.
+    pub refusal_p99_ms: f64,
+    /// Requests refused, by priority.
+    pub refused_by_priority: BTreeMap<u8, u64>,
+    /// Slot time used by each backend server over the time that it was there, by service.
+    pub use_by_service: BTreeMap<String, Vec<f64>>,
 }
 
 impl Report {
@@ -65,22 +74,30 @@
 /// Compares what callers saw with what backend servers wrote down.
 pub fn judge(site: &Site, fleet: &Fleet, seen: &Seen) -> Report {
     let requests = seen.requests.lock().expect("requests lock");
+    let uses = uses(site, fleet);
     let mut report = Report {
         sent: requests.len() as u64,
         flows: seen.flows.load(Ordering::Relaxed),
         broken_flows: seen.broken.load(Ordering::Relaxed),
-        imbalance: imbalance(site, fleet),
+        imbalance: imbalance(&uses),
+        use_by_service: uses,
         ..Report::default()
     };
-    let mut latency = Histogram::<u64>::new_with_bounds(1, MAX_LATENCY_US, SIGNIFICANT_DIGITS)
-        .expect("valid histogram bounds");
+    let histogram = Histogram::<u64>::new_with_bounds(1, MAX_LATENCY_US, SIGNIFICANT_DIGITS);
+    let mut latency = histogram.expect("valid histogram bounds");
+    let mut refusals = latency.clone();
     for request in requests.iter() {
         match request.outcome {
             Some(Outcome::Answered) => {
                 report.answered += 1;
                 latency.saturating_record(request.latency.as_micros() as u64);
             }
-            Some(Outcome::NotRun) => report.refused += 1,
+            Some(Outcome::NotRun) => {
+                report.refused += 1;
+                refusals.saturating_record(request.latency.as_micros() as u64);
+                let priority = report.refused_by_priority.entry(request.priority);
+                *priority.or_default() += 1;
+            }
             Some(Outcome::Unknown) => report.unknown += 1,
             None => report.lost += 1,
         }
@@ -103,18 +120,26 @@
     }
     report.p50_ms = latency.value_at_quantile(0.5) as f64 / 1000.0;
     report.p99_ms = latency.value_at_quantile(0.99) as f64 / 1000.0;
+    report.refusal_p99_ms = refusals.value_at_quantile(0.99) as f64 / 1000.0;
     report
 }
 
-fn imbalance(site: &Site, fleet: &Fleet) -> f64 {
-    let mut worst: f64 = 1.0;
+/// Returns the share of its time in service that each server's slots were in use, by service.
+fn uses(site: &Site, fleet: &Fleet) -> BTreeMap<String, Vec<f64>> {
     let servers = fleet.servers.lock().expect("servers lock");
-    for group in 0..site.servers.len() {
-        let mut uses = Vec::new();
-        for (_, server) in servers.iter().filter(|(of, _)| *of == group) {
-            uses.push(server.busy().as_secs_f64() / server.slots() as f64);
-        }
-        let mean = uses.iter().sum::<f64>() / uses.len().max(1) as f64;
+    let mut uses: BTreeMap<String, Vec<f64>> = BTreeMap::new();
+    for (group, server) in servers.iter() {
+        let service = site.servers[*group].service.clone();
+        uses.entry(service).or_default().push(server.used());
+    }
+    uses
+}
+
+/// Returns the highest use over the mean, of the service where it is highest.
+fn imbalance(uses: &BTreeMap<String, Vec<f64>>) -> f64 {
+    let mut worst: f64 = 1.0;
+    for uses in uses.values() {
+        let mean = uses.iter().sum::<f64>() / uses.len() as f64;
         if mean > 0.0 {
             worst = worst.max(uses.iter().copied().fold(0.0, f64::max) / mean);
         }
--- a/src/standin/server.rs
+++ b/src/standin/server.rs
@@ -21,7 +21,7 @@
 };
 use hyper_util::rt::TokioIo;
 use serde::{Deserialize, Serialize};
-use tokio::{net::TcpListener, sync::Semaphore};
+use tokio::{net::TcpListener, sync::Semaphore, time::Instant};
 
 use super::body::answer_body;
 use crate::{
@@ -69,6 +69,7 @@
     journal: Mutex<Vec<Run>>,
     options: ServerOptions,
     slots: Semaphore,
+    span: Mutex<Option<(Instant, Instant)>>,
 }
 
 impl Server {
@@ -84,6 +85,7 @@
             busy_us: AtomicU64::new(0),
             journal: Mutex::default(),
             slots: Semaphore::new(options.slots),
+            span: Mutex::default(),
             options,
         });
         kernel.spawn(accept(listener, server.clone()));
@@ -105,6 +107,16 @@
         Duration::from_micros(self.busy_us.load(Ordering::Relaxed))
     }
 
+    /// Returns the slot time used over all slot time between the first request and the last.
+    pub fn used(&self) -> f64 {
+        let span = *self.span.lock().expect("span lock");
+        let time = span.map_or(Duration::ZERO, |(first, last)| last - first);
+        if time.is_zero() {
+            return 0.0;
+        }
+        self.busy().as_secs_f64() / time.as_secs_f64() / self.options.slots as f64
+    }
+
     /// Returns the number of slots.
     pub fn slots(&self) -> usize {
         self.options.slots
@@ -150,12 +162,37 @@
             path: path.to_owned(),
         };
         self.journal.lock().expect("journal lock").push(run);
+        let busy = Busy {
+            began: Instant::now(),
+            server: self,
+        };
         let work = Duration::from_millis(self.options.work_ms);
         if !work.is_zero() {
             tokio::time::sleep(work).await;
         }
-        self.busy_us
-            .fetch_add(work.as_micros() as u64, Ordering::Relaxed);
+        drop(busy);
+    }
+
+    /// Counts slot time from `began` to now.
+    fn count(&self, began: Instant) {
+        let ended = Instant::now();
+        let used = (ended - began).as_micros() as u64;
+        self.busy_us.fetch_add(used, Ordering::Relaxed);
+        let mut span = self.span.lock().expect("span lock");
+        let first = span.map_or(began, |(first, _)| first);
+        *span = Some((first, ended));
+    }
+}
+
+/// Counts the slot time of a request, also if it is cancelled.
+struct Busy<'a> {
+    began: Instant,
+    server: &'a Server,
+}
+
+impl Drop for Busy<'_> {
+    fn drop(&mut self) {
+        self.server.count(self.began);
     }
 }
 
--- a/tests/flows_drain.rs
+++ b/tests/flows_drain.rs
@@ -12,6 +12,7 @@
         time: Duration::from_secs(SECONDS),
         faults: Faults::Rolling,
         seed: 1,
+        load: None,
     };
     let report = dev::run(&site, options).await.unwrap();
     assert!(report.kept(), "{report:?}");
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -12,6 +12,7 @@
         time: Duration::from_secs(SECONDS),
         faults: Faults::None,
         seed: 1,
+        load: None,
     };
     let report = dev::run(&site, options).await.unwrap();
     assert!(report.kept(), "{report:?}");
