--- a/src/agent/feed.rs
+++ b/src/agent/feed.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use h3::error::StreamError;
-use http::{Request, Response};
+use http::Response;
 use http_body_util::BodyExt;
 use tokio::{sync::watch, time::Instant};
 
@@ -39,8 +39,7 @@
 ///
 /// Fails if the backend server can't be reached.
 pub async fn open(job: &Job, runner: &Runner) -> Result<OpenFeed, UpstreamError> {
-    let request: Request<Bytes> = job.request.clone();
-    let response = runner.upstream().send(request, job.deadline).await?;
+    let response = runner.open(job).await?;
     let head = Response::builder()
         .status(response.status())
         .header(OUTCOME_HEADER, Outcome::Answered.as_str())
--- a/src/agent/runner.rs
+++ b/src/agent/runner.rs
@@ -63,9 +63,15 @@
         &self.gate
     }
 
-    /// Returns the connections to the backend server.
-    pub fn upstream(&self) -> &Upstream {
-        &self.upstream
+    /// Opens a feed on the backend server, which answers by the deadline.
+    ///
+    /// # Errors
+    ///
+    /// Tells whether the backend server may have received the request.
+    pub async fn open(&self, job: &Job) -> Result<Response<AnswerBody>, UpstreamError> {
+        let opening = self.upstream.send(job.request.clone(), job.deadline);
+        let opened = timeout_at(self.clock.instant(job.deadline), opening).await;
+        opened.unwrap_or(Err(UpstreamError::Lost))
     }
 
     /// Runs a request here, or where there is room, and returns its answer.
@@ -180,13 +186,21 @@
 }
 
 fn settle(result: Result<Answer, UpstreamError>) -> Result<Answer, Answer> {
-    let refused = |why| Answer::not_run(StatusCode::SERVICE_UNAVAILABLE, why);
     match result {
         Ok(answer) if answer.outcome == Outcome::NotRun => Err(answer),
         Ok(answer) => Ok(answer),
-        Err(UpstreamError::Late) => Err(refused("the deadline has passed")),
-        Err(UpstreamError::NotSent) => Err(refused("the backend server can't be reached")),
-        Err(UpstreamError::Lost) => Err(Answer::unknown()),
+        Err(error) => Err(Answer::from(&error)),
+    }
+}
+
+impl From<&UpstreamError> for Answer {
+    fn from(error: &UpstreamError) -> Self {
+        let refused = |why| Answer::not_run(StatusCode::SERVICE_UNAVAILABLE, why);
+        match error {
+            UpstreamError::Late => refused("the deadline has passed"),
+            UpstreamError::NotSent => refused("the backend server can't be reached"),
+            UpstreamError::Lost => Answer::unknown(),
+        }
     }
 }
 
--- a/src/trial.rs
+++ b/src/trial.rs
@@ -3,7 +3,9 @@
 use serde_json::Value;
 
 pub mod balance;
+pub mod connections;
 pub mod latency;
+pub mod ledger;
 pub mod membership;
 pub mod relay;
 
@@ -25,11 +27,21 @@
         about: "ways to spread requests over servers of different speed",
         run: balance::run,
     },
+    Trial {
+        name: "connections",
+        about: "memory of open flows at callers and agents together",
+        run: connections::run,
+    },
     Trial {
         name: "latency",
         about: "the time that the fleet adds to a request, in loopback hops",
         run: latency::run,
     },
+    Trial {
+        name: "ledger",
+        about: "the ledger of one incarnation against a record in the store for each request",
+        run: ledger::run,
+    },
     Trial {
         name: "relay",
         about: "a balancer's datagrams a second and memory against a bare UDP relay",
