--- a/src/trial.rs
+++ b/src/trial.rs
@@ -2,15 +2,15 @@
 
 use serde_json::Value;
 
+pub mod balance;
 pub mod connections;
 pub mod flows;
 pub mod latency;
 pub mod ledger;
+pub mod membership;
 pub mod placement;
 pub mod relay;
 
-pub mod membership;
-
 /// A measurement that anyone can run again.
 #[derive(Clone, Copy)]
 pub struct Trial {
@@ -24,6 +24,11 @@
 
 /// All measurements.
 pub const TRIALS: &[Trial] = &[
+    Trial {
+        name: "balance",
+        about: "ways to spread requests over servers of different speed",
+        run: balance::run,
+    },
     Trial {
         name: "connections",
         about: "memory of open flows at callers and agents together",
