Bring settings in force from the store in every process, through relays

Cause: nothing read the store. Ruled out: every process on the store, whose calls grow with the fleet. Change: two balancers in each failure domain, by rendezvous hashing, watch the head and read what changed; the others hear of a higher revision in the members' records and pull from a peer. Parts merge by their highest revision, so that a store that comes back older is written back to by relays. A process starts with its peers' settings, else the store's, else its file's. Relays keep the short list of seeds under leases. Rolling runs change a setting all the while and judge it. Each development fleet has a key of its own, so that a port used again never mixes two fleets. Feeds broken by the rolling itself are not touched by this.

--- a/src/config/daemon.rs
+++ b/src/config/daemon.rs
@@ -91,6 +91,31 @@
     pub fabric: SocketAddr,
 }
 
+/// Where the platform's key-value service is reached.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct StoreSettings {
+    /// Addresses of its etcd v3 HTTP/JSON gateway; the next one is tried where one does not answer.
+    pub endpoints: Vec<SocketAddrV4>,
+}
+
+impl StoreSettings {
+    /// Checks the settings; `path` stands in front of the fault's path.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no endpoint.
+    pub fn check(&self, path: &str) -> Result<(), Fault> {
+        if self.endpoints.is_empty() {
+            return Err(Fault::new(
+                format!("{path}.endpoints"),
+                "at least one address",
+            ));
+        }
+        Ok(())
+    }
+}
+
 /// Settings of `berylvalved`.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -108,8 +133,11 @@
     pub seeds: Vec<SocketAddrV4>,
     /// Fleet keys; the first one seals.
     pub keys: Vec<KeySettings>,
-    /// The region's settings.
+    /// The region's settings; in force until the store or a peer has newer ones.
     pub tree: Region,
+    /// The platform's key-value service.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub store: Option<StoreSettings>,
     /// Settings of an agent.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub agent: Option<AgentSettings>,
@@ -122,6 +150,9 @@
     fn check(&self) -> Result<(), Fault> {
         check_keys(&self.keys)?;
         self.check_role()?;
+        if let Some(store) = &self.store {
+            store.check("store")?;
+        }
         self.tree
             .check()
             .map_err(|fault| Fault::new(format!("tree.{}", fault.path), fault.expected))
--- a/src/config/fleet.rs
+++ b/src/config/fleet.rs
@@ -6,7 +6,7 @@
 
 use super::{
     Check, Fault,
-    daemon::{KeySettings, check_keys},
+    daemon::{KeySettings, StoreSettings, check_keys},
 };
 
 /// Keys of a fleet and control addresses of some of its daemons.
@@ -17,6 +17,12 @@
     pub keys: Vec<KeySettings>,
     /// Control addresses of daemons that are asked for all others.
     pub peers: Vec<SocketAddrV4>,
+    /// Name of the region, for `berylvalve settings`.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub region: Option<String>,
+    /// The platform's key-value service, for `berylvalve settings`.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub store: Option<StoreSettings>,
 }
 
 impl Check for FleetSettings {
@@ -24,6 +30,9 @@
         if self.peers.is_empty() {
             return Err(Fault::new("peers", "at least one control address"));
         }
+        if let Some(store) = &self.store {
+            store.check("store")?;
+        }
         check_keys(&self.keys)
     }
 }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -17,7 +17,7 @@
     },
     balancer::{self, BalancerError, BalancerOptions},
     config::daemon::{AgentSettings, BalancerSettings, DaemonSettings},
-    control,
+    control::{self, ControlClient},
     decision::Decisions,
     kernel::{Kernel, KernelError},
     member::{Directory, MemberState, Record, Role},
@@ -25,7 +25,8 @@
     metrics::Metrics,
     operations::{self, DrainRequest},
     owner_id::{Incarnation, Keyring, Owner, Purpose, ServiceTag},
-    settings::{InForce, Plan},
+    settings::{self, InForce, Plan, seeds::find_seeds},
+    store::{EtcdStore, Store},
 };
 
 /// Attempts to find a port that is free for TCP and UDP.
@@ -120,8 +121,19 @@
         let signer = Signer::new(&settings.fleet_keys());
         control::start(&kernel, listener, signer.clone()).context(KernelSnafu)?;
         operations::publish(&kernel).context(KernelSnafu)?;
-        membership::start(&kernel, control_socket, signer, settings.seeds.clone())
+        let store = open_store(settings);
+        let mut seeds = settings.seeds.clone();
+        if let Some(store) = &store {
+            seeds.extend(find_seeds(store.as_ref(), &settings.tree.region).await);
+            seeds.sort_unstable();
+            seeds.dedup();
+        }
+        let client = ControlClient::new(signer.clone());
+        seeds.retain(|seed| *seed != control);
+        settings::service::start(&kernel, &settings.tree, &seeds, store, client)
+            .await
             .context(KernelSnafu)?;
+        membership::start(&kernel, control_socket, signer, seeds).context(KernelSnafu)?;
         if let (Role::Balancer, Some(balancer)) = (settings.role, &settings.balancer) {
             start_balancer(&kernel, data_socket, data, settings, balancer)?;
         } else if let Some(agent) = &settings.agent {
@@ -204,6 +216,11 @@
     agent::start(kernel, socket, options).context(AgentSnafu)
 }
 
+fn open_store(settings: &DaemonSettings) -> Option<Arc<dyn Store>> {
+    let store = settings.store.as_ref()?;
+    Some(Arc::new(EtcdStore::new(store.endpoints.clone())))
+}
+
 fn served_tag(settings: &DaemonSettings) -> ServiceTag {
     let name = settings.agent.as_ref().map(|agent| agent.service.as_str());
     let service = name.and_then(|name| settings.tree.services.get(name));
--- a/src/dev.rs
+++ b/src/dev.rs
@@ -1,6 +1,10 @@
 //! A whole site in one process on loopback, with stand-ins for the platform.
 
-use std::{path::Path, sync::Arc, time::Duration};
+use std::{
+    path::Path,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
 use snafu::{ResultExt, Snafu};
 
@@ -11,6 +15,7 @@
 };
 
 pub mod certificate;
+pub mod change;
 pub mod faults;
 pub mod fleet;
 pub mod mix;
@@ -19,6 +24,7 @@
 pub use faults::Faults;
 pub use report::Report;
 
+use change::Changes;
 use fleet::Fleet;
 use mix::Mix;
 
@@ -111,12 +117,15 @@
 pub async fn run(site: &Site, options: RunOptions) -> Result<Report, DevError> {
     let fleet = Arc::new(Fleet::start(site, options.seed).await?);
     let mix = Mix::start(site, &fleet, options).await?;
-    let faults = tokio::spawn(faults::apply(fleet.clone(), options.faults));
+    let changes = Arc::new(Mutex::new(Changes::default()));
+    let faults = faults::apply(fleet.clone(), options.faults, changes.clone());
+    let faults = tokio::spawn(faults);
     tokio::time::sleep(options.time).await;
     faults.abort();
     let _ = faults.await;
     let callers = mix.finish(SETTLE_TIME).await;
-    let report = report::judge(site, &fleet, &callers);
+    let changes = changes.lock().expect("changes lock").clone();
+    let report = report::judge(site, &fleet, &callers).with_changes(&changes);
     fleet.stop().await;
     Ok(report)
 }
--- a/src/dev/faults.rs
+++ b/src/dev/faults.rs
@@ -1,8 +1,16 @@
 //! What a development run does to the fleet while requests are under way.
 
-use std::{str::FromStr, sync::Arc, time::Duration};
+use std::{
+    str::FromStr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
-use super::{DevError, fleet::Fleet};
+use super::{
+    DevError,
+    change::{Changes, change_settings},
+    fleet::Fleet,
+};
 
 const PAUSE: Duration = Duration::from_millis(300);
 
@@ -12,7 +20,8 @@
     /// Nothing is disturbed.
     #[default]
     None,
-    /// Every balancer and every backend server is drained and replaced in turn.
+    /// Every balancer and every backend server is drained and replaced in turn, while a setting
+    /// changes.
     Rolling,
 }
 
@@ -31,11 +40,12 @@
 }
 
 /// Applies the disturbance until it is aborted.
-pub async fn apply(fleet: Arc<Fleet>, faults: Faults) {
+pub async fn apply(fleet: Arc<Fleet>, faults: Faults, changes: Arc<Mutex<Changes>>) {
     if faults == Faults::None {
         return;
     }
-    if let Err(error) = roll(&fleet).await {
+    let (rolled, ()) = tokio::join!(roll(&fleet), change_settings(&fleet, &changes));
+    if let Err(error) = rolled {
         tracing::error!(event = "rolling_failed", %error);
     }
 }
--- a/src/dev/fleet.rs
+++ b/src/dev/fleet.rs
@@ -13,7 +13,7 @@
 use super::{DevError, StandInSnafu, StartSnafu, certificate::DevCertificate};
 use crate::{
     config::{
-        daemon::{AgentSettings, BalancerSettings, DaemonSettings, KeySettings},
+        daemon::{AgentSettings, BalancerSettings, DaemonSettings, KeySettings, StoreSettings},
         fleet::FleetSettings,
         site::{ServerGroup, Site},
         tree::Region,
@@ -22,13 +22,15 @@
     daemon::Daemon,
     kernel::Kernel,
     member::{Directory, MemberState, Role},
+    settings::{change::Change, edit::Outcome, operator::Operator},
     standin::{
         fabric::Fabric,
+        kv::Kv,
         server::{Server, ServerOptions},
     },
+    store::EtcdStore,
 };
 
-const DEV_SECRET: &str = "00112233445566778899aabbccddeeff";
 const LOOPBACK: &str = "127.0.0.1:0";
 const JOIN_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -58,9 +60,13 @@
     pub certificate: DevCertificate,
     /// Settings with the addresses that are bound.
     pub tree: Region,
+    /// The platform's key-value service.
+    pub kv: Arc<Kv>,
     fabric: Fabric,
     kernel: Kernel,
+    keys: Vec<KeySettings>,
     site: Site,
+    store: EtcdStore,
 }
 
 impl Fleet {
@@ -83,6 +89,7 @@
         let fabric = Fabric::start(&kernel, sockets, seed)
             .await
             .context(StandInSnafu)?;
+        let kv = Kv::start(&kernel).await.context(StandInSnafu)?;
         let certificate = DevCertificate::make(tree.services.keys().cloned().collect())?;
         let fleet = Self {
             balancers: Mutex::default(),
@@ -90,10 +97,14 @@
             servers: Mutex::default(),
             certificate,
             tree,
+            store: EtcdStore::new(vec![kv.address()]),
+            kv,
             fabric,
             kernel,
+            keys: dev_keys(),
             site: site.clone(),
         };
+        fleet.store_tree().await.context(StandInSnafu)?;
         for index in 0..site.balancers {
             let balancer = fleet.start_balancer(index).await?;
             fleet
@@ -114,6 +125,37 @@
         Ok(fleet)
     }
 
+    /// Returns an operator of the fleet's settings.
+    pub fn operator<'a>(&'a self, author: &'a str) -> Operator<'a> {
+        Operator {
+            store: &self.store,
+            region: &self.tree.region,
+            author,
+        }
+    }
+
+    /// Returns the daemons now in use.
+    pub fn daemons(&self) -> Vec<Arc<Daemon>> {
+        let mut daemons = self.balancers.lock().expect("balancers lock").clone();
+        let places = self.places.lock().expect("places lock");
+        daemons.extend(places.iter().map(|place| place.agent.clone()));
+        daemons
+    }
+
+    async fn store_tree(&self) -> std::io::Result<()> {
+        let change = Change::Replace(self.tree.clone());
+        match self.operator("dev").change(change, None).await {
+            (_, Outcome::Accepted { .. }) => Ok(()),
+            (_, outcome) => Err(std::io::Error::other(format!("settings: {outcome:?}"))),
+        }
+    }
+
+    fn store_settings(&self) -> StoreSettings {
+        StoreSettings {
+            endpoints: vec![self.kv.address()],
+        }
+    }
+
     /// Returns the address of a service.
     pub fn address(&self, service: &str) -> Option<SocketAddr> {
         self.tree.services.get(service).map(|s| s.address)
@@ -173,8 +215,10 @@
     fn write_access(&self) -> std::io::Result<()> {
         let balancers = self.balancers.lock().expect("balancers lock");
         let access = FleetSettings {
-            keys: dev_keys(),
+            keys: self.keys.clone(),
             peers: balancers.iter().map(|b| b.control).collect(),
+            region: Some(self.tree.region.clone()),
+            store: Some(self.store_settings()),
         };
         std::fs::write(self.access_file(), serde_json::to_vec_pretty(&access)?)
     }
@@ -220,8 +264,9 @@
             data: LOOPBACK.parse().expect("valid address"),
             control: LOOPBACK.parse().expect("valid address"),
             seeds: balancers.iter().map(|b| b.control).collect(),
-            keys: dev_keys(),
+            keys: self.keys.clone(),
             tree: self.tree.clone(),
+            store: Some(self.store_settings()),
             agent: None,
             balancer: None,
         }
@@ -254,10 +299,11 @@
     }
 }
 
+/// Returns a key of its own, so that fleets on one machine never mix.
 fn dev_keys() -> Vec<KeySettings> {
     vec![KeySettings {
         id: 1,
-        secret: DEV_SECRET.to_owned(),
+        secret: format!("{:032x}", rand::random::<u128>()),
     }]
 }
 
--- a/src/dev/report.rs
+++ b/src/dev/report.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 
 use super::{
+    change::Changes,
     fleet::Fleet,
     mix::{Seen, by_id},
 };
@@ -35,6 +36,14 @@
     pub false_refusals: u64,
     /// Answers whose body was not the right one.
     pub damaged: u64,
+    /// Changes of settings that came in force everywhere.
+    pub settings_changes: u64,
+    /// Changes of settings that did not come in force everywhere in time.
+    pub late_settings: u64,
+    /// Processes that went back to older settings.
+    pub reverted_settings: u64,
+    /// Longest time from an accepted change to in force everywhere, in milliseconds.
+    pub settings_ms: f64,
     /// Feeds held open.
     pub flows: u64,
     /// Feeds that ended, fell silent or lost events.
@@ -48,6 +57,15 @@
 }
 
 impl Report {
+    /// Returns the report with what became of changes of settings.
+    pub fn with_changes(mut self, changes: &Changes) -> Self {
+        self.settings_changes = changes.done;
+        self.late_settings = changes.late;
+        self.reverted_settings = changes.reverted;
+        self.settings_ms = changes.slowest.as_secs_f64() * 1000.0;
+        self
+    }
+
     /// Returns whether every promise was kept.
     pub fn kept(&self) -> bool {
         let faults = [
@@ -57,6 +75,8 @@
             self.false_refusals,
             self.damaged,
             self.broken_flows,
+            self.late_settings,
+            self.reverted_settings,
         ];
         faults.iter().all(|count| *count == 0)
     }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -15,10 +15,14 @@
 
 pub mod change;
 pub mod edit;
+pub mod first;
 pub mod in_force;
 pub mod layout;
 pub mod operator;
 pub mod part;
+pub mod seeds;
+pub mod service;
+pub mod spread;
 
 /// A region's settings with everything resolved that a process looks up.
 #[derive(Clone, Debug, Default)]
--- a/tests/processes/fleet.rs
+++ b/tests/processes/fleet.rs
@@ -165,6 +165,7 @@
                 secret: "00112233445566778899aabbccddeeff".to_owned(),
             }],
             tree: self.tree.clone(),
+            store: None,
             agent: None,
             balancer: None,
         }
@@ -183,6 +184,8 @@
         let access = FleetSettings {
             keys: settings.keys,
             peers: settings.seeds,
+            region: None,
+            store: None,
         };
         fs::write(&file, serde_json::to_string(&access).unwrap()).unwrap();
         file.to_str().unwrap().to_owned()
