--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -4,7 +4,7 @@
     io,
     net::SocketAddrV4,
     sync::Arc,
-    time::{SystemTime, UNIX_EPOCH},
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use snafu::{ResultExt, Snafu};
@@ -17,7 +17,7 @@
     },
     balancer::{self, BalancerError, BalancerOptions},
     config::daemon::{AgentSettings, BalancerSettings, DaemonSettings},
-    control::{self, ControlClient},
+    control::{self, Control, ControlClient},
     decision::Decisions,
     kernel::{Kernel, KernelError},
     member::{Directory, MemberState, Record, Role},
@@ -32,6 +32,9 @@
 /// Attempts to find a port that is free for TCP and UDP.
 const BIND_ATTEMPTS: u32 = 20;
 
+/// Time in which a balancer that is not ready forwards what the fabric still sends.
+const BALANCER_LINGER: Duration = Duration::from_secs(2);
+
 /// An error at the start of a daemon.
 #[derive(Debug, Snafu)]
 pub enum DaemonError {
@@ -161,10 +164,15 @@
         if let Ok(local) = &local {
             local.update(|record| record.state = MemberState::Draining);
         }
+        if let Ok(control) = self.kernel.find::<Control>(Control::NAME) {
+            control.set_ready(false);
+        }
         tracing::info!(event = "draining", data = %self.data);
         if let Ok(agent) = self.kernel.find::<Agent>(Agent::NAME) {
             agent.drain();
             agent.drained().await;
+        } else {
+            self.linger().await;
         }
         if let Ok(local) = &local {
             local.update(|record| record.state = MemberState::Left);
@@ -174,6 +182,11 @@
         tracing::info!(event = "stopped", data = %self.data);
     }
 
+    /// Forwards what still comes until the fabric has seen that the balancer is not ready.
+    async fn linger(&self) {
+        tokio::time::sleep(BALANCER_LINGER).await;
+    }
+
     /// Stops at once, as if the VM had died.
     pub async fn kill(&self) {
         self.kernel.stop().await;
@@ -210,6 +223,8 @@
         owner,
         service: agent.service.clone(),
         server: agent.server,
+        slots: agent.slots,
+        connections: agent.connections,
         keys: settings.fleet_keys(),
         identity: Arc::new(LiveIdentity::open(files).context(IdentitySnafu)?),
     };
