Tell four peers of a new revision, and let an edit ask the fleet first

Ruled out: fan-out by relays to all, whose bytes grow with the fleet on few processes; a claim key for each address, which an older store forgets as well. Change: a process that takes a new revision tells four random peers, which pull from it (rumor mongering); records and a digest comparison every 10 s stay as the fallback.

--- a/src/dev/fleet.rs
+++ b/src/dev/fleet.rs
@@ -131,6 +131,7 @@
             store: &self.store,
             region: &self.tree.region,
             author,
+            fleet: None,
         }
     }
 
--- a/src/settings/edit.rs
+++ b/src/settings/edit.rs
@@ -52,6 +52,8 @@
         /// What the other change did.
         differences: Vec<Difference>,
     },
+    /// The store holds older settings than the fleet; nothing was changed.
+    Behind,
     /// The store did not answer; nothing was changed.
     Unavailable,
     /// The store did not answer after a write; the change may or may not be in it.
@@ -63,6 +65,8 @@
 pub enum Event {
     /// The tree was read, with the wall clock in milliseconds since 1970.
     Read(Stored, u64),
+    /// The tree was read, but the fleet has newer settings in force.
+    Behind,
     /// A write ended.
     Written(Committed),
     /// A read or a write failed; the flag tells whether it may have taken effect.
@@ -150,20 +154,26 @@
                 read_back: false,
             }),
             Event::Written(Committed::Conflict) | Event::Resumed => Action::Read,
+            Event::Behind => self.retry(Outcome::Behind, now),
             Event::Failed { lost } => {
                 self.uncertain |= was_writing && lost;
-                if now < self.deadline {
-                    return Action::Wait(now + RETRY_INTERVAL);
-                }
-                Action::Finish(if self.uncertain {
-                    Outcome::Unknown
-                } else {
-                    Outcome::Unavailable
-                })
+                self.retry(Outcome::Unavailable, now)
             }
         }
     }
 
+    /// Tries again until the deadline, and ends with `outcome` if no write may have taken effect.
+    fn retry(&self, outcome: Outcome, now: Time) -> Action {
+        if now < self.deadline {
+            return Action::Wait(now + RETRY_INTERVAL);
+        }
+        Action::Finish(if self.uncertain {
+            Outcome::Unknown
+        } else {
+            outcome
+        })
+    }
+
     fn proposed_revision(&self) -> u64 {
         let proposal = self.proposal.as_ref();
         proposal.map_or(0, |proposal| proposal.head.revision)
--- a/src/settings/operator.rs
+++ b/src/settings/operator.rs
@@ -2,23 +2,31 @@
 
 use std::{
     collections::VecDeque,
+    net::SocketAddrV4,
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
+use futures::future::join_all;
+
 use super::{
     change::Change,
     edit::{Action, Edit, Event, Outcome},
+    first::{PULL_PATH, RegionPull},
     layout::{Histories, Layout, Proposal, Stored},
     part::{Part, PartName},
+    spread::{Page, Pull},
 };
 use crate::{
     clock::Clock,
+    control::ControlClient,
     store::{Committed, Store, StoreError},
 };
 
 /// Time in which an edit must come to an answer.
 pub const EDIT_TIMEOUT: Duration = Duration::from_secs(10);
 
+const PEER_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Reads and edits the tree of one region.
 #[derive(Clone, Copy, Debug)]
 pub struct Operator<'a> {
@@ -28,6 +36,39 @@
     pub region: &'a str,
     /// Who edits.
     pub author: &'a str,
+    /// Processes of the fleet that are asked for newer settings; none if the fleet is not running.
+    pub fleet: Option<FleetPeers<'a>>,
+}
+
+/// How an operator reaches the fleet.
+#[derive(Clone, Copy, Debug)]
+pub struct FleetPeers<'a> {
+    /// Signs with a fleet key.
+    pub client: &'a ControlClient,
+    /// Control addresses.
+    pub peers: &'a [SocketAddrV4],
+}
+
+impl FleetPeers<'_> {
+    /// Returns whether a peer has settings in force that are newer than a revision.
+    ///
+    /// A peer that does not answer counts as one that has none.
+    async fn any_newer(&self, region: &str, revision: u64) -> bool {
+        let pull = Pull {
+            revision,
+            name: String::new(),
+        };
+        let message: RegionPull = (region.to_owned(), pull);
+        let asked = self.peers.iter().map(|peer| {
+            self.client
+                .post::<_, Page>(*peer, PULL_PATH, &message, PEER_TIMEOUT)
+        });
+        let pages = join_all(asked).await;
+        pages
+            .into_iter()
+            .flatten()
+            .any(|page| page.revision > revision)
+    }
 }
 
 impl Operator<'_> {
@@ -69,6 +110,7 @@
         loop {
             let event = match action {
                 Action::Read => match self.read().await {
+                    Ok(stored) if self.is_behind(&stored).await => Event::Behind,
                     Ok(stored) => Event::Read(stored, wall_ms()),
                     Err(error) => Event::from(&error),
                 },
@@ -86,6 +128,13 @@
         }
     }
 
+    async fn is_behind(&self, stored: &Stored) -> bool {
+        let Some(fleet) = self.fleet else {
+            return false;
+        };
+        fleet.any_newer(self.region, stored.head.revision).await
+    }
+
     async fn write(&self, proposal: &Proposal) -> Result<Committed, StoreError> {
         write(self.store, &Layout::new(self.region), proposal).await
     }
--- a/src/settings/service.rs
+++ b/src/settings/service.rs
@@ -34,6 +34,9 @@
     store::{Store, StoreError},
 };
 
+/// Path on which a process hears of a peer's new revision.
+const HINT_PATH: &str = "/settings/hint";
+
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
 const PULL_TIMEOUT: Duration = Duration::from_secs(1);
 const WATCH_PAUSE: Duration = Duration::from_secs(1);
@@ -70,8 +73,8 @@
     }
     let spread = Arc::new(Mutex::new(spread));
     let control: Arc<Control> = kernel.find(Control::NAME)?;
-    serve(&control, &spread, tree.region.clone());
     let (sender, events) = mpsc::channel(EVENTS);
+    serve(&control, &spread, &sender, tree.region.clone());
     let service = Service {
         clock: kernel.clock(),
         calls: Calls {
@@ -96,16 +99,29 @@
 }
 
 /// Answers peers; a peer of another region gets nothing.
-fn serve(control: &Control, spread: &Arc<Mutex<Spread>>, region: String) {
+fn serve(
+    control: &Control,
+    spread: &Arc<Mutex<Spread>>,
+    events: &mpsc::Sender<Event>,
+    region: String,
+) {
     let spread = spread.clone();
     control.route(PULL_PATH, move |(other, pull): RegionPull| {
         let page = if other == region {
             spread.lock().expect("spread lock").answer(&pull)
         } else {
-            Page::default()
+            Page {
+                foreign: true,
+                ..Page::default()
+            }
         };
         Box::pin(async move { page })
     });
+    let events = events.clone();
+    control.route(HINT_PATH, move |(peer, revision): (SocketAddrV4, u64)| {
+        let events = events.clone();
+        Box::pin(async move { events.send(Event::Hinted(peer, revision)).await.is_ok() })
+    });
 }
 
 /// Metrics of the spread.
@@ -235,6 +251,11 @@
                 self.seen.reachable.set(i64::from(reachable));
                 tracing::warn!(event = "settings_store", reachable);
             }
+            Action::Hint(peers, revision) => {
+                for peer in peers {
+                    tokio::spawn(self.calls.clone().hint(peer, self.own, revision));
+                }
+            }
             call => {
                 let to_store = !matches!(call, Action::Pull(..));
                 self.seen.store_calls.inc_by(u64::from(to_store));
@@ -302,6 +323,16 @@
         let _ = self.events.send(event).await;
     }
 
+    async fn hint(self, peer: SocketAddrV4, own: SocketAddrV4, revision: u64) {
+        let message = (own, revision);
+        let told: Result<bool, _> = self
+            .client
+            .post(peer, HINT_PATH, &message, PULL_TIMEOUT)
+            .await;
+        // A peer that was not told hears it from the records or from another peer.
+        let _ = told;
+    }
+
     async fn pull(&self, peer: SocketAddrV4, pull: Pull) -> Event {
         let message: RegionPull = (self.region.clone(), pull);
         let page = self.client.post(peer, PULL_PATH, &message, PULL_TIMEOUT);
--- a/src/settings/spread.rs
+++ b/src/settings/spread.rs
@@ -1,6 +1,10 @@
 //! How settings reach every process: relays watch the store, the others pull from peers.
 
-use std::{collections::VecDeque, net::SocketAddrV4, time::Duration};
+use std::{
+    collections::{HashSet, VecDeque},
+    net::SocketAddrV4,
+    time::Duration,
+};
 
 use rand::{Rng, SeedableRng, rngs::SmallRng, seq::IndexedRandom};
 use serde::{Deserialize, Serialize};
@@ -29,6 +33,9 @@
 const AUDIT_INTERVAL: Duration = Duration::from_secs(10);
 const PULL_PAUSE: Duration = Duration::from_millis(200);
 const REPAIR_DELAY: Duration = Duration::from_millis(500);
+/// Peers that a process tells of a new revision (rumor mongering, Demers et al., 1987).
+const HINTED_PEERS: usize = 4;
+
 const RELAY_SEED: u64 = 0x7265_6c61_7973;
 
 /// Returns the relays of a failure domain: the live balancers that rank first.
@@ -71,6 +78,8 @@
     pub digest: u64,
     /// Highest revision that the answering process has in force.
     pub revision: u64,
+    /// Whether the answering process belongs to another region and has nothing to say.
+    pub foreign: bool,
     /// Whether there are parts behind this page.
     pub more: bool,
 }
@@ -90,6 +99,8 @@
     StoreFailed,
     /// Lost parts were written back, or another process was faster.
     WroteBack(Committed),
+    /// A peer has a revision in force.
+    Hinted(SocketAddrV4, u64),
     /// A peer answered.
     Pulled(Page),
     /// A peer did not answer.
@@ -107,6 +118,8 @@
     WriteBack(Proposal),
     /// Ask a peer for parts.
     Pull(SocketAddrV4, Pull),
+    /// Tell some peers which revision is in force here.
+    Hint(Vec<SocketAddrV4>, u64),
     /// Watch the store from now on, or no longer.
     Watch(bool),
     /// The holdings have changed; publish them.
@@ -130,6 +143,8 @@
 #[derive(Debug)]
 pub struct Spread {
     domain: String,
+    /// Processes that belong to another region.
+    foreign: HashSet<SocketAddrV4>,
     holdings: Holdings,
     own: SocketAddrV4,
     rng: SmallRng,
@@ -137,6 +152,8 @@
     relay: bool,
     store: StoreSide,
     pull: PullSide,
+    /// The last hint of a higher revision.
+    hint: Option<(SocketAddrV4, u64)>,
     audit: Time,
 }
 
@@ -181,6 +198,7 @@
     pub fn new(tree: Region, own: SocketAddrV4, domain: &str, store: bool, seed: u64) -> Self {
         Self {
             domain: domain.to_owned(),
+            foreign: HashSet::new(),
             holdings: Holdings::from_file(tree),
             own,
             rng: SmallRng::seed_from_u64(seed),
@@ -192,6 +210,7 @@
                 ..StoreSide::default()
             },
             pull: PullSide::default(),
+            hint: None,
             audit: Time::default(),
         }
     }
@@ -224,7 +243,8 @@
         self.peers.clear();
         for record in view.members.values() {
             let gone = matches!(record.state, MemberState::Dead | MemberState::Left);
-            if gone || record.address == self.own {
+            let foreign = self.foreign.contains(&record.control);
+            if gone || foreign || record.address == self.own {
                 continue;
             }
             self.peers.push(Peer {
@@ -262,6 +282,12 @@
                 self.store.last = None;
                 self.store.next = now;
             }
+            Event::Hinted(peer, revision) => {
+                let known = self.hint.map_or(0, |(_, revision)| revision);
+                if revision > known.max(self.holdings.revision()) {
+                    self.hint = Some((peer, revision));
+                }
+            }
             Event::Pulled(page) => self.take_page(&page, now, &mut actions),
             Event::PullFailed => {
                 self.end_pull(now);
@@ -311,6 +337,12 @@
             return;
         }
         let own = self.holdings.revision();
+        if let Some((peer, revision)) = self.hint.take()
+            && revision > own
+        {
+            self.start_pull(peer, own, actions);
+            return;
+        }
         let ahead = |peer: &&Peer| peer.revision > own;
         let near: Vec<&Peer> = self.peers.iter().filter(ahead).filter(|p| p.near).collect();
         let all: Vec<&Peer> = self.peers.iter().filter(ahead).collect();
@@ -353,6 +385,12 @@
         let Some(peer) = self.pull.peer else {
             return;
         };
+        if page.foreign {
+            self.foreign.insert(peer);
+            self.peers.retain(|other| other.control != peer);
+            self.end_pull(now);
+            return;
+        }
         for (name, value) in &page.parts {
             let part = name.parse().ok();
             let part = part.and_then(|name| Some((Part::decode(&name, value).ok()?, name)));
@@ -374,7 +412,8 @@
         }
         let staged = std::mem::take(&mut self.pull.staged);
         let whole = self.pull.whole;
-        self.end_pull(now);
+        let empty = staged.is_empty();
+        self.end_pull(if empty { now + PULL_PAUSE } else { now });
         if !self.offer(&staged, actions) {
             self.pull.next = now + READ_INTERVAL;
             return;
@@ -392,7 +431,12 @@
     /// Offers parts to the holdings; returns whether the tree with them is valid.
     fn offer(&mut self, parts: &Parts, actions: &mut VecDeque<Action>) -> bool {
         match self.holdings.offer(parts) {
-            Verdict::Advanced { changed } => actions.push_back(Action::Publish(changed)),
+            Verdict::Advanced { changed } => {
+                let peers = self.peers.choose_multiple(&mut self.rng, HINTED_PEERS);
+                let hinted = peers.map(|peer| peer.control).collect();
+                actions.push_back(Action::Publish(changed));
+                actions.push_back(Action::Hint(hinted, self.holdings.revision()));
+            }
             Verdict::Unchanged => {}
             Verdict::Refused(fault) => {
                 actions.push_back(Action::Refused(fault));
--- a/tests/settings_edit.rs
+++ b/tests/settings_edit.rs
@@ -52,6 +52,7 @@
             store: &self.store,
             region: &self.tree.region,
             author,
+            fleet: None,
         }
     }
 
