Add settings get, set, explain and history to the tool

Cause: operators could not reach the tree in the store. Test: a golden session of separate processes, with a write whose answer is lost and a store that is down while a check-in is served (tests/processes/settings.rs); a fixture for a misspelt key, seen to fail without the suggestion (the line ended after the known keys). Conclusion: reads of the tool still need the store; 'status' shows the revision in force without it.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -17,6 +17,7 @@
 pub mod help;
 pub mod print;
 pub mod run;
+pub mod settings;
 pub mod stand_in;
 
 /// Exit status of a bad command line or bad settings.
@@ -158,6 +159,8 @@
         /// Control address of the daemon.
         daemon: SocketAddrV4,
     },
+    /// Read, change or explain settings.
+    Settings(settings::Options),
     /// Show where a flow or a request went.
     Explain {
         /// File with the fleet's keys and peers.
@@ -192,6 +195,7 @@
         "status" => parse_status(&mut args)?,
         "drain" => parse_drain(&mut args)?,
         "explain-flow" => parse_explain(&mut args)?,
+        "settings" => Command::Settings(settings::parse(&mut args)?),
         "trial" => parse_trial(&mut args)?,
         "stand-in" => Command::StandIn(parse_stand_in(&mut args)?),
         "completions" => Command::Completions(args.free_from_str()?),
--- a/src/cli/help.rs
+++ b/src/cli/help.rs
@@ -45,6 +45,11 @@
         about: "show where a flow or a request went, and why",
         help: HELP_EXPLAIN,
     },
+    Entry {
+        name: "settings",
+        about: "read, change and explain the settings in the store",
+        help: super::settings::HELP,
+    },
     Entry {
         name: "trial",
         about: "measure a decision on its state machine",
--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -9,7 +9,7 @@
 use super::{
     CallOptions, Command, DevOptions, EXIT_FAILURE, EXIT_USAGE, FileKind,
     fleet::{self, FleetError},
-    help, print, stand_in,
+    help, print, settings, stand_in,
 };
 use crate::{
     agent::answer::Outcome,
@@ -35,6 +35,7 @@
             subject,
             json,
         } => finish(fleet::explain(&fleet, &subject, json).await),
+        Command::Settings(options) => run_settings(&options).await,
         Command::Check(kind, file) => run_check(kind, &file),
         Command::StandIn(stand_in) => match stand_in::run(stand_in).await {
             Ok(()) => ExitCode::SUCCESS,
@@ -62,6 +63,23 @@
     }
 }
 
+async fn run_settings(options: &settings::Options) -> ExitCode {
+    match settings::run(options).await {
+        Ok(printed) => {
+            print!("{}", printed.text);
+            ExitCode::from(printed.status)
+        }
+        Err(error) => {
+            eprintln!("berylvalve: {error}");
+            ExitCode::from(if error.is_usage() {
+                EXIT_USAGE
+            } else {
+                EXIT_FAILURE
+            })
+        }
+    }
+}
+
 fn run_completions(shell: &str) -> ExitCode {
     let Some(text) = help::completions(shell) else {
         eprintln!("berylvalve: no completions for {shell}; there are bash and fish");
--- a/src/config.rs
+++ b/src/config.rs
@@ -8,6 +8,9 @@
 use serde::de::DeserializeOwned;
 use snafu::{ResultExt, Snafu};
 
+/// Largest edit distance of a key that is suggested in place of an unknown one, as a part of its length.
+const SUGGESTED_DISTANCE: f64 = 0.45;
+
 pub mod daemon;
 pub mod fleet;
 pub mod site;
@@ -96,7 +99,7 @@
     let settings = parsed.map_err(|error| ConfigError::Unfit {
         file: file.to_owned(),
         path: error.path().to_string(),
-        expected: error.inner().to_string(),
+        expected: with_suggestion(&error.inner().to_string()),
     })?;
     deserializer.end().map_err(|error| ConfigError::Unfit {
         file: file.to_owned(),
@@ -110,3 +113,25 @@
     })?;
     Ok(settings)
 }
+
+/// Adds the nearest known key to the parser's words about an unknown one.
+fn with_suggestion(error: &str) -> String {
+    let (text, place) = match error.split_once(" at line ") {
+        Some((text, place)) => (text, format!(" at line {place}")),
+        None => (error, String::new()),
+    };
+    let mut names = text.split('`').skip(1).step_by(2);
+    let unknown = names.next().unwrap_or_default();
+    let known = names.map(|name| (strsim::damerau_levenshtein(unknown, name), name));
+    let nearest = known.min();
+    match nearest {
+        Some((distance, name)) if text.starts_with("unknown ") && is_near(distance, unknown) => {
+            format!("{text}; did you mean `{name}`?{place}")
+        }
+        _ => error.to_owned(),
+    }
+}
+
+fn is_near(distance: usize, unknown: &str) -> bool {
+    distance as f64 <= SUGGESTED_DISTANCE * unknown.chars().count() as f64
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -15,6 +15,7 @@
 
 pub mod change;
 pub mod edit;
+pub mod explain;
 pub mod first;
 pub mod in_force;
 pub mod layout;
--- a/src/settings/change.rs
+++ b/src/settings/change.rs
@@ -68,6 +68,8 @@
     let parsed = config::parse::<Region>(Path::new("tree"), &whole.to_string());
     parsed.map_err(|error| match error {
         ConfigError::Unfit { path, expected, .. } | ConfigError::Invalid { path, expected, .. } => {
+            // The place in a text that the operator never sees is of no use.
+            let expected = expected.split(" at line ").next().unwrap_or_default();
             Fault::new(path, expected)
         }
         ConfigError::Unreadable { source, .. } => Fault::new(path, source.to_string()),
--- a/src/settings/operator.rs
+++ b/src/settings/operator.rs
@@ -9,7 +9,7 @@
 use futures::future::join_all;
 
 use super::{
-    change::Change,
+    change::{self, Change},
     edit::{Action, Edit, Event, Outcome},
     first::{PULL_PATH, RegionPull},
     layout::{Histories, Layout, Proposal, Stored},
@@ -122,12 +122,34 @@
                     tokio::time::sleep_until(clock.instant(time)).await;
                     Event::Resumed
                 }
-                Action::Finish(outcome) => return (id, outcome),
+                Action::Finish(outcome) => return (id, self.since_seen(outcome, seen).await),
             };
             action = edit.handle(event, clock.now());
         }
     }
 
+    /// Narrows a refusal down to what changed since the revision that the operator saw.
+    async fn since_seen(&self, mut outcome: Outcome, seen: Option<u64>) -> Outcome {
+        let (
+            Outcome::Refused {
+                part, differences, ..
+            },
+            Some(seen),
+        ) = (&mut outcome, seen)
+        else {
+            return outcome;
+        };
+        let Ok(name) = part.parse() else {
+            return outcome;
+        };
+        let history = self.history(&name).await.unwrap_or_default();
+        let known = history.iter().find(|part| part.revision <= seen);
+        if let (Some(known), Some(newest)) = (known, history.front()) {
+            *differences = change::differences(Some(known), Some(newest));
+        }
+        outcome
+    }
+
     async fn is_behind(&self, stored: &Stored) -> bool {
         let Some(fleet) = self.fleet else {
             return false;
--- a/src/store.rs
+++ b/src/store.rs
@@ -22,7 +22,7 @@
         endpoint: SocketAddrV4,
     },
     /// No answer in time; the call may have taken effect.
-    #[snafu(display("the store at {endpoint} did not answer; the call may have taken effect"))]
+    #[snafu(display("the store at {endpoint} does not answer"))]
     Lost {
         /// Address of the store.
         endpoint: SocketAddrV4,
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -3,6 +3,7 @@
 mod fleet;
 mod operations;
 mod process;
+mod settings;
 
 use std::fmt::Write;
 
