--- a/src/agent.rs
+++ b/src/agent.rs
@@ -12,9 +12,12 @@
 
 use crate::{
     consts::{IDLE_TIMEOUT, KEEP_ALIVE, OWNER_ID_BYTES, QUIC_MTU_BYTES},
+    control::{Control, ControlClient},
+    decision::Decisions,
     kernel::{Kernel, KernelError},
     member::Directory,
-    membership::LocalRecord,
+    membership::{LocalRecord, Signer},
+    metrics::Metrics,
     owner_id::{FleetKey, Keyring, Owner, Purpose},
     settings::InForce,
 };
@@ -30,15 +33,23 @@
 pub mod job;
 pub mod ledger;
 pub mod once;
+pub mod pass;
 pub mod pressure;
+pub mod reset;
 pub mod runner;
 pub mod socket;
 pub mod upstream;
 
 use gate::Gate;
 use identity::LiveIdentity;
+use pass::{PassedRequest, Passing};
 use pressure::Pressure;
-use socket::FrameSocket;
+use reset::ResetKeys;
+use socket::{FrameSocket, SocketOptions};
+
+/// Shortest time between two stateless resets; the flows of a dead agent are reset by the others
+/// within a second.
+const MIN_RESET_INTERVAL: Duration = Duration::from_micros(100);
 
 /// An error at the start of an agent.
 #[derive(Debug, Snafu)]
@@ -106,9 +117,20 @@
         self.handler.drain();
     }
 
-    /// Waits until no connection is open.
+    /// Returns the number of open connections.
+    pub fn connections(&self) -> usize {
+        self.endpoint.open_connections()
+    }
+
+    /// Sends and receives nothing from now, as if the VM had died.
+    pub fn sever(&self) {
+        self.socket.sever();
+    }
+
+    /// Waits until no connection is open and no request is running.
     pub async fn drained(&self) {
         self.endpoint.wait_idle().await;
+        self.handler.settled().await;
     }
 }
 
@@ -120,21 +142,35 @@
 pub fn start(kernel: &Kernel, socket: UdpSocket, options: AgentOptions) -> Result<(), AgentError> {
     let keyring = Keyring::new(&options.keys, Purpose::Connection);
     let owner = options.owner;
-    let socket = Arc::new(FrameSocket::new(
-        socket,
-        owner.address,
-        owner.service,
-        owner.incarnation,
-        keyring.clone(),
-        kernel.find(Directory::NAME).context(KernelSnafu)?,
-    ));
-    let gate = start_gate(kernel, &options).context(KernelSnafu)?;
+    let pressure = Arc::new(Pressure::default());
+    kernel.publish(Pressure::NAME, pressure.clone());
+    let socket_options = SocketOptions {
+        owner,
+        keyring: keyring.clone(),
+        clock: kernel.clock(),
+        directory: kernel.find(Directory::NAME).context(KernelSnafu)?,
+        metrics: kernel.find(Metrics::NAME).context(KernelSnafu)?,
+        pressure: pressure.clone(),
+    };
+    let socket = Arc::new(FrameSocket::new(socket, socket_options));
+    let passing = Passing {
+        client: ControlClient::new(Signer::new(&options.keys)),
+        clock: kernel.clock(),
+        directory: kernel.find(Directory::NAME).context(KernelSnafu)?,
+    };
+    let gate = start_gate(kernel, &options, pressure).context(KernelSnafu)?;
     let handler = Arc::new(http::Handler::new(
         kernel.clock(),
-        gate,
-        kernel.find(InForce::NAME).context(KernelSnafu)?,
+        http::HandlerServices {
+            decisions: kernel.find(Decisions::NAME).context(KernelSnafu)?,
+            gate,
+            metrics: kernel.find(Metrics::NAME).context(KernelSnafu)?,
+            settings: kernel.find(InForce::NAME).context(KernelSnafu)?,
+        },
         &options,
+        passing,
     ));
+    serve_passed(kernel, &handler).context(KernelSnafu)?;
     let endpoint = Endpoint::new_with_abstract_socket(
         endpoint_config(&options.keys, keyring, owner),
         Some(server_config(options.identity.clone())?),
@@ -155,10 +191,23 @@
     Ok(())
 }
 
+/// Serves the requests that other agents pass on.
+fn serve_passed(kernel: &Kernel, handler: &Arc<http::Handler>) -> Result<(), KernelError> {
+    let control: Arc<Control> = kernel.find(Control::NAME)?;
+    let handler = handler.clone();
+    control.route(pass::PATH, move |passed: PassedRequest| {
+        let handler = handler.clone();
+        Box::pin(async move { handler.passed(passed).await })
+    });
+    Ok(())
+}
+
 /// Starts and publishes the gate in front of the backend server.
-fn start_gate(kernel: &Kernel, options: &AgentOptions) -> Result<Arc<Gate>, KernelError> {
-    let pressure = Arc::new(Pressure::default());
-    kernel.publish(Pressure::NAME, pressure.clone());
+fn start_gate(
+    kernel: &Kernel,
+    options: &AgentOptions,
+    pressure: Arc<Pressure>,
+) -> Result<Arc<Gate>, KernelError> {
     let gate = Arc::new(Gate::new(
         kernel.clock(),
         (options.slots, options.connections),
@@ -172,9 +221,8 @@
 }
 
 fn endpoint_config(keys: &[FleetKey], keyring: Keyring, owner: Owner) -> EndpointConfig {
-    let secret = keys[0].derive(Purpose::Reset);
-    let reset_key = ring::hmac::Key::new(ring::hmac::HMAC_SHA256, &secret);
-    let mut config = EndpointConfig::new(Arc::new(reset_key));
+    let mut config = EndpointConfig::new(Arc::new(ResetKeys::new(keys)));
+    config.min_reset_interval(MIN_RESET_INTERVAL);
     config.cid_generator(move || Box::new(OwnerIds::new(keyring.clone(), owner)));
     config
 }
--- a/src/agent/feed.rs
+++ b/src/agent/feed.rs
@@ -6,7 +6,6 @@
 use h3::error::StreamError;
 use http::{Request, Response};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use tokio::{sync::watch, time::Instant};
 
 use super::{
@@ -14,7 +13,7 @@
     http::{Stream, told_to_drain},
     job::Job,
     runner::Runner,
-    upstream::UpstreamError,
+    upstream::{AnswerBody, UpstreamError},
 };
 use crate::consts::{OUTCOME_HEADER, SERVED_BY_HEADER};
 
@@ -30,7 +29,7 @@
 /// A feed that the backend server has opened.
 #[derive(Debug)]
 pub struct OpenFeed {
-    body: Incoming,
+    body: AnswerBody,
     head: Response<()>,
 }
 
@@ -41,7 +40,7 @@
 /// Fails if the backend server can't be reached.
 pub async fn open(job: &Job, runner: &Runner) -> Result<OpenFeed, UpstreamError> {
     let request: Request<Bytes> = job.request.clone();
-    let response = runner.upstream().send(request).await?;
+    let response = runner.upstream().send(request, job.deadline).await?;
     let head = Response::builder()
         .status(response.status())
         .header(OUTCOME_HEADER, Outcome::Answered.as_str())
--- a/src/cli/help.rs
+++ b/src/cli/help.rs
@@ -151,7 +151,7 @@
 OPTIONS:
   --site NAME     haverkamp or dolbom (default: haverkamp)
   --seconds N     time in which requests are sent
-  --faults KIND   none or rolling (default: none)
+  --faults KIND   none, forgetting or rolling (default: none)
   --seed S        seed of the fabric and of the callers (default: 1)
   --json          print the report as one JSON object on the last line
 
@@ -170,6 +170,7 @@
   --service NAME   name of the service
   --timeout-ms N   time to the request's deadline (default: 5000)
   --feed N         follow a feed for N events
+  --id NAME        name of the request for the logs and for explain-flow
 
 EXAMPLE:
   berylvalve call --root root.pem --service wind 127.0.0.1:4433 POST /checkin 'kite 7'
--- a/src/dev/faults.rs
+++ b/src/dev/faults.rs
@@ -15,6 +15,9 @@
 /// Interval between two health checks of the fabric.
 const HEALTH_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Interval between two addresses that the fabric loses track of.
+const FORGET_INTERVAL: Duration = Duration::from_secs(1);
+
 const PAUSE: Duration = Duration::from_millis(300);
 
 /// A kind of disturbance.
@@ -23,6 +26,8 @@
     /// Nothing is disturbed.
     #[default]
     None,
+    /// The fabric loses track of one caller's address after the other.
+    Forgetting,
     /// Every balancer and every backend server is drained and replaced in turn, while a setting
     /// changes.
     Rolling,
@@ -33,10 +38,11 @@
 
     fn from_str(text: &str) -> Result<Self, String> {
         match text {
+            "forgetting" => Ok(Faults::Forgetting),
             "none" => Ok(Faults::None),
             "rolling" => Ok(Faults::Rolling),
             _ => Err(format!(
-                "no faults named {text}; there are none and rolling"
+                "no faults named {text}; there are none, forgetting and rolling"
             )),
         }
     }
@@ -44,12 +50,24 @@
 
 /// Applies the disturbance until it is aborted.
 pub async fn apply(fleet: Arc<Fleet>, faults: Faults, changes: Arc<Mutex<Changes>>) {
-    if faults == Faults::None {
-        return;
+    match faults {
+        Faults::None => {}
+        Faults::Forgetting => forget(&fleet).await,
+        Faults::Rolling => {
+            let (rolled, ()) = tokio::join!(roll(&fleet), change_settings(&fleet, &changes));
+            if let Err(error) = rolled {
+                tracing::error!(event = "rolling_failed", %error);
+            }
+        }
     }
-    let (rolled, ()) = tokio::join!(roll(&fleet), change_settings(&fleet, &changes));
-    if let Err(error) = rolled {
-        tracing::error!(event = "rolling_failed", %error);
+}
+
+async fn forget(fleet: &Fleet) {
+    loop {
+        tokio::time::sleep(FORGET_INTERVAL).await;
+        if let Some(caller) = fleet.fabric().callers().first() {
+            fleet.fabric().forget(*caller);
+        }
     }
 }
 
--- a/src/trial.rs
+++ b/src/trial.rs
@@ -5,6 +5,8 @@
 pub mod latency;
 pub mod relay;
 
+pub mod membership;
+
 /// A measurement that anyone can run again.
 #[derive(Clone, Copy)]
 pub struct Trial {
--- a/tests/processes/fleet.rs
+++ b/tests/processes/fleet.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::BTreeMap,
     fs,
+    io::BufReader,
     net::{SocketAddr, SocketAddrV4},
     path::PathBuf,
 };
@@ -11,7 +12,7 @@
     config::{
         daemon::{AgentSettings, BalancerSettings, DaemonSettings, KeySettings, StoreSettings},
         fleet::FleetSettings,
-        site::Site,
+        site::{ServerGroup, Site},
         tree::Region,
     },
     dev,
@@ -19,6 +20,8 @@
     standin::server::ServerOptions,
 };
 
+use rustls::pki_types::CertificateDer;
+
 use crate::process::Process;
 
 const SERVERS_PER_SERVICE: usize = 2;
@@ -45,16 +48,34 @@
 impl Fleet {
     /// Starts the stand-ins, two balancers, and two agents for each service.
     pub async fn start(name: &str) -> Self {
-        Self::start_on(name, None).await
+        let mut fleet = Self::without_agents(name).await;
+        fleet.start_agents().await;
+        fleet
     }
 
     /// Starts the same on a store that is empty.
     pub async fn start_with_store(name: &str) -> Self {
         let store = Process::tool(&["stand-in", "store"]);
-        Self::start_on(name, Some(store)).await
+        let mut fleet = Self::start_balancers(name, Some(store)).await;
+        fleet.start_agents().await;
+        fleet
     }
 
-    async fn start_on(name: &str, mut store: Option<Process>) -> Self {
+    /// Starts the fabric and two balancers.
+    pub async fn without_agents(name: &str) -> Self {
+        Self::start_balancers(name, None).await
+    }
+
+    async fn start_agents(&mut self) {
+        let services: Vec<String> = self.tree.services.keys().cloned().collect();
+        for service in &services {
+            for _ in 0..SERVERS_PER_SERVICE {
+                self.start_agent(service).await;
+            }
+        }
+    }
+
+    async fn start_balancers(name: &str, mut store: Option<Process>) -> Self {
         let store_address = match &mut store {
             Some(store) => Some(store.output_after("listening").await.parse().unwrap()),
             None => None,
@@ -94,12 +115,6 @@
         for _ in 0..2 {
             fleet.start_balancer().await;
         }
-        let services: Vec<String> = fleet.tree.services.keys().cloned().collect();
-        for service in &services {
-            for _ in 0..SERVERS_PER_SERVICE {
-                fleet.start_agent(service).await;
-            }
-        }
         let balancers = fleet.addresses.join(" ");
         fleet.fabric.send(&balancers).await;
         fleet
@@ -122,12 +137,7 @@
     }
 
     async fn start_agent(&mut self, service: &str) {
-        let group = self
-            .site
-            .servers
-            .iter()
-            .find(|g| g.service == service)
-            .unwrap();
+        let group = self.group(service);
         let mut answers = Vec::new();
         let mut feeds = Vec::new();
         for entry in self
@@ -156,10 +166,18 @@
         fs::write(&file, serde_json::to_string(&options).unwrap()).unwrap();
         let mut server = Process::tool(&["stand-in", "server", file.to_str().unwrap()]);
         let address = server.output_after("listening").await;
+        self.servers.push(server);
+        self.attach_agent(service, address.parse().unwrap()).await;
+    }
+
+    /// Starts an agent beside a backend server that is already there.
+    pub async fn attach_agent(&mut self, service: &str, server: SocketAddr) {
+        let group = self.group(service);
+        let number = self.agents.len();
         let mut settings = self.settings(Role::Agent, number);
         settings.agent = Some(AgentSettings {
             service: service.to_owned(),
-            server: address.parse().unwrap(),
+            server,
             slots: group.slots,
             connections: group.connections,
             certificate: self.certificate.clone(),
@@ -168,10 +186,22 @@
         let file = self.write(&format!("agent-{number}.json"), &settings);
         let mut agent = Process::daemon(&file);
         agent.event("started").await;
-        self.servers.push(server);
         self.agents.push(agent);
     }
 
+    fn group(&self, service: &str) -> &ServerGroup {
+        let mut groups = self.site.servers.iter();
+        groups.find(|group| group.service == service).unwrap()
+    }
+
+    /// Returns the certificate that callers trust.
+    pub fn roots(&self) -> Vec<CertificateDer<'static>> {
+        let mut file = BufReader::new(fs::File::open(&self.certificate).unwrap());
+        rustls_pemfile::certs(&mut file)
+            .map(Result::unwrap)
+            .collect()
+    }
+
     fn settings(&self, role: Role, number: usize) -> DaemonSettings {
         DaemonSettings {
             role,
