--- a/src/agent/once.rs
+++ b/src/agent/once.rs
@@ -26,7 +26,8 @@
 pub struct Once {
     clock: Clock,
     keyring: Keyring,
-    owner: Owner,
+    /// This process under each incarnation that issued keys; all share the ledger.
+    lives: Mutex<Vec<Owner>>,
     passing: Passing,
     shared: Arc<Shared>,
 }
@@ -50,7 +51,7 @@
         Self {
             clock,
             keyring: Keyring::new(keys, Purpose::Request),
-            owner,
+            lives: Mutex::new(vec![owner]),
             passing,
             shared: Arc::new(Shared {
                 books: Mutex::default(),
@@ -59,11 +60,27 @@
         }
     }
 
-    /// Returns a new key that only this incarnation runs; `None` once it has none left.
+    /// Returns a new key that only this process runs; `None` once it has none left.
     pub fn new_key(&self) -> Option<String> {
         let now = self.clock.now();
         let nonce = self.shared.books().ledger.issue(now)?;
-        Some(hex::encode(self.keyring.seal(&self.owner, nonce)))
+        Some(hex::encode(self.keyring.seal(&self.life(), nonce)))
+    }
+
+    /// Returns this process under its current incarnation, which changes after a long freeze.
+    fn life(&self) -> Owner {
+        let incarnation = self.passing.local.get().incarnation;
+        let mut lives = self.lives();
+        let mut life = lives[lives.len() - 1];
+        if life.incarnation != incarnation {
+            life.incarnation = incarnation;
+            lives.push(life);
+        }
+        life
+    }
+
+    fn lives(&self) -> MutexGuard<'_, Vec<Owner>> {
+        self.lives.lock().expect("lives lock")
     }
 
     /// Waits until no request is running.
@@ -87,7 +104,7 @@
             return Answer::unknown();
         };
         let view = self.passing.directory.view();
-        let keeper = keeper(&owner, &self.owner, &view);
+        let keeper = keeper(&owner, &self.lives(), &view);
         if keeper != Keeper::Local {
             tracing::info!(event = "request_passed", id = job.id(), owner = %owner.address, ?keeper);
         }
@@ -109,7 +126,9 @@
             .and_then(|key| hex::decode(key).ok())
             .and_then(|id| self.keyring.open(&id));
         match opened {
-            Some((owner, nonce)) if owner == self.owner => self.run_here(nonce, job, runner).await,
+            Some((owner, nonce)) if self.lives().contains(&owner) => {
+                self.run_here(nonce, job, runner).await
+            }
             _ => Answer::unknown(),
         }
     }
--- a/src/trial.rs
+++ b/src/trial.rs
@@ -2,7 +2,9 @@
 
 use serde_json::Value;
 
+pub mod connections;
 pub mod latency;
+pub mod ledger;
 pub mod relay;
 
 pub mod membership;
@@ -21,11 +23,21 @@
 
 /// All measurements.
 pub const TRIALS: &[Trial] = &[
+    Trial {
+        name: "connections",
+        about: "memory of open flows at callers and agents together",
+        run: connections::run,
+    },
     Trial {
         name: "latency",
         about: "the time that the fleet adds to a request, in loopback hops",
         run: latency::run,
     },
+    Trial {
+        name: "ledger",
+        about: "the ledger of one incarnation against a record in the store for each request",
+        run: ledger::run,
+    },
     Trial {
         name: "relay",
         about: "a balancer's datagrams a second and memory against a bare UDP relay",
