--- a/src/trial.rs
+++ b/src/trial.rs
@@ -8,8 +8,12 @@
 pub mod latency;
 pub mod ledger;
 pub mod membership;
+<<<<<<< HEAD
 pub mod placement;
 pub mod relay;
+=======
+pub mod settings;
+>>>>>>> settings
 
 /// A measurement that anyone can run again.
 #[derive(Clone, Copy)]
@@ -55,9 +59,15 @@
         run: relay::run,
     },
     Trial {
+<<<<<<< HEAD
         name: "placement",
         about: "Maglev's table against weighted rendezvous hashing: time, bytes, moves, imbalance",
         run: placement::run,
+=======
+        name: "settings",
+        about: "time to all, bytes and store calls of a change of settings, by the size of the fleet",
+        run: settings::run,
+>>>>>>> settings
     },
 ];
 
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -8,6 +8,7 @@
 mod process;
 mod relay;
 mod requests;
+mod settings;
 
 use std::fmt::Write;
 
