--- a/src/agent/http.rs
+++ b/src/agent/http.rs
@@ -1,9 +1,12 @@
 //! The agent's HTTP/3 side: requests in, whole answers or honest refusals out.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use bytes::{Buf, Bytes};
-use h3::{error::StreamError, server::RequestStream};
+use h3::{
+    error::{Code, StreamError},
+    server::RequestStream,
+};
 use http::{Request, Response, StatusCode};
 use quinn::Endpoint;
 use tokio::sync::watch;
@@ -12,19 +15,41 @@
     AgentOptions,
     answer::{Answer, Outcome},
     feed,
+    gate::Gate,
     job::Job,
     once::Once,
+    pass::{PassedAnswer, PassedRequest, Passing},
     runner::Runner,
 };
 use crate::{
     clock::Clock,
-    consts::{BODY_BYTES, NEXT_KEY_HEADER, OUTCOME_HEADER, SERVED_BY_HEADER},
+    consts::{
+        BODY_BYTES, KEEP_ALIVE, KEY_HEADER, NEXT_KEY_HEADER, OUTCOME_HEADER, SERVED_BY_HEADER,
+    },
     kernel::StopSignal,
     settings::InForce,
 };
 
 const RETRY_AFTER_SECONDS: u64 = 1;
 
+/// Requests beyond the last accepted one that the library lets through after GOAWAY. The frame
+/// names the first request that does not run, so that the one let through has to be rejected here.
+const GRACE_REQUESTS: usize = 1;
+
+/// Time without stream data, but with acknowledgements, after which all was received.
+const QUIET_TIME: Duration = KEEP_ALIVE.saturating_mul(3);
+
+/// Number of checks within [`QUIET_TIME`].
+const QUIET_STEPS: u32 = 6;
+
+/// Acknowledgements that must arrive within [`QUIET_TIME`].
+const QUIET_ACKS: u64 = 2;
+
+/// Pause before asking again for requests of a caller that sends no more.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+type Resolver = h3::server::RequestResolver<h3_quinn::Connection, Bytes>;
+
 /// A caller's request stream.
 pub type Stream = RequestStream<h3_quinn::BidiStream<Bytes>, Bytes>;
 
@@ -34,19 +59,25 @@
     clock: Clock,
     draining: watch::Sender<bool>,
     once: Once,
-    runner: Runner,
+    runner: Arc<Runner>,
     service: String,
     settings: Arc<InForce>,
 }
 
 impl Handler {
     /// Returns the handler of an agent.
-    pub fn new(clock: Clock, settings: Arc<InForce>, options: &AgentOptions) -> Self {
+    pub fn new(
+        clock: Clock,
+        gate: Arc<Gate>,
+        settings: Arc<InForce>,
+        options: &AgentOptions,
+        passing: Passing,
+    ) -> Self {
         Self {
             clock,
             draining: watch::Sender::new(false),
-            once: Once::new(clock, &options.keys, options.owner),
-            runner: Runner::new(clock, options.server),
+            once: Once::new(clock, &options.keys, options.owner, passing),
+            runner: Arc::new(Runner::new(clock, gate, options.server)),
             service: options.service.clone(),
             settings,
         }
@@ -57,23 +88,66 @@
         self.draining.send_replace(true);
     }
 
-    async fn handle(&self, request: Request<()>, mut stream: Stream) -> Result<(), StreamError> {
+    /// Waits until no request that runs only once is running.
+    pub async fn settled(&self) {
+        self.once.settled().await;
+    }
+
+    /// Answers a request that another agent passed on.
+    pub async fn passed(&self, passed: PassedRequest) -> PassedAnswer {
+        let answer = self.run_passed(passed).await;
+        PassedAnswer::new(answer, self.clock.now())
+    }
+
+    async fn run_passed(&self, passed: PassedRequest) -> Answer {
+        let time_left = passed.time_left();
+        let Some(request) = passed.request(&self.service) else {
+            return Answer::unknown();
+        };
+        let plan = self.settings.plan();
+        let head = Request::builder()
+            .method(request.method())
+            .uri(request.uri());
+        let head = head.body(()).unwrap_or_default();
+        let Some(found) = self.request_type(&plan, &head).cloned() else {
+            return Answer::unknown();
+        };
+        let now = self.clock.now();
+        let mut job = Job::new(request, found, now);
+        job.deadline = now + time_left;
+        self.once.run_passed(&job, &self.runner).await
+    }
+
+    async fn handle(
+        &self,
+        request: Request<()>,
+        mut stream: Stream,
+        caller: &quinn::Connection,
+    ) -> Result<(), StreamError> {
         let plan = self.settings.plan();
         let found = self.request_type(&plan, &request);
         let Some(found) = found.cloned() else {
-            let why = "no such request type at this service";
-            let answer = Answer::not_run(StatusCode::NOT_FOUND, why);
+            let answer = not_found(&request);
             return self.reply(&mut stream, answer).await;
         };
         let Some(body) = read_body(&mut stream).await? else {
             let answer = Answer::not_run(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long");
             return self.reply(&mut stream, answer).await;
         };
+        if !is_whole(&request, &body) {
+            let answer = Answer::not_run(StatusCode::BAD_REQUEST, "the body is not whole");
+            return self.reply(&mut stream, answer).await;
+        }
         let job = Job::new(request.map(|()| body), found, self.clock.now());
         if job.plan.feed {
             return self.feed(&job, stream).await;
         }
-        let answer = self.run(&job).await;
+        let answer = tokio::select! {
+            answer = self.run(&job) => answer,
+            // The caller is gone: dropping the run cancels it at the backend server, unless it
+            // may run only once.
+            _ = caller.closed() => return Ok(()),
+        };
         tracing::info!(
             event = "request",
             id = job.id(),
@@ -98,28 +172,38 @@
     }
 
     async fn run(&self, job: &Job) -> Answer {
-        if job.plan.idempotent {
+        if job.idempotent() {
             return self.runner.run(job).await.unwrap_or_else(|answer| answer);
         }
         self.once.run(job, &self.runner).await
     }
 
     async fn feed(&self, job: &Job, mut stream: Stream) -> Result<(), StreamError> {
+        let permit = match self.runner.gate().open_feed() {
+            Ok(permit) => permit,
+            Err(refusal) => return self.reply(&mut stream, Answer::refused(&refusal)).await,
+        };
         let Ok(open) = feed::open(job, &self.runner).await else {
             let why = "the backend server can't be reached";
             let answer = Answer::not_run(StatusCode::SERVICE_UNAVAILABLE, why);
             return self.reply(&mut stream, answer).await;
         };
-        open.relay(&mut stream).await
+        let relayed = open.relay(&mut stream, self.draining.subscribe()).await;
+        drop(permit);
+        relayed
     }
 
     async fn reply(&self, stream: &mut Stream, answer: Answer) -> Result<(), StreamError> {
         let mut head = Response::builder()
             .status(answer.status)
-            .header(OUTCOME_HEADER, answer.outcome.as_str())
-            .header(NEXT_KEY_HEADER, self.once.new_key());
+            .header(OUTCOME_HEADER, answer.outcome.as_str());
+        if let Some(key) = self.once.new_key() {
+            head = head.header(NEXT_KEY_HEADER, key);
+        }
         if answer.outcome == Outcome::NotRun {
-            head = head.header(http::header::RETRY_AFTER, RETRY_AFTER_SECONDS);
+            let left = answer.retry_at.map(|at| at.since(self.clock.now()));
+            let seconds = left.map_or(RETRY_AFTER_SECONDS, |left| left.as_secs_f64().ceil() as u64);
+            head = head.header(http::header::RETRY_AFTER, seconds);
         }
         if let Some(server) = answer.server {
             head = head.header(SERVED_BY_HEADER, server);
@@ -132,6 +216,27 @@
     }
 }
 
+/// Refuses a request of no known type; one with a key may have run under earlier settings.
+fn not_found(request: &Request<()>) -> Answer {
+    let why = "no such request type at this service";
+    let answer = Answer::not_run(StatusCode::NOT_FOUND, why);
+    match request.headers().contains_key(KEY_HEADER) {
+        true => Answer {
+            outcome: Outcome::Unknown,
+            ..answer
+        },
+        false => answer,
+    }
+}
+
+/// Returns whether a body has its stated length: a caller that goes away mid-way may end its stream
+/// as if the body were whole.
+fn is_whole(request: &Request<()>, body: &Bytes) -> bool {
+    let stated = request.headers().get(http::header::CONTENT_LENGTH);
+    let stated = stated.and_then(|value| value.to_str().ok());
+    stated.is_none_or(|text| text.parse() == Ok(body.len()))
+}
+
 async fn read_body(stream: &mut Stream) -> Result<Option<Bytes>, StreamError> {
     let mut body = Vec::new();
     while let Some(mut part) = stream.recv_data().await? {
@@ -146,6 +251,11 @@
 /// Accepts connections until the kernel stops.
 pub async fn serve(endpoint: Endpoint, handler: Arc<Handler>, stop: StopSignal) {
     while let Some(incoming) = endpoint.accept().await {
+        if *handler.draining.borrow() {
+            // The caller learns at once that it has to connect again.
+            incoming.refuse();
+            continue;
+        }
         let handler = handler.clone();
         let mut stop = stop.clone();
         tokio::spawn(async move {
@@ -157,44 +267,109 @@
     }
 }
 
-async fn told_to_drain(draining: &mut watch::Receiver<bool>) {
+/// Waits until the agent drains; for ever if it stops without.
+pub(super) async fn told_to_drain(draining: &mut watch::Receiver<bool>) {
     if draining.wait_for(|drain| *drain).await.is_err() {
         std::future::pending::<()>().await;
     }
 }
 
 async fn serve_connection(incoming: quinn::Incoming, handler: Arc<Handler>) {
-    let Ok(connection) = incoming.await else {
+    let Ok(quic) = incoming.await else {
         return;
     };
     let built = h3::server::builder()
-        .build(h3_quinn::Connection::new(connection))
+        .build(h3_quinn::Connection::new(quic.clone()))
         .await;
     let Ok(mut connection) = built else {
         return;
     };
     let mut draining = handler.draining.subscribe();
+    let open = OpenRequests::default();
     let mut told = false;
     loop {
         let accepted = tokio::select! {
             accepted = connection.accept() => accepted,
             () = told_to_drain(&mut draining), if !told => {
                 told = true;
-                let _ = connection.shutdown(0).await;
+                let _ = connection.shutdown(GRACE_REQUESTS).await;
                 continue;
             }
+            () = delivered(&quic, &open), if told => return,
         };
-        let Ok(Some(resolver)) = accepted else {
-            return;
-        };
-        let handler = handler.clone();
-        tokio::spawn(async move {
-            let Ok((request, stream)) = resolver.resolve_request().await else {
-                return;
-            };
-            if let Err(error) = handler.handle(request, stream).await {
-                tracing::debug!(event = "stream_closed", %error);
+        match accepted {
+            Ok(Some(resolver)) if told => {
+                tokio::spawn(reject(resolver));
             }
-        });
+            Ok(Some(resolver)) => {
+                let work = resolve(resolver, handler.clone(), quic.clone(), open.clone());
+                tokio::spawn(work);
+            }
+            Ok(None) => {
+                told = true;
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+            Err(_) => return,
+        }
+    }
+}
+
+async fn resolve(
+    resolver: Resolver,
+    handler: Arc<Handler>,
+    caller: quinn::Connection,
+    open: OpenRequests,
+) {
+    let Ok((request, stream)) = resolver.resolve_request().await else {
+        return;
+    };
+    if let Err(error) = handler.handle(request, stream, &caller).await {
+        tracing::debug!(event = "stream_closed", %error);
+    }
+    drop(open);
+}
+
+/// Rejects a request that crossed the GOAWAY frame: it does not run, and the caller may repeat it
+/// (RFC 9114, section 4.1.1).
+async fn reject(resolver: Resolver) {
+    let Ok((_, mut stream)) = resolver.resolve_request().await else {
+        return;
+    };
+    tracing::info!(event = "request_rejected", reason = "draining");
+    stream.stop_sending(Code::H3_REQUEST_REJECTED);
+    stream.stop_stream(Code::H3_REQUEST_REJECTED);
+}
+
+/// Counts the requests of a connection that have not ended.
+#[derive(Clone, Debug, Default)]
+struct OpenRequests(Arc<()>);
+
+impl OpenRequests {
+    fn none(&self) -> bool {
+        Arc::strong_count(&self.0) == 1
+    }
+}
+
+/// Waits until no request is open and the caller has acknowledged all that was sent.
+///
+/// The library does not tell which bytes were acknowledged. If acknowledgements arrive through a
+/// whole [`QUIET_TIME`] in which no stream data left, then nothing is outstanding: data lost
+/// before would have been declared lost by these acknowledgements and sent again (RFC 9002,
+/// section 6.1).
+async fn delivered(quic: &quinn::Connection, open: &OpenRequests) {
+    let mut quiet = None;
+    loop {
+        let before = quic.stats();
+        tokio::time::sleep(QUIET_TIME / QUIET_STEPS).await;
+        let after = quic.stats();
+        let still = open.none() && before.frame_tx.stream == after.frame_tx.stream;
+        let (since, acks) = match quiet {
+            Some(quiet) if still => quiet,
+            _ => (tokio::time::Instant::now(), after.frame_rx.acks),
+        };
+        quiet = Some((since, acks));
+        if since.elapsed() >= QUIET_TIME && after.frame_rx.acks >= acks + QUIET_ACKS {
+            return;
+        }
     }
 }
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -123,6 +123,8 @@
     Fabric(usize),
     /// A backend server, with its options in a file.
     Server(PathBuf),
+    /// A key-value store.
+    Store,
 }
 
 /// A parsed command line.
@@ -237,6 +239,7 @@
     match args.subcommand()?.as_deref() {
         Some("fabric") => Ok(StandIn::Fabric(args.free_from_str()?)),
         Some("server") => Ok(StandIn::Server(args.free_from_str()?)),
+        Some("store") => Ok(StandIn::Store),
         other => CommandSnafu {
             name: format!("stand-in {}", other.unwrap_or_default()),
         }
--- a/src/trial.rs
+++ b/src/trial.rs
@@ -2,6 +2,7 @@
 
 use serde_json::Value;
 
+pub mod latency;
 pub mod membership;
 pub mod relay;
 
@@ -19,6 +20,11 @@
 /// All measurements.
 pub const TRIALS: &[Trial] = &[
     membership::TRIAL,
+    Trial {
+        name: "latency",
+        about: "the time that the fleet adds to a request, in loopback hops",
+        run: latency::run,
+    },
     Trial {
         name: "relay",
         about: "a balancer's datagrams a second and memory against a bare UDP relay",
