Pass verdicts on as often as state changes

Cause: the trial's fleet of 200 still placed on members of a silent failure domain 60 s after it died (unused_by_all was null): a suspicion was sent 8 times by each process, and e^-8 of thousands of pairs missed it, while digests do not carry suspicions. Change: four more sends, as for state changes. Ruled out: suspicions in the digests, which would differ in every comparison during a cut.

--- a/src/membership/news.rs
+++ b/src/membership/news.rs
@@ -16,8 +16,8 @@
     Weight,
 }
 
-/// Sends of a state change beyond the logarithm of the fleet's size.
-const STATE_EXTRA: u32 = 4;
+/// Sends of a state change or verdict beyond the logarithm of the fleet's size.
+const EXTRA_SENDS: u32 = 4;
 
 /// Sends of a weight change.
 const WEIGHT_SENDS: u32 = 4;
@@ -102,8 +102,7 @@
 pub fn sends(class: Class, fleet: usize) -> u32 {
     let rounds = usize::BITS - fleet.leading_zeros();
     match class {
-        Class::State => rounds + STATE_EXTRA,
-        Class::Verdict => rounds,
+        Class::State | Class::Verdict => rounds + EXTRA_SENDS,
         Class::Weight => WEIGHT_SENDS,
     }
 }
--- a/src/trial/membership/faults.rs
+++ b/src/trial/membership/faults.rs
@@ -103,10 +103,12 @@
     let unused = run_until_none(&mut network, AFTER, |n| count(n, live, &silent, ready));
     let pairs = count(&network, live, &silent, |_| true);
     network.run_until(start + AFTER);
+    let used = count(&network, live, &silent, ready);
     let sent: u64 = network.nodes.iter().map(|n| n.bytes).sum();
     let live_count = (0..SIZE).filter(|n| live(*n)).count() as f64;
     json!({
         "unused_by_all_ms": unused.map(|t| t.as_millis() as u64),
+        "used_percent_after_60_s": 100.0 * used as f64 / pairs as f64,
         "removed_percent_after_60_s": 100.0 * count(&network, live, &silent, dead) as f64 / pairs as f64,
         "others_removed": count(&network, live, live, dead),
         "bytes_per_s": ((sent - bytes) as f64 / live_count / AFTER.as_secs_f64()).round(),
@@ -125,6 +127,8 @@
     network.run(CUT.saturating_sub(unused.unwrap_or(CUT)));
     let during = rates(&network, &before, CUT);
     let removed = count(&network, |_| true, |_| true, dead);
+    let pairs = count(&network, |v| !far(v), far, |_| true);
+    let used = count(&network, |v| !far(v), far, ready);
     network.cut = false;
     let before: Vec<u64> = network.nodes.iter().map(|n| n.bytes).collect();
     let healed = run_until_none(&mut network, CUT, |n| {
@@ -133,6 +137,7 @@
     let after = rates(&network, &before, healed.unwrap_or(CUT));
     json!({
         "far_side_unused_by_all_ms": unused.map(|t| t.as_millis() as u64),
+        "used_percent_at_the_end_of_the_cut": 100.0 * used as f64 / pairs as f64,
         "removed": removed,
         "removed_after_heal": count(&network, |_| true, |_| true, dead),
         "cut_mean_and_highest_bytes_per_s": during,
--- a/tests/membership/faults.rs
+++ b/tests/membership/faults.rs
@@ -272,3 +272,17 @@
         Applied::Stale
     );
 }
+
+/// The news of each of many silent members reaches all, although their number fills messages.
+#[test]
+fn silent_failure_domain_is_unused_by_all_within_10_s() {
+    let mut network = fleet(200, 1);
+    let silent: Vec<usize> = (0..200).filter(|n| n % DOMAINS == 2).collect();
+    for number in &silent {
+        network.nodes[*number].running = false;
+    }
+    network.run(seconds(10));
+    for number in silent {
+        assert_eq!(seen(&network, number, MemberState::Ready), 0);
+    }
+}
