--- a/src/trial.rs
+++ b/src/trial.rs
@@ -8,12 +8,9 @@
 pub mod latency;
 pub mod ledger;
 pub mod membership;
-<<<<<<< HEAD
 pub mod placement;
 pub mod relay;
-=======
 pub mod settings;
->>>>>>> settings
 
 /// A measurement that anyone can run again.
 #[derive(Clone, Copy)]
@@ -53,21 +50,21 @@
         about: "the ledger of one incarnation against a record in the store for each request",
         run: ledger::run,
     },
+    membership::TRIAL,
+    Trial {
+        name: "placement",
+        about: "Maglev's table against weighted rendezvous hashing: time, bytes, moves, imbalance",
+        run: placement::run,
+    },
     Trial {
         name: "relay",
         about: "a balancer's datagrams a second and memory against a bare UDP relay",
         run: relay::run,
     },
     Trial {
-<<<<<<< HEAD
-        name: "placement",
-        about: "Maglev's table against weighted rendezvous hashing: time, bytes, moves, imbalance",
-        run: placement::run,
-=======
         name: "settings",
         about: "time to all, bytes and store calls of a change of settings, by the size of the fleet",
         run: settings::run,
->>>>>>> settings
     },
 ];
 
--- a/tests/membership/faults.rs
+++ b/tests/membership/faults.rs
@@ -164,9 +164,9 @@
     network.cut = true;
     let start: Vec<u64> = network.nodes.iter().map(|n| n.bytes).collect();
     network.run(seconds(3600));
-    assert_eq!(removals(&network), 0);
     network.cut = false;
     network.run(seconds(60));
+    assert_eq!(removals(&network), 0);
     for number in 0..40 {
         assert_eq!(seen(&network, number, MemberState::Ready), 39);
     }
@@ -272,3 +272,17 @@
         Applied::Stale
     );
 }
+
+/// The news of each of many silent members reaches all, although their number fills messages.
+#[test]
+fn silent_failure_domain_is_unused_by_all_within_10_s() {
+    let mut network = fleet(200, 1);
+    let silent: Vec<usize> = (0..200).filter(|n| n % DOMAINS == 2).collect();
+    for number in &silent {
+        network.nodes[*number].running = false;
+    }
+    network.run(seconds(10));
+    for number in silent {
+        assert_eq!(seen(&network, number, MemberState::Ready), 0);
+    }
+}
