--- a/src/cli.rs
+++ b/src/cli.rs
@@ -11,12 +11,13 @@
 use pico_args::Arguments;
 use snafu::Snafu;
 
-use crate::dev::Faults;
+use crate::dev::{Faults, Load};
 
 pub mod fleet;
 pub mod help;
 pub mod print;
 pub mod run;
+pub mod settings;
 pub mod stand_in;
 
 /// Exit status of a bad command line or bad settings.
@@ -64,6 +65,8 @@
     pub faults: Faults,
     /// Seed of the fabric and of the callers.
     pub seed: u64,
+    /// What is sent in place of the site's rates.
+    pub load: Option<Load>,
     /// Whether the report is one JSON object.
     pub json: bool,
 }
@@ -160,6 +163,8 @@
         /// Control address of the daemon.
         daemon: SocketAddrV4,
     },
+    /// Read, change or explain settings.
+    Settings(settings::Options),
     /// Show where a flow or a request went.
     Explain {
         /// File with the fleet's keys and peers.
@@ -194,6 +199,7 @@
         "status" => parse_status(&mut args)?,
         "drain" => parse_drain(&mut args)?,
         "explain-flow" => parse_explain(&mut args)?,
+        "settings" => Command::Settings(settings::parse(&mut args)?),
         "trial" => parse_trial(&mut args)?,
         "stand-in" => Command::StandIn(parse_stand_in(&mut args)?),
         "completions" => Command::Completions(args.free_from_str()?),
@@ -207,6 +213,8 @@
 
 fn parse_dev(args: &mut Arguments) -> Result<DevOptions, UsageError> {
     let seconds: Option<f64> = args.opt_value_from_str("--seconds")?;
+    let factor: Option<f64> = args.opt_value_from_str("--load")?;
+    let burst = args.contains("--burst");
     Ok(DevOptions {
         site: args
             .opt_value_from_str("--site")?
@@ -214,6 +222,7 @@
         time: seconds.map(Duration::from_secs_f64),
         faults: args.opt_value_from_str("--faults")?.unwrap_or_default(),
         seed: args.opt_value_from_str("--seed")?.unwrap_or(1),
+        load: factor.map(|factor| Load { factor, burst }),
         json: args.contains("--json"),
     })
 }
--- a/src/cli/help.rs
+++ b/src/cli/help.rs
@@ -45,6 +45,11 @@
         about: "show where a flow or a request went, and why",
         help: HELP_EXPLAIN,
     },
+    Entry {
+        name: "settings",
+        about: "read, change and explain the settings in the store",
+        help: super::settings::HELP,
+    },
     Entry {
         name: "trial",
         about: "measure a decision on its state machine",
@@ -148,6 +153,8 @@
   --seconds N     time in which requests are sent
   --faults KIND   none, forgetting or rolling (default: none)
   --seed S        seed of the fabric and of the callers (default: 1)
+  --load X        send X times what the servers can carry, on connections that stay open
+  --burst         send that load in bursts: five times as much for a fifth of the time
   --json          print the report as one JSON object on the last line
 
 EXAMPLE:
--- a/src/trial.rs
+++ b/src/trial.rs
@@ -2,14 +2,15 @@
 
 use serde_json::Value;
 
+pub mod balance;
 pub mod connections;
 pub mod flows;
 pub mod latency;
 pub mod ledger;
+pub mod membership;
 pub mod placement;
 pub mod relay;
-
-pub mod membership;
+pub mod settings;
 
 /// A measurement that anyone can run again.
 #[derive(Clone, Copy)]
@@ -24,6 +25,11 @@
 
 /// All measurements.
 pub const TRIALS: &[Trial] = &[
+    Trial {
+        name: "balance",
+        about: "ways to spread requests over servers of different speed",
+        run: balance::run,
+    },
     Trial {
         name: "connections",
         about: "memory of open flows at callers and agents together",
@@ -44,15 +50,21 @@
         about: "the ledger of one incarnation against a record in the store for each request",
         run: ledger::run,
     },
+    membership::TRIAL,
+    Trial {
+        name: "placement",
+        about: "Maglev's table against weighted rendezvous hashing: time, bytes, moves, imbalance",
+        run: placement::run,
+    },
     Trial {
         name: "relay",
         about: "a balancer's datagrams a second and memory against a bare UDP relay",
         run: relay::run,
     },
     Trial {
-        name: "placement",
-        about: "Maglev's table against weighted rendezvous hashing: time, bytes, moves, imbalance",
-        run: placement::run,
+        name: "settings",
+        about: "time to all, bytes and store calls of a change of settings, by the size of the fleet",
+        run: settings::run,
     },
 ];
 
--- a/tests/flows_failures.rs
+++ b/tests/flows_failures.rs
@@ -21,6 +21,7 @@
         time: Duration::from_secs(5),
         faults: Faults::Forgetting,
         seed: 1,
+        load: None,
     };
     let report = dev::run(&site, options).await.unwrap();
     assert!(report.kept(), "{report:?}");
--- a/tests/processes/fleet.rs
+++ b/tests/processes/fleet.rs
@@ -1,10 +1,16 @@
 //! A small fleet of separate processes for one site.
 
-use std::{collections::BTreeMap, fs, io::BufReader, net::SocketAddr, path::PathBuf};
+use std::{
+    collections::BTreeMap,
+    fs,
+    io::BufReader,
+    net::{SocketAddr, SocketAddrV4},
+    path::PathBuf,
+};
 
 use berylvalve::{
     config::{
-        daemon::{AgentSettings, BalancerSettings, DaemonSettings, KeySettings},
+        daemon::{AgentSettings, BalancerSettings, DaemonSettings, KeySettings, StoreSettings},
         fleet::FleetSettings,
         site::{ServerGroup, Site},
         tree::Region,
@@ -26,6 +32,7 @@
     pub agents: Vec<Process>,
     pub balancers: Vec<Process>,
     pub folder: PathBuf,
+    pub store: Option<Process>,
     pub tree: Region,
     addresses: Vec<String>,
     certificate: PathBuf,
@@ -34,6 +41,7 @@
     private_key: PathBuf,
     seeds: Vec<String>,
     servers: Vec<Process>,
+    store_address: Option<SocketAddrV4>,
     site: Site,
 }
 
@@ -41,17 +49,37 @@
     /// Starts the stand-ins, two balancers, and two agents for each service.
     pub async fn start(name: &str) -> Self {
         let mut fleet = Self::without_agents(name).await;
-        let services: Vec<String> = fleet.tree.services.keys().cloned().collect();
+        fleet.start_agents().await;
+        fleet
+    }
+
+    /// Starts the same on a store that is empty.
+    pub async fn start_with_store(name: &str) -> Self {
+        let store = Process::tool(&["stand-in", "store"]);
+        let mut fleet = Self::start_balancers(name, Some(store)).await;
+        fleet.start_agents().await;
+        fleet
+    }
+
+    /// Starts the fabric and two balancers.
+    pub async fn without_agents(name: &str) -> Self {
+        Self::start_balancers(name, None).await
+    }
+
+    async fn start_agents(&mut self) {
+        let services: Vec<String> = self.tree.services.keys().cloned().collect();
         for service in &services {
             for _ in 0..SERVERS_PER_SERVICE {
-                fleet.start_agent(service).await;
+                self.start_agent(service).await;
             }
         }
-        fleet
     }
 
-    /// Starts the fabric and two balancers.
-    pub async fn without_agents(name: &str) -> Self {
+    async fn start_balancers(name: &str, mut store: Option<Process>) -> Self {
+        let store_address = match &mut store {
+            Some(store) => Some(store.output_after("listening").await.parse().unwrap()),
+            None => None,
+        };
         let site = dev::site(name).unwrap();
         let folder =
             std::env::temp_dir().join(format!("berylvalve-test-{:016x}", rand::random::<u64>()));
@@ -72,6 +100,7 @@
             agents: Vec::new(),
             balancers: Vec::new(),
             folder,
+            store,
             tree,
             addresses: Vec::new(),
             certificate,
@@ -80,6 +109,7 @@
             private_key,
             seeds: Vec::new(),
             servers: Vec::new(),
+            store_address,
             site,
         };
         for _ in 0..2 {
@@ -188,6 +218,7 @@
                 secret: "00112233445566778899aabbccddeeff".to_owned(),
             }],
             tree: self.tree.clone(),
+            store: self.store_settings(),
             agent: None,
             balancer: None,
         }
@@ -199,6 +230,26 @@
         file
     }
 
+    fn store_settings(&self) -> Option<StoreSettings> {
+        let address = self.store_address?;
+        Some(StoreSettings {
+            endpoints: vec![address],
+        })
+    }
+
+    /// Returns the address of the store.
+    pub fn store_address(&self) -> String {
+        self.store_address
+            .map_or(String::new(), |address| address.to_string())
+    }
+
+    /// Writes the operators' tree.
+    pub fn tree_file(&self) -> String {
+        let file = self.folder.join("tree.json");
+        fs::write(&file, serde_json::to_string(&self.tree).unwrap()).unwrap();
+        file.to_str().unwrap().to_owned()
+    }
+
     /// Writes the file with which the tool reaches the fleet.
     pub fn access_file(&self) -> String {
         let file = self.folder.join("fleet.json");
@@ -206,6 +257,8 @@
         let access = FleetSettings {
             keys: settings.keys,
             peers: settings.seeds,
+            region: self.store.as_ref().map(|_| self.tree.region.clone()),
+            store: self.store_settings(),
         };
         fs::write(&file, serde_json::to_string(&access).unwrap()).unwrap();
         file.to_str().unwrap().to_owned()
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -6,7 +6,9 @@
 mod gated;
 mod operations;
 mod process;
+mod relay;
 mod requests;
+mod settings;
 
 use std::fmt::Write;
 
