--- /dev/null
+++ b/tests/settings_outage.rs
@@ -0,0 +1,103 @@
+//! A whole fleet through outages of the store.
+
+use std::time::Duration;
+
+use berylvalve::{
+    daemon::Daemon,
+    dev,
+    kernel::Kernel,
+    settings::{
+        InForce,
+        change::Change,
+        edit::Outcome,
+        seeds::{find_seeds, keep_seed},
+    },
+    standin::kv::Kv,
+    store::EtcdStore,
+};
+use serde_json::json;
+use tokio::time::sleep;
+
+const POLLS: u32 = 200;
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
+
+fn revision(daemon: &Daemon) -> u64 {
+    let in_force = daemon.kernel.find::<InForce>(InForce::NAME).unwrap();
+    in_force.plan().revision
+}
+
+/// Changes a value and waits until it is in force in all daemons.
+async fn change(fleet: &dev::fleet::Fleet, timeout_ms: u64) -> u64 {
+    let change = Change::Set {
+        path: "services.wind.policy.timeout_ms".into(),
+        value: json!(timeout_ms),
+    };
+    let (_, outcome) = fleet.operator("ann").change(change, None).await;
+    let Outcome::Accepted {
+        revision: accepted, ..
+    } = outcome
+    else {
+        panic!("{outcome:?}");
+    };
+    for _ in 0..POLLS {
+        if fleet
+            .daemons()
+            .iter()
+            .all(|daemon| revision(daemon) >= accepted)
+        {
+            return accepted;
+        }
+        sleep(POLL_INTERVAL).await;
+    }
+    panic!("revision {accepted} was never in force everywhere");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_fleet_keeps_its_settings_through_an_outage_and_an_older_store() {
+    let site = dev::site("haverkamp").unwrap();
+    let fleet = dev::start(&site, 1).await.unwrap();
+    change(&fleet, 4001).await;
+    let older = fleet.kv.save();
+    let accepted = change(&fleet, 4002).await;
+    fleet.kv.fail(|failures| failures.down = true);
+    // A process that starts now gets its settings from its peers.
+    let late = fleet.start_balancer(0).await.unwrap();
+    assert_eq!(revision(&late), accepted);
+    late.kill().await;
+    fleet.kv.restore(older);
+    fleet.kv.fail(|failures| failures.down = false);
+    for poll in 0.. {
+        for daemon in fleet.daemons() {
+            assert_eq!(revision(&daemon), accepted);
+        }
+        let stored = fleet.operator("reader").read().await;
+        if stored.is_ok_and(|stored| stored.head.revision == accepted) {
+            break;
+        }
+        assert!(poll < POLLS, "nobody wrote back what the store lost");
+        sleep(POLL_INTERVAL).await;
+    }
+    change(&fleet, 4003).await;
+    fleet.stop().await;
+}
+
+#[tokio::test]
+async fn a_seed_whose_lease_lapsed_unseen_comes_back() {
+    let kernel = Kernel::new();
+    let kv = Kv::start(&kernel).await.unwrap();
+    let store = std::sync::Arc::new(EtcdStore::new(vec![kv.address()]));
+    let seed = "10.0.0.1:7000".parse().unwrap();
+    let key = "berylvalve/r/seeds/10.0.0.1:7000".to_owned();
+    kernel.spawn(keep_seed(store.clone(), key, seed));
+    for lapses in 0..2 {
+        let mut polls = 0;
+        while find_seeds(store.as_ref(), "r").await != [seed] {
+            assert!(polls < POLLS, "no seed after {lapses} lapses");
+            polls += 1;
+            sleep(POLL_INTERVAL).await;
+        }
+        kv.lapse();
+        assert_eq!(find_seeds(store.as_ref(), "r").await, []);
+    }
+    kernel.stop().await;
+}
