--- a/src/agent.rs
+++ b/src/agent.rs
@@ -4,7 +4,7 @@
 
 use quinn::{
     ConnectionId, ConnectionIdGenerator, Endpoint, EndpointConfig, IdleTimeout, MtuDiscoveryConfig,
-    ServerConfig, TransportConfig, crypto::rustls::QuicServerConfig,
+    ServerConfig, TransportConfig, VarInt, crypto::rustls::QuicServerConfig,
 };
 use quinn_proto::InvalidCid;
 use snafu::{ResultExt, Snafu};
@@ -32,8 +32,10 @@
 pub mod intake;
 pub mod job;
 pub mod ledger;
+pub mod offload;
 pub mod once;
 pub mod pass;
+pub mod peers;
 pub mod pressure;
 pub mod reset;
 pub mod runner;
@@ -51,6 +53,9 @@
 /// within a second.
 const MIN_RESET_INTERVAL: Duration = Duration::from_micros(100);
 
+/// Bytes of a connection that may be on their way to one end.
+pub const RECEIVE_WINDOW_BYTES: u32 = 64 << 20;
+
 /// An error at the start of an agent.
 #[derive(Debug, Snafu)]
 pub enum AgentError {
@@ -165,6 +170,7 @@
         http::HandlerServices {
             decisions: kernel.find(Decisions::NAME).context(KernelSnafu)?,
             gate,
+            local: kernel.find(LocalRecord::NAME).context(KernelSnafu)?,
             metrics: kernel.find(Metrics::NAME).context(KernelSnafu)?,
             settings: kernel.find(InForce::NAME).context(KernelSnafu)?,
         },
@@ -195,11 +201,17 @@
 /// Serves the requests that other agents pass on.
 fn serve_passed(kernel: &Kernel, handler: &Arc<http::Handler>) -> Result<(), KernelError> {
     let control: Arc<Control> = kernel.find(Control::NAME)?;
+    let borrower = handler.clone();
     let handler = handler.clone();
     control.route(pass::PATH, move |passed: PassedRequest| {
         let handler = handler.clone();
         Box::pin(async move { handler.passed(passed).await })
     });
+    let handler = borrower;
+    control.route(offload::PATH, move |passed: PassedRequest| {
+        let handler = handler.clone();
+        Box::pin(async move { handler.offloaded(passed).await })
+    });
     Ok(())
 }
 
@@ -246,6 +258,7 @@
 /// Returns the QUIC transport settings that agents and callers share.
 pub fn transport_config() -> TransportConfig {
     let mut config = TransportConfig::default();
+    config.receive_window(VarInt::from_u32(RECEIVE_WINDOW_BYTES));
     config.initial_mtu(QUIC_MTU_BYTES);
     config.min_mtu(QUIC_MTU_BYTES);
     let mut discovery = MtuDiscoveryConfig::default();
--- a/src/agent/gate.rs
+++ b/src/agent/gate.rs
@@ -56,7 +56,7 @@
 
 /// Takes a request out of the queue when its caller is gone.
 struct Waiting<'a> {
-    gate: &'a Gate,
+    gate: &'a Arc<Gate>,
     id: WaiterId,
 }
 
@@ -115,17 +115,10 @@
         decision
     }
 
-    /// Takes a slot if one is free now.
-    pub fn try_admit(self: &Arc<Self>, arrival: &Arrival) -> Option<Permit> {
-        self.step(|gate, state, now| {
-            if !state.admission.has_free_slot() {
-                return None;
-            }
-            match state.admission.arrive(arrival, now) {
-                Verdict::Start => Some(gate.permit(now)),
-                Verdict::Wait(_) | Verdict::Refuse(_) => None,
-            }
-        })
+    /// Returns whether a request would get a slot at once, or the place of one of lower priority.
+    pub fn has_room(&self, priority: u8) -> bool {
+        let state = self.state.lock().expect("gate lock");
+        state.admission.has_room(priority)
     }
 
     /// Takes a connection for a feed.
@@ -246,8 +239,9 @@
 
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
-        let mut state = self.gate.state.lock().expect("gate lock");
-        state.admission.cancel(self.id);
-        state.senders.remove(self.id);
+        self.gate.step(|_, state, _| {
+            state.admission.cancel(self.id);
+            state.senders.remove(self.id);
+        });
     }
 }
--- a/src/trial.rs
+++ b/src/trial.rs
@@ -2,12 +2,14 @@
 
 use serde_json::Value;
 
+pub mod balance;
 pub mod connections;
+pub mod flows;
 pub mod latency;
 pub mod ledger;
-pub mod relay;
-
 pub mod membership;
+pub mod placement;
+pub mod relay;
 pub mod settings;
 
 /// A measurement that anyone can run again.
@@ -23,11 +25,21 @@
 
 /// All measurements.
 pub const TRIALS: &[Trial] = &[
+    Trial {
+        name: "balance",
+        about: "ways to spread requests over servers of different speed",
+        run: balance::run,
+    },
     Trial {
         name: "connections",
         about: "memory of open flows at callers and agents together",
         run: connections::run,
     },
+    Trial {
+        name: "flows",
+        about: "flows broken by planned changes: consistent hash, earlier owners, owner ids",
+        run: flows::run,
+    },
     Trial {
         name: "latency",
         about: "the time that the fleet adds to a request, in loopback hops",
@@ -38,6 +50,12 @@
         about: "the ledger of one incarnation against a record in the store for each request",
         run: ledger::run,
     },
+    membership::TRIAL,
+    Trial {
+        name: "placement",
+        about: "Maglev's table against weighted rendezvous hashing: time, bytes, moves, imbalance",
+        run: placement::run,
+    },
     Trial {
         name: "relay",
         about: "a balancer's datagrams a second and memory against a bare UDP relay",
