Make a balancer ready only when it can place new flows

Cause: a balancer answered /ready at its start, before it knew an agent, so that the fabric sent it openings that it had to drop. Seen to fail: with the old flag a balancer without a fleet answered 200 (tests/readiness.rs expects 503). A stop is final: nothing makes a stopping balancer ready again.

--- a/src/control.rs
+++ b/src/control.rs
@@ -7,10 +7,7 @@
     collections::HashMap,
     convert::Infallible,
     net::SocketAddrV4,
-    sync::{
-        Arc, Mutex,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::{Arc, Mutex},
     time::Duration,
 };
 
@@ -74,10 +71,21 @@
 /// A handler of signed messages on one path.
 pub type Route = Arc<dyn Fn(Bytes) -> BoxFuture<'static, Option<Vec<u8>>> + Send + Sync>;
 
+/// Whether the fabric may send datagrams to the process.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Readiness {
+    /// The process can't place new flows yet.
+    Starting,
+    /// The process takes datagrams.
+    Ready,
+    /// The process stops.
+    Stopping,
+}
+
 /// The control server of one process, under the name [`Control::NAME`].
 pub struct Control {
     metrics: Arc<Metrics>,
-    ready: AtomicBool,
+    readiness: Mutex<Readiness>,
     routes: Mutex<HashMap<&'static str, Route>>,
     signer: Signer,
 }
@@ -85,7 +93,7 @@
 impl std::fmt::Debug for Control {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("Control")
-            .field("ready", &self.ready)
+            .field("readiness", &self.readiness)
             .finish_non_exhaustive()
     }
 }
@@ -101,9 +109,21 @@
     /// Name of the service in the kernel's registry.
     pub const NAME: &'static str = "control";
 
-    /// Sets whether the fabric may send datagrams here.
-    pub fn set_ready(&self, ready: bool) {
-        self.ready.store(ready, Ordering::Relaxed);
+    /// Lets the fabric send datagrams here, unless the process already stops.
+    pub fn start_serving(&self) {
+        let mut readiness = self.readiness.lock().expect("readiness lock");
+        if *readiness == Readiness::Starting {
+            *readiness = Readiness::Ready;
+        }
+    }
+
+    /// Asks the fabric to send no more datagrams here; there is no way back.
+    pub fn stop_serving(&self) {
+        *self.readiness.lock().expect("readiness lock") = Readiness::Stopping;
+    }
+
+    fn is_ready(&self) -> bool {
+        *self.readiness.lock().expect("readiness lock") == Readiness::Ready
     }
 
     /// Serves messages of type `M` on a path with answers of type `A`.
@@ -163,9 +183,7 @@
     fn open_route(&self, path: &str) -> Response<Full<Bytes>> {
         match path {
             "/health" => respond(StatusCode::OK, "healthy\n".into()),
-            "/ready" if self.ready.load(Ordering::Relaxed) => {
-                respond(StatusCode::OK, "ready\n".into())
-            }
+            "/ready" if self.is_ready() => respond(StatusCode::OK, "ready\n".into()),
             "/ready" => respond(StatusCode::SERVICE_UNAVAILABLE, "not ready\n".into()),
             "/metrics" => respond(StatusCode::OK, self.metrics.text().into()),
             _ => respond(StatusCode::NOT_FOUND, Bytes::new()),
@@ -187,7 +205,7 @@
 pub fn start(kernel: &Kernel, listener: TcpListener, signer: Signer) -> Result<(), KernelError> {
     let control = Arc::new(Control {
         metrics: kernel.find(Metrics::NAME)?,
-        ready: AtomicBool::new(true),
+        readiness: Mutex::new(Readiness::Starting),
         routes: Mutex::default(),
         signer,
     });
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -142,6 +142,7 @@
         } else if let Some(agent) = &settings.agent {
             start_agent(&kernel, data_socket, owner, settings, agent)?;
         }
+        serve_when_ready(&kernel, settings.role).context(KernelSnafu)?;
         tracing::info!(event = "started", role = ?settings.role, %data, %control, domain = settings.domain);
         Ok(Self {
             kernel,
@@ -165,7 +166,7 @@
             local.update(|record| record.state = MemberState::Draining);
         }
         if let Ok(control) = self.kernel.find::<Control>(Control::NAME) {
-            control.set_ready(false);
+            control.stop_serving();
         }
         tracing::info!(event = "draining", data = %self.data);
         if let Ok(agent) = self.kernel.find::<Agent>(Agent::NAME) {
@@ -239,6 +240,28 @@
     Some(Arc::new(EtcdStore::new(store.endpoints.clone())))
 }
 
+/// Tells the fabric that the process takes datagrams: an agent at once, a balancer when it knows an
+/// agent that takes new flows.
+fn serve_when_ready(kernel: &Kernel, role: Role) -> Result<(), KernelError> {
+    let control: Arc<Control> = kernel.find(Control::NAME)?;
+    if role == Role::Agent {
+        control.start_serving();
+        return Ok(());
+    }
+    let directory: Arc<Directory> = kernel.find(Directory::NAME)?;
+    kernel.spawn(async move {
+        let mut changes = directory.changes();
+        while directory.view().tables.is_empty() {
+            if changes.changed().await.is_err() {
+                return;
+            }
+        }
+        control.start_serving();
+        tracing::info!(event = "ready");
+    });
+    Ok(())
+}
+
 fn served_tag(settings: &DaemonSettings) -> ServiceTag {
     let name = settings.agent.as_ref().map(|agent| agent.service.as_str());
     let service = name.and_then(|name| settings.tree.services.get(name));
