--- a/src/dev/fleet.rs
+++ b/src/dev/fleet.rs
@@ -24,7 +24,7 @@
     member::{Directory, MemberState, Role},
     standin::{
         fabric::Fabric,
-        server::{Server, ServerOptions},
+        server::{Conduct, Server, ServerOptions},
     },
 };
 
@@ -255,6 +255,7 @@
             slots: group.slots as usize,
             answers,
             feeds,
+            conduct: Conduct::default(),
         }
     }
 }
--- a/src/standin/server.rs
+++ b/src/standin/server.rs
@@ -23,11 +23,16 @@
 use serde::{Deserialize, Serialize};
 use tokio::{net::TcpListener, sync::Semaphore, time::Instant};
 
+pub mod conduct;
+
+pub use conduct::{Conduct, Note};
+
 use super::body::answer_body;
 use crate::{
-    consts::{OUTCOME_HEADER, REQUEST_ID_HEADER},
+    consts::{OUTCOME_HEADER, REQUEST_ID_HEADER, TIMEOUT_HEADER},
     kernel::Kernel,
 };
+use conduct::State;
 
 /// Interval between two events of a feed.
 const FEED_INTERVAL: Duration = Duration::from_millis(200);
@@ -48,6 +53,9 @@
     pub answers: Vec<(String, usize)>,
     /// Paths of feeds.
     pub feeds: Vec<String>,
+    /// How the server misbehaves.
+    #[serde(default)]
+    pub conduct: Conduct,
 }
 
 /// A request that a backend server ran.
@@ -70,6 +78,7 @@
     options: ServerOptions,
     slots: Semaphore,
     span: Mutex<Option<(Instant, Instant)>>,
+    state: State,
 }
 
 impl Server {
@@ -86,6 +95,7 @@
             journal: Mutex::default(),
             slots: Semaphore::new(options.slots),
             span: Mutex::default(),
+            state: State::new(options.conduct),
             options,
         });
         kernel.spawn(accept(listener, server.clone()));
@@ -102,6 +112,11 @@
         self.journal.lock().expect("journal lock").clone()
     }
 
+    /// Returns how the server behaves now.
+    pub fn state(&self) -> &State {
+        &self.state
+    }
+
     /// Returns the slot time used so far.
     pub fn busy(&self) -> Duration {
         Duration::from_micros(self.busy_us.load(Ordering::Relaxed))
@@ -127,13 +142,8 @@
         request: Request<Incoming>,
     ) -> Result<Response<Body>, Infallible> {
         let path = request.uri().path().to_owned();
-        if path == "/journal" {
-            return Ok(whole(
-                StatusCode::OK,
-                serde_json::to_vec(&self.journal())
-                    .unwrap_or_default()
-                    .into(),
-            ));
+        if let Some(report) = self.report(&path) {
+            return Ok(report);
         }
         if self.options.feeds.contains(&path) {
             return Ok(feed(last_event(&request)));
@@ -143,9 +153,15 @@
             .and_then(|value| value.to_str().ok())
             .unwrap_or("-")
             .to_owned();
-        let Ok(_slot) = self.slots.try_acquire() else {
+        if self.late(&request) {
+            self.state.note(&id, Note::Late);
             return Ok(shed());
-        };
+        }
+        let slot = self.slots.try_acquire();
+        if slot.is_err() || self.state.draining() {
+            self.state.note(&id, Note::Shed);
+            return Ok(shed());
+        }
         let _ = request.into_body().collect().await;
         self.run(&id, &path).await;
         let answer = self.options.answers.iter().find(|(p, _)| *p == path);
@@ -155,6 +171,34 @@
         })
     }
 
+    /// Answers the paths that are not requests: the journal, the notes, the load and the health.
+    fn report(&self, path: &str) -> Option<Response<Body>> {
+        let body = match path {
+            "/journal" => serde_json::to_vec(&self.journal()),
+            "/notes" => serde_json::to_vec(&self.state.notes()),
+            "/load" => serde_json::to_vec(&self.state.reported_load()),
+            "/health" => serde_json::to_vec(&self.state.reported_health()),
+            _ => return None,
+        };
+        Some(whole(StatusCode::OK, body.unwrap_or_default().into()))
+    }
+
+    /// Returns whether a request can't end before its deadline.
+    fn late(&self, request: &Request<Incoming>) -> bool {
+        let left = request.headers().get(TIMEOUT_HEADER);
+        let left = left.and_then(|value| value.to_str().ok()?.parse().ok());
+        left.is_some_and(|left| Duration::from_millis(left) < self.work())
+    }
+
+    fn work(&self) -> Duration {
+        self.state.work(Duration::from_millis(self.options.work_ms))
+    }
+
+    fn observe_load(&self) {
+        let free = self.slots.available_permits();
+        self.state.observe((self.options.slots - free) as u32);
+    }
+
     async fn run(&self, id: &str, path: &str) {
         let run = Run {
             service: self.options.service.clone(),
@@ -162,15 +206,12 @@
             path: path.to_owned(),
         };
         self.journal.lock().expect("journal lock").push(run);
-        let busy = Busy {
-            began: Instant::now(),
-            server: self,
-        };
-        let work = Duration::from_millis(self.options.work_ms);
+        let mut busy = Busy::start(self, id);
+        let work = self.work();
         if !work.is_zero() {
             tokio::time::sleep(work).await;
         }
-        drop(busy);
+        busy.ended = true;
     }
 
     /// Counts slot time from `began` to now.
@@ -187,12 +228,30 @@
 /// Counts the slot time of a request, also if it is cancelled.
 struct Busy<'a> {
     began: Instant,
+    ended: bool,
+    id: &'a str,
     server: &'a Server,
 }
 
+impl<'a> Busy<'a> {
+    fn start(server: &'a Server, id: &'a str) -> Self {
+        server.observe_load();
+        Self {
+            began: Instant::now(),
+            ended: false,
+            id,
+            server,
+        }
+    }
+}
+
 impl Drop for Busy<'_> {
     fn drop(&mut self) {
         self.server.count(self.began);
+        self.server.observe_load();
+        if !self.ended {
+            self.server.state.note(self.id, Note::Cancelled);
+        }
     }
 }
 
--- a/tests/processes/fleet.rs
+++ b/tests/processes/fleet.rs
@@ -11,7 +11,7 @@
     },
     dev,
     member::Role,
-    standin::server::ServerOptions,
+    standin::server::{Conduct, ServerOptions},
 };
 
 use rustls::pki_types::CertificateDer;
@@ -130,6 +130,7 @@
             slots: group.slots as usize,
             answers,
             feeds,
+            conduct: Conduct::default(),
         };
         let number = self.agents.len();
         let file = self.folder.join(format!("server-{number}.json"));
