--- a/src/agent/runner.rs
+++ b/src/agent/runner.rs
@@ -63,6 +63,11 @@
         &self.gate
     }
 
+    /// Returns the connections to the backend server.
+    pub fn upstream(&self) -> &Upstream {
+        &self.upstream
+    }
+
     /// Opens a feed on the backend server, which answers by the deadline.
     ///
     /// # Errors
--- a/src/trial.rs
+++ b/src/trial.rs
@@ -4,10 +4,13 @@
 
 pub mod balance;
 pub mod connections;
+pub mod flows;
 pub mod latency;
 pub mod ledger;
 pub mod membership;
+pub mod placement;
 pub mod relay;
+pub mod settings;
 
 /// A measurement that anyone can run again.
 #[derive(Clone, Copy)]
@@ -32,6 +35,11 @@
         about: "memory of open flows at callers and agents together",
         run: connections::run,
     },
+    Trial {
+        name: "flows",
+        about: "flows broken by planned changes: consistent hash, earlier owners, owner ids",
+        run: flows::run,
+    },
     Trial {
         name: "latency",
         about: "the time that the fleet adds to a request, in loopback hops",
@@ -42,11 +50,22 @@
         about: "the ledger of one incarnation against a record in the store for each request",
         run: ledger::run,
     },
+    membership::TRIAL,
+    Trial {
+        name: "placement",
+        about: "Maglev's table against weighted rendezvous hashing: time, bytes, moves, imbalance",
+        run: placement::run,
+    },
     Trial {
         name: "relay",
         about: "a balancer's datagrams a second and memory against a bare UDP relay",
         run: relay::run,
     },
+    Trial {
+        name: "settings",
+        about: "time to all, bytes and store calls of a change of settings, by the size of the fleet",
+        run: settings::run,
+    },
 ];
 
 /// Returns the measurement of a name.
