--- a/src/dev/fleet.rs
+++ b/src/dev/fleet.rs
@@ -26,7 +26,7 @@
     standin::{
         fabric::Fabric,
         kv::Kv,
-        server::{Server, ServerOptions},
+        server::{Conduct, Server, ServerOptions},
     },
     store::EtcdStore,
 };
@@ -301,6 +301,7 @@
             slots: group.slots as usize,
             answers,
             feeds,
+            conduct: Conduct::default(),
         }
     }
 }
--- a/tests/processes/fleet.rs
+++ b/tests/processes/fleet.rs
@@ -17,7 +17,7 @@
     },
     dev,
     member::Role,
-    standin::server::ServerOptions,
+    standin::server::{Conduct, ServerOptions},
 };
 
 use rustls::pki_types::CertificateDer;
@@ -160,6 +160,7 @@
             slots: group.slots as usize,
             answers,
             feeds,
+            conduct: Conduct::default(),
         };
         let number = self.agents.len();
         let file = self.folder.join(format!("server-{number}.json"));
