Give the final word on a key whose owner is suspected, instead of waiting

Cause: tests/processes requests::an_agent_is_lost_* failed in 2 of 6 runs on a busy machine with 'no final word' after a freeze of 8 s. The second agent passed the request to the frozen owner, whose kernel takes the connection, and waited until 100 ms before the caller's deadline; on a loaded machine the answer came too late. Ruled out: a longer time for the answer's way, which holds a given-up request back all the same.

--- a/src/agent/pass.rs
+++ b/src/agent/pass.rs
@@ -1,10 +1,11 @@
 //! Passes requests with a key to the incarnation that issued it.
 
-use std::{net::SocketAddrV4, sync::Arc, time::Duration};
+use std::{future::pending, net::SocketAddrV4, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use tokio::time::{Instant, sleep_until};
 
 use super::{
     answer::{Answer, Outcome},
@@ -21,6 +22,9 @@
 /// Path of passed requests on the control server.
 pub const PATH: &str = "/agent/request";
 
+/// Time that a suspected owner of a key gets to show that it runs.
+const REFUTE_TIME: Duration = Duration::from_secs(1);
+
 /// Who answers for a key.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Keeper {
@@ -148,7 +152,14 @@
     /// A request that can't be passed on may have run in an earlier attempt: the answer is
     /// "unknown", whether or not this attempt left.
     pub async fn pass(&self, owner: &Owner, peer: SocketAddrV4, job: &Job) -> Answer {
-        let answer: Result<PassedAnswer, _> = self.send(PATH, owner, peer, job).await;
+        let sent = self.send(PATH, owner, peer, job);
+        let answer: Result<PassedAnswer, _> = tokio::select! {
+            answer = sent => answer,
+            () = self.owner_silent(owner) => {
+                tracing::info!(event = "request_given_up", id = job.id(), %peer);
+                return Answer::unknown();
+            }
+        };
         match answer {
             Ok(answer) => answer.answer(self.clock.now()),
             Err(error) => {
@@ -157,6 +168,36 @@
             }
         }
     }
+
+    /// Waits until the owner is gone, or suspected for as long as it may take to refute that.
+    async fn owner_silent(&self, owner: &Owner) {
+        let mut changes = self.directory.changes();
+        let mut deadline = None;
+        loop {
+            let view = self.directory.view();
+            match view.members.get(&owner.address).map(|record| record.state) {
+                None | Some(MemberState::Dead | MemberState::Left) => return,
+                Some(MemberState::Suspect) => {
+                    deadline.get_or_insert_with(|| Instant::now() + REFUTE_TIME);
+                }
+                Some(MemberState::Ready | MemberState::Draining) => deadline = None,
+            }
+            let expired = async {
+                match deadline {
+                    Some(deadline) => sleep_until(deadline).await,
+                    None => pending().await,
+                }
+            };
+            tokio::select! {
+                () = expired => return,
+                changed = changes.changed() => {
+                    if changed.is_err() {
+                        return;
+                    }
+                }
+            }
+        }
+    }
 }
 
 impl Passing {
