--- a/src/cli.rs
+++ b/src/cli.rs
@@ -11,7 +11,10 @@
 use pico_args::Arguments;
 use snafu::Snafu;
 
-use crate::dev::{Faults, Load};
+use crate::{
+    dev::{Faults, Load},
+    load::LoadOptions,
+};
 
 pub mod fleet;
 pub mod help;
@@ -94,6 +97,19 @@
     pub feed: Option<u64>,
 }
 
+/// Options of `load`.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LoadCommand {
+    /// Certificate to trust, in PEM.
+    pub root: PathBuf,
+    /// File of the site.
+    pub site: PathBuf,
+    /// What is sent.
+    pub load: LoadOptions,
+    /// Whether the report is one JSON object.
+    pub json: bool,
+}
+
 /// Kind of a settings file.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum FileKind {
@@ -141,6 +157,8 @@
     Dev(DevOptions),
     /// Send one request.
     Call(CallOptions),
+    /// Send a site's mix to a running fleet.
+    Load(LoadCommand),
     /// Check a settings file.
     Check(FileKind, PathBuf),
     /// List the trials, or run one with a seed.
@@ -195,6 +213,7 @@
     let command = match entry.name {
         "dev" => Command::Dev(parse_dev(&mut args)?),
         "call" => Command::Call(parse_call(&mut args)?),
+        "load" => Command::Load(parse_load(&mut args)?),
         "check" => parse_check(&mut args)?,
         "status" => parse_status(&mut args)?,
         "drain" => parse_drain(&mut args)?,
@@ -212,14 +231,13 @@
 }
 
 fn parse_dev(args: &mut Arguments) -> Result<DevOptions, UsageError> {
-    let seconds: Option<f64> = args.opt_value_from_str("--seconds")?;
-    let factor: Option<f64> = args.opt_value_from_str("--load")?;
+    let factor: Option<f64> = args.opt_value_from_fn("--load", factor)?;
     let burst = args.contains("--burst");
     Ok(DevOptions {
         site: args
             .opt_value_from_str("--site")?
             .unwrap_or_else(|| "haverkamp".to_owned()),
-        time: seconds.map(Duration::from_secs_f64),
+        time: args.opt_value_from_fn("--seconds", seconds)?,
         faults: args.opt_value_from_str("--faults")?.unwrap_or_default(),
         seed: args.opt_value_from_str("--seed")?.unwrap_or(1),
         load: factor.map(|factor| Load { factor, burst }),
@@ -285,3 +303,31 @@
         subject: args.free_from_str()?,
     })
 }
+
+/// Reads a time in seconds.
+fn seconds(text: &str) -> Result<Duration, String> {
+    let number = factor(text)?;
+    Duration::try_from_secs_f64(number).map_err(|error| error.to_string())
+}
+
+/// Reads a number above zero.
+fn factor(text: &str) -> Result<f64, String> {
+    let number: f64 = text.parse().map_err(|_| "not a number".to_owned())?;
+    match number.is_finite() && number > 0.0 {
+        true => Ok(number),
+        false => Err("not above zero".to_owned()),
+    }
+}
+
+fn parse_load(args: &mut Arguments) -> Result<LoadCommand, UsageError> {
+    Ok(LoadCommand {
+        root: args.value_from_str("--root")?,
+        load: LoadOptions {
+            time: args.value_from_fn("--seconds", seconds)?,
+            rate: args.opt_value_from_fn("--rate", factor)?.unwrap_or(1.0),
+            seed: args.opt_value_from_str("--seed")?.unwrap_or(1),
+        },
+        json: args.contains("--json"),
+        site: args.free_from_str()?,
+    })
+}
--- a/src/cli/help.rs
+++ b/src/cli/help.rs
@@ -25,6 +25,11 @@
         about: "send one request as a caller",
         help: HELP_CALL,
     },
+    Entry {
+        name: "load",
+        about: "send a site's mix to a running fleet",
+        help: HELP_LOAD,
+    },
     Entry {
         name: "check",
         about: "check a settings file",
@@ -178,6 +183,25 @@
   berylvalve call --root root.pem --service wind 127.0.0.1:4433 POST /checkin 'kite 7'
 ";
 
+const HELP_LOAD: &str = "\
+berylvalve load: send a site's mix to a running fleet
+
+The site's file names the services with their addresses and what its callers send.
+
+USAGE:
+  berylvalve load --root FILE --seconds N SITE-FILE
+
+OPTIONS:
+  --root FILE     certificate that signs the services' certificates, in PEM
+  --seconds N     time in which requests are sent
+  --rate X        factor on the rates of the site's mix (default: 1)
+  --seed S        seed of the gaps between requests (default: 1)
+  --json          print the report as one JSON object, and no progress
+
+EXAMPLE:
+  berylvalve load --root root.pem --seconds 30 --rate 2 site.json
+";
+
 const HELP_CHECK: &str = "\
 berylvalve check: check a settings file without starting anything
 
--- a/src/cli/print.rs
+++ b/src/cli/print.rs
@@ -1,25 +1,32 @@
 //! What the tool prints.
 
-use crate::{
-    caller::Reply,
-    dev::{Report, fleet::Fleet},
-};
+use serde::Serialize;
 
-/// Returns the report as aligned lines.
-pub fn report_text(report: &Report) -> String {
+use crate::{caller::Reply, dev::fleet::Fleet, load::LoadReport};
+
+/// Returns the fields of a report as aligned lines.
+pub fn lines<T: Serialize>(report: &T) -> String {
     let value = serde_json::to_value(report).unwrap_or_default();
     let mut text = String::new();
     for (name, value) in value.as_object().into_iter().flatten() {
-        text.push_str(&format!("{name:<16}{value}\n"));
+        text.push_str(&format!("{name:<20}{value}\n"));
     }
     text
 }
 
-/// Returns the report as one JSON object in one line.
-pub fn report_json(report: &Report) -> String {
+/// Returns a report as one JSON object in one line.
+pub fn json_line<T: Serialize>(report: &T) -> String {
     serde_json::to_string(report).unwrap_or_default()
 }
 
+/// Returns one line that tells how a load goes.
+pub fn load_progress(report: &LoadReport) -> String {
+    format!(
+        "sent {} answered {} refused {} unknown {} lost {} p99 {:.1} ms",
+        report.sent, report.answered, report.refused, report.unknown, report.lost, report.p99_ms,
+    )
+}
+
 /// Returns where a site can be reached and how.
 pub fn fleet_text(fleet: &Fleet) -> String {
     let mut text = String::new();
@@ -44,6 +51,11 @@
         "fleet\n  berylvalve status --fleet {}\n",
         fleet.access_file().display()
     ));
+    text.push_str(&format!(
+        "  berylvalve load --root {} --seconds 10 {}\n",
+        fleet.certificate.certificate.display(),
+        fleet.site_file().display()
+    ));
     text
 }
 
--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -1,13 +1,19 @@
 //! Runs the commands of the tool.
 
-use std::{fs::File, io::BufReader, path::Path, process::ExitCode, sync::Arc};
+use std::{
+    fs::File,
+    io::{BufReader, IsTerminal, stderr},
+    path::Path,
+    process::ExitCode,
+    sync::Arc,
+};
 
 use bytes::Bytes;
 use rustls::pki_types::CertificateDer;
 use tokio::time::Instant;
 
 use super::{
-    CallOptions, Command, DevOptions, EXIT_FAILURE, EXIT_USAGE, FileKind,
+    CallOptions, Command, DevOptions, EXIT_FAILURE, EXIT_USAGE, FileKind, LoadCommand,
     fleet::{self, FleetError},
     help, print, settings, stand_in,
 };
@@ -16,6 +22,7 @@
     caller::{Call, Caller},
     config::{self, daemon::DaemonSettings, site::Site, tree::Region},
     dev::{self, DevError, RunOptions},
+    load::{self, LoadReport},
     trial,
 };
 
@@ -36,6 +43,10 @@
             json,
         } => finish(fleet::explain(&fleet, &subject, json).await),
         Command::Settings(options) => run_settings(&options).await,
+        Command::Load(options) => match run_load(&options).await {
+            Ok(code) => code,
+            Err(message) => failure(&message),
+        },
         Command::Check(kind, file) => run_check(kind, &file),
         Command::StandIn(stand_in) => match stand_in::run(stand_in).await {
             Ok(()) => ExitCode::SUCCESS,
@@ -154,9 +165,9 @@
     };
     let report = dev::run(&site, run_options).await?;
     if options.json {
-        println!("{}", print::report_json(&report));
+        println!("{}", print::json_line(&report));
     } else {
-        print!("{}", print::report_text(&report));
+        print!("{}", print::lines(&report));
     }
     Ok(if report.kept() {
         ExitCode::SUCCESS
@@ -205,6 +216,39 @@
     })
 }
 
+async fn run_load(options: &LoadCommand) -> Result<ExitCode, String> {
+    let site: Site = match config::load(&options.site) {
+        Ok(site) => site,
+        Err(error) => {
+            eprintln!("berylvalve: {error}");
+            return Ok(ExitCode::from(EXIT_USAGE));
+        }
+    };
+    let roots = read_roots(&options.root);
+    let roots = roots.map_err(|e| format!("{}: {e}", options.root.display()))?;
+    let shows = !options.json && stderr().is_terminal();
+    let progress = |report: &LoadReport| {
+        if shows {
+            eprint!("\r{}", print::load_progress(report));
+        }
+    };
+    let report = load::run(&site, &roots, options.load, progress).await;
+    let report = report.map_err(|e| e.to_string())?;
+    if shows {
+        eprintln!();
+    }
+    match options.json {
+        true => println!("{}", print::json_line(&report)),
+        false => print!("{}", print::lines(&report)),
+    }
+    let whole = report.lost == 0 && report.broken_flows == 0;
+    Ok(if whole {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::from(EXIT_FAILURE)
+    })
+}
+
 fn random_id() -> String {
     format!("call-{:08x}", rand::random::<u32>())
 }
--- a/src/dev.rs
+++ b/src/dev.rs
@@ -20,6 +20,7 @@
 pub mod fleet;
 pub mod mix;
 pub mod report;
+pub mod tally;
 
 pub use faults::Faults;
 pub use report::Report;
@@ -127,7 +128,8 @@
 /// Fails if the site can't start.
 pub async fn run(site: &Site, options: RunOptions) -> Result<Report, DevError> {
     let fleet = Arc::new(Fleet::start(site, options.seed).await?);
-    let mix = Mix::start(site, &fleet, options).await?;
+    let roots = [fleet.certificate.root.clone()];
+    let mix = Mix::start(site, &fleet.tree, &roots, options).await?;
     let changes = Arc::new(Mutex::new(Changes::default()));
     let faults = faults::apply(fleet.clone(), options.faults, changes.clone());
     let faults = tokio::spawn(faults);
--- a/src/dev/fleet.rs
+++ b/src/dev/fleet.rs
@@ -218,6 +218,11 @@
         self.certificate.certificate.with_file_name("fleet.json")
     }
 
+    /// Returns the file of the site with the addresses that are bound.
+    pub fn site_file(&self) -> PathBuf {
+        self.certificate.certificate.with_file_name("site.json")
+    }
+
     fn write_access(&self) -> std::io::Result<()> {
         let balancers = self.balancers.lock().expect("balancers lock");
         let access = FleetSettings {
@@ -226,7 +231,12 @@
             region: Some(self.tree.region.clone()),
             store: Some(self.store_settings()),
         };
-        std::fs::write(self.access_file(), serde_json::to_vec_pretty(&access)?)
+        std::fs::write(self.access_file(), serde_json::to_vec_pretty(&access)?)?;
+        let site = Site {
+            tree: self.tree.clone(),
+            ..self.site.clone()
+        };
+        std::fs::write(self.site_file(), serde_json::to_vec_pretty(&site)?)
     }
 
     /// Tells the fabric which balancers are in use.
--- a/src/dev/mix.rs
+++ b/src/dev/mix.rs
@@ -13,6 +13,7 @@
 use http::Method;
 use quinn::Endpoint;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
+use rustls::pki_types::CertificateDer;
 use snafu::ResultExt;
 use tokio::{
     sync::watch,
@@ -20,11 +21,14 @@
     time::{Instant, sleep, sleep_until, timeout},
 };
 
-use super::{ClientSnafu, DevError, Load, RunOptions, fleet::Fleet};
+use super::{ClientSnafu, DevError, Load, RunOptions};
 use crate::{
     agent::answer::Outcome,
     caller::{Call, Caller, client_endpoint},
-    config::site::{MixEntry, Site},
+    config::{
+        site::{MixEntry, Site},
+        tree::Region,
+    },
     standin::body::answer_body,
 };
 
@@ -96,17 +100,21 @@
     /// # Errors
     ///
     /// Fails if no socket can be opened.
-    pub async fn start(site: &Site, fleet: &Fleet, options: RunOptions) -> Result<Self, DevError> {
+    pub async fn start(
+        site: &Site,
+        tree: &Region,
+        roots: &[CertificateDer<'static>],
+        options: RunOptions,
+    ) -> Result<Self, DevError> {
         let seen = Arc::new(Seen::default());
         let (stop, _) = watch::channel(());
         let mut tasks = JoinSet::new();
-        let roots = [fleet.certificate.root.clone()];
         let mut endpoints = Vec::with_capacity(ENDPOINTS);
         for _ in 0..ENDPOINTS {
-            endpoints.push(client_endpoint(&roots).context(ClientSnafu)?);
+            endpoints.push(client_endpoint(roots).context(ClientSnafu)?);
         }
         for (index, entry) in site.mix.iter().enumerate() {
-            let mut source = source(fleet, &endpoints, entry, &seen);
+            let mut source = source(tree, &endpoints, entry, &seen);
             if let Some(load) = &options.load {
                 source.apply(load, site);
                 source.connect_ahead().await;
@@ -134,6 +142,11 @@
         Ok(Self { seen, stop, tasks })
     }
 
+    /// Returns what was seen so far.
+    pub fn seen(&self) -> &Seen {
+        &self.seen
+    }
+
     /// Sends nothing new, waits for what is open, and returns what was seen.
     pub async fn finish(mut self, settle: Duration) -> Arc<Seen> {
         drop(self.stop);
@@ -145,13 +158,13 @@
     }
 }
 
-fn source(fleet: &Fleet, endpoints: &[Endpoint], entry: &MixEntry, seen: &Arc<Seen>) -> Source {
-    let plans = fleet.tree.plans(&entry.service);
+fn source(tree: &Region, endpoints: &[Endpoint], entry: &MixEntry, seen: &Arc<Seen>) -> Source {
+    let plans = tree.plans(&entry.service);
     let plan = plans
         .iter()
         .find(|plan| plan.name == entry.request)
         .expect("checked mix");
-    let target = fleet.tree.services[&entry.service].address;
+    let target = tree.services[&entry.service].address;
     let mut callers = Vec::with_capacity(endpoints.len());
     for endpoint in endpoints {
         callers.push(Arc::new(Caller::with_endpoint(
--- a/src/dev/report.rs
+++ b/src/dev/report.rs
@@ -5,19 +5,16 @@
     sync::atomic::Ordering,
 };
 
-use hdrhistogram::Histogram;
 use serde::Serialize;
 
 use super::{
     change::Changes,
     fleet::Fleet,
     mix::{Seen, by_id},
+    tally::Tally,
 };
 use crate::{agent::answer::Outcome, config::site::Site};
 
-const MAX_LATENCY_US: u64 = 60_000_000;
-const SIGNIFICANT_DIGITS: u8 = 3;
-
 /// What came of a run.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct Report {
@@ -95,34 +92,24 @@
 pub fn judge(site: &Site, fleet: &Fleet, seen: &Seen) -> Report {
     let requests = seen.requests.lock().expect("requests lock");
     let uses = uses(site, fleet);
+    let tally = Tally::of(&requests);
     let mut report = Report {
-        sent: requests.len() as u64,
+        sent: tally.sent,
+        answered: tally.answered,
+        refused: tally.refused,
+        unknown: tally.unknown,
+        lost: tally.lost,
+        damaged: tally.damaged,
+        p50_ms: tally.answer_ms(0.5),
+        p99_ms: tally.answer_ms(0.99),
+        refusal_p99_ms: tally.refusal_ms(0.99),
+        refused_by_priority: tally.refused_by_priority,
         flows: seen.flows.load(Ordering::Relaxed),
         broken_flows: seen.broken.load(Ordering::Relaxed),
         imbalance: imbalance(&uses),
         use_by_service: uses,
         ..Report::default()
     };
-    let histogram = Histogram::<u64>::new_with_bounds(1, MAX_LATENCY_US, SIGNIFICANT_DIGITS);
-    let mut latency = histogram.expect("valid histogram bounds");
-    let mut refusals = latency.clone();
-    for request in requests.iter() {
-        match request.outcome {
-            Some(Outcome::Answered) => {
-                report.answered += 1;
-                latency.saturating_record(request.latency.as_micros() as u64);
-            }
-            Some(Outcome::NotRun) => {
-                report.refused += 1;
-                refusals.saturating_record(request.latency.as_micros() as u64);
-                let priority = report.refused_by_priority.entry(request.priority);
-                *priority.or_default() += 1;
-            }
-            Some(Outcome::Unknown) => report.unknown += 1,
-            None => report.lost += 1,
-        }
-        report.damaged += u64::from(!request.intact);
-    }
     let known = by_id(&requests);
     let mut runs: HashMap<String, u64> = HashMap::new();
     for (_, server) in fleet.servers.lock().expect("servers lock").iter() {
@@ -138,9 +125,6 @@
         report.doubled += u64::from(request.once && ran > 1);
         report.false_refusals += u64::from(request.outcome == Some(Outcome::NotRun) && ran > 0);
     }
-    report.p50_ms = latency.value_at_quantile(0.5) as f64 / 1000.0;
-    report.p99_ms = latency.value_at_quantile(0.99) as f64 / 1000.0;
-    report.refusal_p99_ms = refusals.value_at_quantile(0.99) as f64 / 1000.0;
     report
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod flow;
 pub mod frame;
 pub mod kernel;
+pub mod load;
 pub mod log;
 pub mod member;
 pub mod membership;
