--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -23,6 +23,7 @@
     member::{Directory, MemberState, Record, Role},
     membership::{self, LocalRecord, Signer},
     metrics::Metrics,
+    observe,
     operations::{self, DrainRequest},
     owner_id::{Incarnation, Keyring, Owner, Purpose, ServiceTag},
     settings::{self, InForce, Plan, seeds::find_seeds},
@@ -142,6 +143,7 @@
         } else if let Some(agent) = &settings.agent {
             start_agent(&kernel, data_socket, owner, settings, agent)?;
         }
+        observe::start(&kernel).context(KernelSnafu)?;
         serve_when_ready(&kernel, settings.role).context(KernelSnafu)?;
         tracing::info!(event = "started", role = ?settings.role, %data, %control, domain = settings.domain);
         Ok(Self {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod member;
 pub mod membership;
 pub mod metrics;
+pub mod observe;
 pub mod operations;
 pub mod owner_id;
 pub mod packet;
--- a/src/log.rs
+++ b/src/log.rs
@@ -1,6 +1,6 @@
 //! The log: one line of key=value pairs for each event.
 
-use std::fmt;
+use std::{fmt, sync::OnceLock};
 
 use tracing::{
     Event, Subscriber,
@@ -20,18 +20,17 @@
 /// Lines that wait for the writer; more are lost and counted.
 const BUFFERED_LINES: usize = 8192;
 
+static LOST: OnceLock<ErrorCounter> = OnceLock::new();
+
 /// Keeps the log's writer running; what is left is written when it is dropped.
 #[derive(Debug)]
 pub struct LogGuard {
     _worker: WorkerGuard,
-    lost: ErrorCounter,
 }
 
-impl LogGuard {
-    /// Returns the number of lines lost because the reader of the log was too slow.
-    pub fn lost_lines(&self) -> usize {
-        self.lost.dropped_lines()
-    }
+/// Returns the number of lines lost because the reader of the log was too slow.
+pub fn lost_lines() -> usize {
+    LOST.get().map_or(0, ErrorCounter::dropped_lines)
 }
 
 /// Starts the log of a process on standard error; `RUST_LOG` overrides the level.
@@ -43,16 +42,13 @@
         .buffered_lines_limit(BUFFERED_LINES)
         .lossy(true)
         .finish(std::io::stderr());
-    let lost = writer.error_counter();
+    let _ = LOST.set(writer.error_counter());
     tracing_subscriber::fmt()
         .event_format(KeyValues)
         .with_env_filter(filter)
         .with_writer(writer)
         .init();
-    LogGuard {
-        _worker: worker,
-        lost,
-    }
+    LogGuard { _worker: worker }
 }
 
 /// Formats an event as `time=… level=… event=… key=value …`.
