--- a/tests/settings_spread.rs
+++ b/tests/settings_spread/world.rs
@@ -1,4 +1,4 @@
-//! Edits, relays and peers as state machines under random failures, in virtual time.
+//! Processes, operators and a store without I/O, on one virtual clock.
 
 use std::{
     collections::{BTreeMap, BinaryHeap, VecDeque},
@@ -16,22 +16,18 @@
         in_force::Holdings,
         layout::{Histories, Layout, Stored},
         part::{Part, PartName, Parts},
-        spread::{Action, Event, Spread, relays},
+        spread::{Action, Event, Spread},
     },
     store::{Committed, Item, Snapshot, Transaction},
 };
-use proptest::{
-    prelude::*,
-    test_runner::{Config, RngAlgorithm, RngSeed},
-};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use serde_json::json;
 
-const NODES: usize = 8;
-const BALANCERS: usize = 4;
-const REGION: &str = "r";
+pub const NODES: usize = 8;
+pub const BALANCERS: usize = 4;
+pub const REGION: &str = "r";
 
-fn tree() -> Region {
+pub fn tree() -> Region {
     let service = |tag: u16| {
         let address = format!("10.0.0.{tag}:443");
         json!({"tag": tag, "address": address, "requests": {}})
@@ -43,13 +39,13 @@
 
 /// A store without I/O.
 #[derive(Clone, Default)]
-struct FakeStore {
-    entries: BTreeMap<String, (Vec<u8>, u64)>,
-    revision: u64,
+pub struct FakeStore {
+    pub entries: BTreeMap<String, (Vec<u8>, u64)>,
+    pub revision: u64,
 }
 
 impl FakeStore {
-    fn range(&self, prefix: &str, since: u64) -> Snapshot {
+    pub fn range(&self, prefix: &str, since: u64) -> Snapshot {
         let mut items = Vec::new();
         for (key, (value, revision)) in &self.entries {
             if key.starts_with(prefix) && *revision > since {
@@ -66,7 +62,7 @@
         }
     }
 
-    fn commit(&mut self, transaction: &Transaction) -> Committed {
+    pub fn commit(&mut self, transaction: &Transaction) -> Committed {
         for compare in &transaction.compares {
             let revision = self
                 .entries
@@ -84,21 +80,21 @@
         Committed::Done
     }
 
-    fn stored(&self, since: u64) -> Stored {
+    pub fn stored(&self, since: u64) -> Stored {
         let layout = Layout::new(REGION);
         layout.read(&self.range(&layout.tree(), since))
     }
 }
 
 #[derive(Clone, Debug)]
-enum Step {
+pub enum Step {
     Deliver(usize, u32, Event),
     Call(usize, u32, Action),
     Edit(usize, EditEvent),
     EditCall(usize, EditAction),
 }
 
-struct Planned(u64, u64, Step);
+pub struct Planned(pub u64, pub u64, pub Step);
 
 impl PartialEq for Planned {
     fn eq(&self, other: &Self) -> bool {
@@ -117,37 +113,47 @@
     }
 }
 
-struct Node {
-    frozen_until: u64,
-    life: u32,
-    seen: Parts,
-    spread: Spread,
+pub struct Node {
+    pub frozen_until: u64,
+    pub life: u32,
+    pub seen: Parts,
+    pub spread: Spread,
 }
 
-struct World {
-    accepted: BTreeMap<PartName, Part>,
-    down: bool,
-    edits: Vec<(Edit, Option<Outcome>)>,
-    faults: bool,
-    nodes: Vec<Node>,
-    now: u64,
-    plan: BinaryHeap<Planned>,
-    rng: SmallRng,
-    saved: FakeStore,
-    sequence: u64,
-    store: FakeStore,
+pub struct World {
+    pub accepted: BTreeMap<PartName, Part>,
+    pub down: bool,
+    pub edits: Vec<(Edit, Option<Outcome>)>,
+    pub faults: bool,
+    pub nodes: Vec<Node>,
+    pub now: u64,
+    pub plan: BinaryHeap<Planned>,
+    pub rng: SmallRng,
+    pub saved: FakeStore,
+    pub sequence: u64,
+    pub store: FakeStore,
 }
 
-fn address(node: usize) -> SocketAddrV4 {
+pub fn address(node: usize) -> SocketAddrV4 {
     SocketAddrV4::new(Ipv4Addr::new(10, 1, 0, node as u8), 7000)
 }
 
-fn domain(node: usize) -> String {
+pub fn domain(node: usize) -> String {
     format!("d{}", node % 2)
 }
 
 impl World {
-    fn new(seed: u64) -> Self {
+    /// Starts the edit that writes the whole tree, after some milliseconds.
+    pub fn set_up(&mut self, delay: u64) {
+        let (id, author) = ("setup".to_owned(), "setup".to_owned());
+        let deadline = Time::from_millis(60_000);
+        let setup = Edit::new(REGION, Change::Replace(tree()), id, author, deadline);
+        self.edits.push((setup, None));
+        let edit = self.edits.len() - 1;
+        self.schedule(delay, Step::EditCall(edit, EditAction::Read));
+    }
+
+    pub fn new(seed: u64) -> Self {
         let mut world = Self {
             accepted: BTreeMap::new(),
             down: false,
@@ -173,7 +179,7 @@
         world
     }
 
-    fn fresh(&mut self, node: usize) -> Spread {
+    pub fn fresh(&mut self, node: usize) -> Spread {
         Spread::new(
             tree(),
             address(node),
@@ -183,24 +189,24 @@
         )
     }
 
-    fn schedule(&mut self, delay: u64, step: Step) {
+    pub fn schedule(&mut self, delay: u64, step: Step) {
         self.sequence += 1;
         self.plan
             .push(Planned(self.now + delay, self.sequence, step));
     }
 
-    fn delay(&mut self) -> u64 {
+    pub fn delay(&mut self) -> u64 {
         if self.faults && self.rng.random_bool(0.1) {
             return self.rng.random_range(100..3000);
         }
         self.rng.random_range(1..20)
     }
 
-    fn lost(&mut self) -> bool {
+    pub fn lost(&mut self) -> bool {
         self.faults && self.rng.random_bool(0.1)
     }
 
-    fn view(&self) -> View {
+    pub fn view(&self) -> View {
         let mut members = BTreeMap::new();
         for (index, node) in self.nodes.iter().enumerate() {
             let record = Record {
@@ -227,7 +233,7 @@
         }
     }
 
-    fn perform(&mut self, node: usize, actions: VecDeque<Action>) {
+    pub fn perform(&mut self, node: usize, actions: VecDeque<Action>) {
         for action in actions {
             let life = self.nodes[node].life;
             match action {
@@ -254,7 +260,7 @@
         }
     }
 
-    fn answer(&mut self, node: usize, action: &Action) -> Event {
+    pub fn answer(&mut self, node: usize, action: &Action) -> Event {
         let failed = match action {
             Action::Pull(..) => Event::PullFailed,
             _ => Event::StoreFailed,
@@ -287,7 +293,7 @@
         if self.lost() { failed } else { event }
     }
 
-    fn run_step(&mut self, step: Step) {
+    pub fn run_step(&mut self, step: Step) {
         match step {
             Step::Call(node, life, action) => {
                 let event = self.answer(node, &action);
@@ -316,7 +322,7 @@
         }
     }
 
-    fn edit_action(&mut self, index: usize, action: EditAction) {
+    pub fn edit_action(&mut self, index: usize, action: EditAction) {
         let delay = self.delay();
         match action {
             EditAction::Finish(outcome) => {
@@ -333,7 +339,7 @@
         }
     }
 
-    fn edit_call(&mut self, index: usize, action: &EditAction) {
+    pub fn edit_call(&mut self, index: usize, action: &EditAction) {
         let lost_before = self.down || self.lost();
         let lost_after = self.lost();
         let event = match action {
@@ -356,7 +362,7 @@
     }
 
     /// Returns whether a process that answers has newer settings than the store.
-    fn is_behind(&self) -> bool {
+    pub fn is_behind(&self) -> bool {
         let revision = self.store.stored(0).head.revision;
         let answering = self
             .nodes
@@ -367,7 +373,7 @@
     }
 
     /// Notes the parts of an accepted edit from the store, which must hold them.
-    fn note_accepted(&mut self, index: usize) {
+    pub fn note_accepted(&mut self, index: usize) {
         let id = self.edits[index].0.id().to_owned();
         let stored = self.store.stored(0);
         assert!(
@@ -382,7 +388,7 @@
     }
 
     /// Checks that no process went back and that each has a valid tree in force.
-    fn check(&mut self) {
+    pub fn check(&mut self) {
         for node in &mut self.nodes {
             let holdings = node.spread.holdings();
             holdings.tree().check().unwrap();
@@ -397,21 +403,21 @@
         }
     }
 
-    fn holds_accepted(&self, holdings: &Holdings) -> bool {
+    pub fn holds_accepted(&self, holdings: &Holdings) -> bool {
         self.accepted.iter().all(|(name, part)| {
             let held = holdings.parts().get(name);
             held.is_some_and(|held| held == part || held.supersedes(part))
         })
     }
 
-    fn informed(&self) -> usize {
+    pub fn informed(&self) -> usize {
         let nodes = self.nodes.iter();
         nodes
             .filter(|node| self.holds_accepted(node.spread.holdings()))
             .count()
     }
 
-    fn disturb(&mut self, fault: &Fault) {
+    pub fn disturb(&mut self, fault: &Fault) {
         let open = self.edits.iter().any(|(_, outcome)| outcome.is_none());
         match fault {
             Fault::Edit(service, value) => self.start_edit(*service, *value),
@@ -435,7 +441,7 @@
         }
     }
 
-    fn start_edit(&mut self, service: usize, value: u64) {
+    pub fn start_edit(&mut self, service: usize, value: u64) {
         let name = ["a", "b", "c"][service];
         // Addresses are drawn from a few, so that edits meet.
         let change = if value.is_multiple_of(3) {
@@ -463,7 +469,7 @@
         self.schedule(0, Step::EditCall(index, EditAction::Read));
     }
 
-    fn run(&mut self, time: u64) {
+    pub fn run(&mut self, time: u64) {
         let end = self.now + time;
         let mut next_tick = self.now;
         while self.now < end {
@@ -490,7 +496,7 @@
         }
     }
 
-    fn tick(&mut self) {
+    pub fn tick(&mut self) {
         let view = self.view();
         for node in 0..NODES {
             if self.nodes[node].frozen_until > self.now {
@@ -508,7 +514,7 @@
 }
 
 #[derive(Clone, Debug)]
-enum Fault {
+pub enum Fault {
     Edit(usize, u64),
     Down(bool),
     Freeze(usize, u64),
@@ -516,240 +522,3 @@
     Save,
     Restore,
 }
-
-fn fault() -> impl Strategy<Value = Fault> {
-    prop_oneof![
-        6 => (0..3_usize, 0..1000_u64).prop_map(|(service, value)| Fault::Edit(service, value)),
-        2 => any::<bool>().prop_map(Fault::Down),
-        2 => (0..NODES, 100..4000_u64).prop_map(|(node, time)| Fault::Freeze(node, time)),
-        2 => (0..NODES).prop_map(Fault::Restart),
-        1 => Just(Fault::Save),
-        1 => Just(Fault::Restore),
-    ]
-}
-
-fn fixed() -> Config {
-    Config {
-        cases: 64,
-        failure_persistence: None,
-        rng_algorithm: RngAlgorithm::ChaCha,
-        rng_seed: RngSeed::Fixed(4),
-        ..Config::default()
-    }
-}
-
-proptest! {
-    #![proptest_config(fixed())]
-
-    #[test]
-    fn once_accepted_it_is_in_force_everywhere_and_never_reverts(
-        seed in any::<u64>(),
-        faults in prop::collection::vec((fault(), 0..1500_u64), 1..25),
-    ) {
-        let mut world = World::new(seed);
-        let setup = Edit::new(REGION, Change::Replace(tree()), "setup".into(), "setup".into(), Time::from_millis(60_000));
-        world.edits.push((setup, None));
-        world.schedule(0, Step::EditCall(0, EditAction::Read));
-        world.run(2000);
-        for (fault, pause) in &faults {
-            world.disturb(fault);
-            world.run(*pause);
-        }
-        world.faults = false;
-        world.down = false;
-        world.run(20_000);
-        for (edit, outcome) in &world.edits {
-            prop_assert!(outcome.is_some(), "{} has no answer", edit.id());
-        }
-        let first = world.nodes[0].spread.holdings().digest();
-        for node in &world.nodes {
-            prop_assert!(world.holds_accepted(node.spread.holdings()));
-            prop_assert_eq!(node.spread.holdings().digest(), first);
-        }
-        // The store has back what it lost.
-        let missing = world.nodes[0].spread.holdings().missing_in(&world.store.stored(0).parts);
-        prop_assert!(missing.is_empty(), "the store lacks {:?}", missing.keys());
-    }
-}
-
-#[test]
-fn settings_are_in_force_everywhere_within_seconds_of_acceptance() {
-    let mut world = World::new(1);
-    world.faults = false;
-    let setup = Edit::new(
-        REGION,
-        Change::Replace(tree()),
-        "setup".into(),
-        "setup".into(),
-        Time::from_millis(60_000),
-    );
-    world.edits.push((setup, None));
-    world.schedule(0, Step::EditCall(0, EditAction::Read));
-    world.run(3000);
-    assert_eq!(world.informed(), NODES);
-    world.start_edit(0, 1);
-    world.run(200);
-    assert_eq!(world.accepted.len(), 4);
-    world.run(2800);
-    assert_eq!(world.informed(), NODES);
-}
-
-#[test]
-fn a_process_that_starts_while_the_store_is_down_gets_its_peers_settings() {
-    let mut world = World::new(2);
-    world.faults = false;
-    world.start_edit(0, 1);
-    let setup = Edit::new(
-        REGION,
-        Change::Replace(tree()),
-        "setup".into(),
-        "setup".into(),
-        Time::from_millis(60_000),
-    );
-    world.edits.push((setup, None));
-    world.schedule(50, Step::EditCall(1, EditAction::Read));
-    world.run(3000);
-    world.down = true;
-    world.disturb(&Fault::Restart(5));
-    assert_eq!(world.nodes[5].spread.holdings().revision(), 0);
-    world.run(2000);
-    assert_eq!(world.informed(), NODES);
-}
-
-#[test]
-fn a_store_that_comes_back_older_changes_nothing_and_is_written_back_to() {
-    let mut world = World::new(3);
-    world.faults = false;
-    let setup = Edit::new(
-        REGION,
-        Change::Replace(tree()),
-        "setup".into(),
-        "setup".into(),
-        Time::from_millis(60_000),
-    );
-    world.edits.push((setup, None));
-    world.schedule(0, Step::EditCall(0, EditAction::Read));
-    world.run(3000);
-    world.disturb(&Fault::Save);
-    world.start_edit(0, 1);
-    world.run(3000);
-    world.disturb(&Fault::Restore);
-    world.run(5000);
-    assert_eq!(world.informed(), NODES);
-    let missing = world.nodes[0]
-        .spread
-        .holdings()
-        .missing_in(&world.store.stored(0).parts);
-    assert!(missing.is_empty(), "{missing:?}");
-}
-
-#[test]
-fn half_a_value_and_an_invalid_tree_never_come_in_force() {
-    let mut world = World::new(4);
-    world.faults = false;
-    let setup = Edit::new(
-        REGION,
-        Change::Replace(tree()),
-        "setup".into(),
-        "setup".into(),
-        Time::from_millis(60_000),
-    );
-    world.edits.push((setup, None));
-    world.schedule(0, Step::EditCall(0, EditAction::Read));
-    world.run(3000);
-    let before = world.nodes[0].spread.holdings().clone();
-    let key = format!("{}services/a", Layout::new(REGION).parts());
-    let mut stored = world.store.stored(0);
-    let head = Layout::new(REGION).head();
-    // Somebody writes past the tool: first half a value, then one that shares an address.
-    let mut part = stored.parts.remove(&PartName::Service("a".into())).unwrap();
-    part.revision += 1;
-    let half = part.encode();
-    world.store.revision += 1;
-    let revision = world.store.revision;
-    world
-        .store
-        .entries
-        .insert(key.clone(), (half[..half.len() / 2].into(), revision));
-    world.store.entries.get_mut(&head).unwrap().1 = revision;
-    world.run(3000);
-    assert_eq!(world.nodes[0].spread.holdings().parts(), before.parts());
-    let shared = half.replace("10.0.0.1:443", "10.0.0.2:443");
-    world.store.revision += 1;
-    let revision = world.store.revision;
-    world.store.entries.insert(key, (shared.into(), revision));
-    world.store.entries.get_mut(&head).unwrap().1 = revision;
-    world.run(3000);
-    assert_eq!(world.nodes[0].spread.holdings().parts(), before.parts());
-}
-
-#[test]
-fn relays_are_two_balancers_of_a_domain_and_move_little() {
-    let world = World::new(5);
-    let view = world.view();
-    let before = relays(&view, "d0");
-    assert_eq!(before.len(), 2);
-    assert!(
-        before
-            .iter()
-            .all(|relay| usize::from(relay.ip().octets()[3]) < BALANCERS)
-    );
-    let mut members = view.members.clone();
-    members.get_mut(&before[0]).unwrap().state = MemberState::Draining;
-    let after = relays(
-        &View {
-            members,
-            ..View::default()
-        },
-        "d0",
-    );
-    assert_eq!(after, before[1..]);
-}
-
-#[test]
-fn an_edit_on_a_store_that_came_back_older_waits_until_it_is_written_back_to() {
-    let mut world = World::new(6);
-    world.faults = false;
-    world.start_edit(0, 1);
-    let change = Change::Replace(tree());
-    let deadline = Time::from_millis(60_000);
-    let setup = Edit::new(REGION, change, "setup".into(), "setup".into(), deadline);
-    world.edits.push((setup, None));
-    world.schedule(50, Step::EditCall(1, EditAction::Read));
-    world.run(3000);
-    world.disturb(&Fault::Save);
-    // The address of a, which the store forgets, is then asked for by b.
-    world.start_edit(0, 369);
-    world.run(3000);
-    world.disturb(&Fault::Restore);
-    world.start_edit(1, 369);
-    world.run(10_000);
-    let outcome = world.edits.last().unwrap().1.clone().unwrap();
-    assert!(matches!(outcome, Outcome::Invalid { .. }), "{outcome:?}");
-    assert_eq!(world.informed(), NODES);
-}
-
-#[test]
-fn a_process_that_knows_no_live_peer_reads_the_store_itself() {
-    let mut spread = Spread::new(tree(), address(5), &domain(5), true, 1);
-    let whole = World::new(7).view();
-    let mut members = whole.members.clone();
-    for (own, record) in &mut members {
-        if *own != address(5) {
-            record.state = MemberState::Dead;
-        }
-    }
-    let lonely = View {
-        members,
-        ..View::default()
-    };
-    spread.meet(&lonely, Time::from_millis(0));
-    let early = spread.handle(Event::Tick, Time::from_millis(1000));
-    assert!(!early.contains(&Action::ReadHead), "{early:?}");
-    let late = spread.handle(Event::Tick, Time::from_millis(2600));
-    assert!(late.contains(&Action::ReadHead), "{late:?}");
-    let mut befriended = Spread::new(tree(), address(5), &domain(5), true, 1);
-    befriended.meet(&whole, Time::from_millis(0));
-    let late = befriended.handle(Event::Tick, Time::from_millis(2600));
-    assert!(!late.contains(&Action::ReadHead), "{late:?}");
-}
