--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -153,7 +153,10 @@
         let fleet = dev::start(&site, options.seed).await?;
         print!("{}", print::fleet_text(&fleet));
         println!("serving until interrupted");
-        let _ = tokio::signal::ctrl_c().await;
+        tokio::select! {
+            _ = tokio::signal::ctrl_c() => {}
+            () = fleet.watch_health() => {}
+        }
         fleet.stop().await;
         return Ok(ExitCode::SUCCESS);
     };
--- a/src/dev/faults.rs
+++ b/src/dev/faults.rs
@@ -9,16 +9,13 @@
 use super::{
     DevError,
     change::{Changes, change_settings},
-    fleet::Fleet,
+    fleet::{Fleet, HEALTH_INTERVAL, is_ready},
 };
-use crate::{control::Control, daemon::Daemon};
+use crate::daemon::Daemon;
 
 /// Interval between two looks at a balancer that starts.
 const READY_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Interval between two health checks of the fabric.
-const HEALTH_INTERVAL: Duration = Duration::from_millis(500);
-
 /// Interval between two addresses that the fabric loses track of.
 const FORGET_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -106,10 +103,7 @@
 
 /// Waits until a balancer answers the fabric's health check.
 async fn wait_ready(balancer: &Daemon) {
-    let Ok(control) = balancer.kernel.find::<Control>(Control::NAME) else {
-        return;
-    };
-    while !control.is_ready() {
+    while !is_ready(balancer) {
         tokio::time::sleep(READY_INTERVAL).await;
     }
 }
--- a/src/dev/fleet.rs
+++ b/src/dev/fleet.rs
@@ -19,9 +19,11 @@
         tree::Region,
     },
     consts::ANNOUNCE_INTERVAL,
+    control::Control,
     daemon::Daemon,
     kernel::Kernel,
     member::{Directory, MemberState, Role},
+    operations::DrainRequest,
     settings::{change::Change, edit::Outcome, operator::Operator},
     standin::{
         fabric::Fabric,
@@ -32,6 +34,8 @@
 };
 
 const LOOPBACK: &str = "127.0.0.1:0";
+/// Interval between two health checks of the fabric.
+pub const HEALTH_INTERVAL: Duration = Duration::from_millis(500);
 const JOIN_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// A backend server with the agent beside it.
@@ -176,8 +180,7 @@
         let mut settings = self.settings(Role::Balancer, index);
         let fabric = self.fabric.address().context(StandInSnafu)?;
         settings.balancer = Some(BalancerSettings { fabric });
-        let daemon = Daemon::start(&settings).await.context(StartSnafu)?;
-        Ok(Arc::new(daemon))
+        start_daemon(&settings).await
     }
 
     /// Starts a backend server and its agent.
@@ -200,7 +203,7 @@
             certificate: self.certificate.certificate.clone(),
             private_key: self.certificate.private_key.clone(),
         });
-        let agent = Arc::new(Daemon::start(&settings).await.context(StartSnafu)?);
+        let agent = start_daemon(&settings).await?;
         self.servers
             .lock()
             .expect("servers lock")
@@ -246,6 +249,16 @@
             .set_balancers(balancers.iter().map(|b| b.data).collect());
     }
 
+    /// Checks the balancers for ever, as a fabric does, and sends to those that are ready.
+    pub async fn watch_health(&self) {
+        loop {
+            tokio::time::sleep(HEALTH_INTERVAL).await;
+            let balancers = self.balancers.lock().expect("balancers lock").clone();
+            let ready = balancers.iter().filter(|b| is_ready(b));
+            self.fabric.set_balancers(ready.map(|b| b.data).collect());
+        }
+    }
+
     /// Stops all processes.
     pub async fn stop(&self) {
         let balancers = std::mem::take(&mut *self.balancers.lock().expect("balancers lock"));
@@ -324,6 +337,29 @@
     }]
 }
 
+/// Starts a daemon that an operator can drain.
+async fn start_daemon(settings: &DaemonSettings) -> Result<Arc<Daemon>, DevError> {
+    let daemon = Arc::new(Daemon::start(settings).await.context(StartSnafu)?);
+    let drained = Arc::downgrade(&daemon);
+    let request: Option<Arc<DrainRequest>> = daemon.kernel.find(DrainRequest::NAME).ok();
+    tokio::spawn(async move {
+        let Some(request) = request else {
+            return;
+        };
+        request.requested().await;
+        if let Some(daemon) = drained.upgrade() {
+            daemon.shut_down().await;
+        }
+    });
+    Ok(daemon)
+}
+
+/// Returns whether the fabric may send to a daemon.
+pub fn is_ready(daemon: &Daemon) -> bool {
+    let control = daemon.kernel.find::<Control>(Control::NAME);
+    control.is_ok_and(|control| control.is_ready())
+}
+
 fn known_agents(daemon: &Daemon) -> usize {
     let Ok(directory) = daemon.kernel.find::<Directory>(Directory::NAME) else {
         return 0;
