--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -16,7 +16,10 @@
         identity::{IdentityError, IdentityFiles, LiveIdentity},
     },
     balancer::{self, BalancerError, BalancerOptions},
-    config::daemon::{AgentSettings, BalancerSettings, DaemonSettings},
+    config::{
+        daemon::{AgentSettings, BalancerSettings, DaemonSettings},
+        tree::Region,
+    },
     control::{self, Control, ControlClient},
     decision::Decisions,
     kernel::{Kernel, KernelError},
@@ -112,16 +115,7 @@
             service,
             incarnation: record.incarnation,
         };
-        kernel.publish(Directory::NAME, Arc::new(Directory::default()));
-        kernel.publish(LocalRecord::NAME, Arc::new(LocalRecord::new(record)));
-        let metrics = Arc::new(Metrics::default());
-        let decisions = Arc::new(Decisions::default());
-        let help = "Decisions that were not logged because the rate was used up";
-        metrics.register("decisions_not_logged", help, decisions.dropped().clone());
-        kernel.publish(Metrics::NAME, metrics);
-        kernel.publish(Decisions::NAME, decisions);
-        let plan = Plan::resolve(settings.tree.clone(), 0);
-        kernel.publish(InForce::NAME, Arc::new(InForce::new(plan)));
+        publish_services(&kernel, record, &settings.tree);
         let signer = Signer::new(&settings.fleet_keys());
         control::start(&kernel, listener, signer.clone()).context(KernelSnafu)?;
         operations::publish(&kernel).context(KernelSnafu)?;
@@ -199,6 +193,20 @@
     }
 }
 
+/// Publishes the services that need no other one.
+fn publish_services(kernel: &Kernel, record: Record, tree: &Region) {
+    kernel.publish(Directory::NAME, Arc::new(Directory::default()));
+    kernel.publish(LocalRecord::NAME, Arc::new(LocalRecord::new(record)));
+    let metrics = Arc::new(Metrics::default());
+    let decisions = Arc::new(Decisions::default());
+    let help = "Decisions that were not logged because the rate was used up";
+    metrics.register("decisions_not_logged", help, decisions.dropped().clone());
+    kernel.publish(Metrics::NAME, metrics);
+    kernel.publish(Decisions::NAME, decisions);
+    let plan = Plan::resolve(tree.clone(), 0);
+    kernel.publish(InForce::NAME, Arc::new(InForce::new(plan)));
+}
+
 fn start_balancer(
     kernel: &Kernel,
     socket: UdpSocket,
