--- a/src/cli/help.rs
+++ b/src/cli/help.rs
@@ -156,7 +156,8 @@
 OPTIONS:
   --site NAME     haverkamp or dolbom (default: haverkamp)
   --seconds N     time in which requests are sent
-  --faults KIND   none, forgetting or rolling (default: none)
+  --faults KIND   none, forgetting, outage (of the store, while all is replaced) or rolling
+                  (default: none)
   --seed S        seed of the fabric and of the callers (default: 1)
   --load X        send X times what the servers can carry, on connections that stay open
   --burst         send that load in bursts: five times as much for a fifth of the time
--- a/src/dev/faults.rs
+++ b/src/dev/faults.rs
@@ -29,23 +29,30 @@
     None,
     /// The fabric loses track of one caller's address after the other.
     Forgetting,
+    /// The store is down while every balancer and every backend server is replaced in turn.
+    Outage,
     /// Every balancer and every backend server is drained and replaced in turn, while a setting
     /// changes.
     Rolling,
 }
 
+/// All disturbances by name.
+const NAMES: [(&str, Faults); 4] = [
+    ("forgetting", Faults::Forgetting),
+    ("none", Faults::None),
+    ("outage", Faults::Outage),
+    ("rolling", Faults::Rolling),
+];
+
 impl FromStr for Faults {
     type Err = String;
 
     fn from_str(text: &str) -> Result<Self, String> {
-        match text {
-            "forgetting" => Ok(Faults::Forgetting),
-            "none" => Ok(Faults::None),
-            "rolling" => Ok(Faults::Rolling),
-            _ => Err(format!(
-                "no faults named {text}; there are none, forgetting and rolling"
-            )),
-        }
+        let found = NAMES.iter().find(|(name, _)| *name == text);
+        found.map(|(_, faults)| *faults).ok_or_else(|| {
+            let names = NAMES.map(|(name, _)| name).join(", ");
+            format!("no faults named {text}; there are {names}")
+        })
     }
 }
 
@@ -54,6 +61,12 @@
     match faults {
         Faults::None => {}
         Faults::Forgetting => forget(&fleet).await,
+        Faults::Outage => {
+            fleet.kv.fail(|failures| failures.down = true);
+            if let Err(error) = roll(&fleet).await {
+                tracing::error!(event = "rolling_failed", %error);
+            }
+        }
         Faults::Rolling => {
             let (rolled, ()) = tokio::join!(roll(&fleet), change_settings(&fleet, &changes));
             if let Err(error) = rolled {
