--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -6,6 +6,7 @@
     path::Path,
     process::ExitCode,
     sync::Arc,
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -26,6 +27,8 @@
     trial,
 };
 
+const PROGRESS_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Runs a command and returns the exit status.
 pub async fn run(command: Command) -> ExitCode {
     match command {
@@ -166,7 +169,13 @@
         seed: options.seed,
         load: options.load,
     };
+    let shows = !options.json && stderr().is_terminal();
+    let progress = shows.then(|| tokio::spawn(show_time(time)));
     let report = dev::run(&site, run_options).await?;
+    if let Some(progress) = progress {
+        progress.abort();
+        eprintln!();
+    }
     if options.json {
         println!("{}", print::json_line(&report));
     } else {
@@ -179,6 +188,16 @@
     })
 }
 
+/// Shows on a terminal how much of a measured run has passed.
+async fn show_time(total: Duration) {
+    let start = Instant::now();
+    loop {
+        let passed = start.elapsed().min(total);
+        eprint!("\r{} of {} s", passed.as_secs(), total.as_secs());
+        tokio::time::sleep(PROGRESS_INTERVAL).await;
+    }
+}
+
 async fn run_call(options: CallOptions) -> Result<ExitCode, String> {
     let roots =
         read_roots(&options.root).map_err(|e| format!("{}: {e}", options.root.display()))?;
