Read the wall clock, the process's memory and ready peers in one place each

Found on reading the whole change again: the wall clock in milliseconds was read in four places (decisions, incarnations, operators' edits, the stand-in's feed), the resident memory in two trials, one of them by a fixed page size, and the other ready agents of a service were told by the same four conditions in admission and in passing. Each is one function now: clock::unix_ms, trial::resident_bytes, Record::is_ready_peer.

--- a/benches/route.rs
+++ b/benches/route.rs
@@ -7,8 +7,8 @@
 };
 
 use berylvalve::{
-    clock::Time,
-    decision::{Decision, DecisionFilter, Decisions, unix_ms},
+    clock::{Time, unix_ms},
+    decision::{Decision, DecisionFilter, Decisions},
     frame::{self, Header},
     log::KeyValues,
     member::{MemberState, Record, Role, View},
--- a/src/agent/gate.rs
+++ b/src/agent/gate.rs
@@ -15,7 +15,7 @@
 };
 use crate::{
     clock::{Clock, Time},
-    member::{Directory, MemberState, Role, View},
+    member::{Directory, View},
     membership::LocalRecord,
 };
 
@@ -201,11 +201,7 @@
     let mut count = 0;
     let mut sum = 0;
     for record in view.members.values() {
-        let peer = record.role == Role::Agent
-            && record.service == own.service
-            && record.state == MemberState::Ready
-            && record.address != own.address;
-        if !peer {
+        if !record.is_ready_peer(own) {
             continue;
         }
         count += 1;
--- a/src/agent/http.rs
+++ b/src/agent/http.rs
@@ -23,11 +23,11 @@
     runner::Runner,
 };
 use crate::{
-    clock::Clock,
+    clock::{Clock, unix_ms},
     consts::{
         BODY_BYTES, KEEP_ALIVE, KEY_HEADER, NEXT_KEY_HEADER, OUTCOME_HEADER, SERVED_BY_HEADER,
     },
-    decision::{Decision, Decisions, unix_ms},
+    decision::{Decision, Decisions},
     kernel::StopSignal,
     membership::LocalRecord,
     metrics::Metrics,
--- a/src/agent/offload.rs
+++ b/src/agent/offload.rs
@@ -18,7 +18,7 @@
 };
 use crate::{
     control::ControlError,
-    member::{MemberState, Record, Role, View},
+    member::{Record, View},
     membership::LocalRecord,
     owner_id::Owner,
     placement::Candidate,
@@ -106,11 +106,7 @@
 fn candidates(view: &View, own: &Record) -> Vec<Candidate> {
     let mut candidates = Vec::new();
     for record in view.members.values() {
-        let peer = record.role == Role::Agent
-            && record.service == own.service
-            && record.state == MemberState::Ready
-            && record.address != own.address;
-        if !peer {
+        if !record.is_ready_peer(own) {
             continue;
         }
         candidates.push(Candidate {
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -10,10 +10,10 @@
 use tokio::net::UdpSocket;
 
 use crate::{
-    clock::{Clock, Time},
+    clock::{Clock, Time, unix_ms},
     consts::{DATAGRAM_BYTES, OWNER_ID_BYTES},
     datagram::{BatchSocket, Outbox},
-    decision::{Decision, DecisionFilter, Decisions, Verdict, unix_ms},
+    decision::{Decision, DecisionFilter, Decisions, Verdict},
     frame::{self, Header},
     kernel::{Kernel, KernelError},
     member::{Directory, View},
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -2,7 +2,7 @@
 
 use std::{
     ops::{Add, Sub},
-    time::Duration,
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use serde::{Deserialize, Serialize};
@@ -70,3 +70,9 @@
         self.origin + Duration::from_micros(time.0)
     }
 }
+
+/// Returns the wall-clock time in milliseconds since the Unix epoch.
+pub fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.unwrap_or_default().as_millis() as u64
+}
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,11 +1,6 @@
 //! A whole daemon process: its kernel and the services of its role.
 
-use std::{
-    io,
-    net::SocketAddrV4,
-    sync::Arc,
-    time::{Duration, SystemTime, UNIX_EPOCH},
-};
+use std::{io, net::SocketAddrV4, sync::Arc, time::Duration};
 
 use snafu::{ResultExt, Snafu};
 use tokio::net::{TcpListener, UdpSocket};
@@ -16,6 +11,7 @@
         identity::{IdentityError, IdentityFiles, LiveIdentity},
     },
     balancer::{self, BalancerError, BalancerOptions},
+    clock::unix_ms,
     config::{
         daemon::{AgentSettings, BalancerSettings, DaemonSettings},
         tree::Region,
@@ -305,8 +301,5 @@
 
 /// Returns an incarnation that grows with the wall clock, in tenths of a second.
 fn new_incarnation() -> Incarnation {
-    let since = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    Incarnation((since.as_millis() / 100) as u32)
+    Incarnation((unix_ms() / 100) as u32)
 }
--- a/src/decision.rs
+++ b/src/decision.rs
@@ -4,7 +4,6 @@
     collections::VecDeque,
     net::{SocketAddr, SocketAddrV4},
     sync::Mutex,
-    time::{SystemTime, UNIX_EPOCH},
 };
 
 use prometheus_client::metrics::counter::Counter;
@@ -47,12 +46,6 @@
     pub request: Option<String>,
 }
 
-/// Returns the wall-clock time in milliseconds since the Unix epoch.
-pub fn unix_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.unwrap_or_default().as_millis() as u64
-}
-
 /// The last decisions of one process, under the name [`Decisions::NAME`].
 #[derive(Debug, Default)]
 pub struct Decisions {
--- a/src/member.rs
+++ b/src/member.rs
@@ -68,6 +68,14 @@
 }
 
 impl Record {
+    /// Returns whether this is another agent of the same service that takes new work.
+    pub fn is_ready_peer(&self, own: &Record) -> bool {
+        self.role == Role::Agent
+            && self.service == own.service
+            && self.state == MemberState::Ready
+            && self.address != own.address
+    }
+
     /// Returns whether this record replaces `other` of the same process.
     pub fn supersedes(&self, other: &Record) -> bool {
         (self.incarnation, self.version) > (other.incarnation, other.version)
--- a/src/settings/operator.rs
+++ b/src/settings/operator.rs
@@ -1,10 +1,6 @@
 //! Carries an operator's edit out against the store.
 
-use std::{
-    collections::VecDeque,
-    net::SocketAddrV4,
-    time::{Duration, SystemTime, UNIX_EPOCH},
-};
+use std::{collections::VecDeque, net::SocketAddrV4, time::Duration};
 
 use futures::future::join_all;
 
@@ -18,6 +14,7 @@
 };
 use crate::{
     clock::Clock,
+    clock::unix_ms,
     control::ControlClient,
     store::{Committed, Store, StoreError},
 };
@@ -111,7 +108,7 @@
             let event = match action {
                 Action::Read => match self.read().await {
                     Ok(stored) if self.is_behind(&stored).await => Event::Behind,
-                    Ok(stored) => Event::Read(stored, wall_ms()),
+                    Ok(stored) => Event::Read(stored, unix_ms()),
                     Err(error) => Event::from(&error),
                 },
                 Action::Write(proposal) => match self.write(&proposal).await {
@@ -182,10 +179,3 @@
     }
     store.commit(&layout.write(proposal, &histories)).await
 }
-
-fn wall_ms() -> u64 {
-    let since = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    since.as_millis() as u64
-}
--- a/src/standin/server.rs
+++ b/src/standin/server.rs
@@ -8,7 +8,7 @@
         Arc, Mutex,
         atomic::{AtomicU64, Ordering},
     },
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -29,6 +29,7 @@
 
 use super::body::answer_body;
 use crate::{
+    clock::unix_ms,
     consts::{OUTCOME_HEADER, REQUEST_ID_HEADER, TIMEOUT_HEADER},
     kernel::Kernel,
 };
@@ -298,10 +299,7 @@
 
 /// Returns the number of the newest event; all servers number events by the wall clock.
 fn newest_event() -> u64 {
-    let since = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    (since.as_millis() / FEED_INTERVAL.as_millis()) as u64
+    unix_ms() / FEED_INTERVAL.as_millis() as u64
 }
 
 fn feed(last: Option<u64>) -> Response<Body> {
--- a/src/trial.rs
+++ b/src/trial.rs
@@ -72,3 +72,11 @@
 pub fn find(name: &str) -> Option<&'static Trial> {
     TRIALS.iter().find(|trial| trial.name == name)
 }
+
+/// Returns the memory of this process in bytes, zero where the system does not tell.
+pub fn resident_bytes() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    let kilobytes = line.and_then(|l| l.split_whitespace().nth(1)?.parse::<u64>().ok());
+    kilobytes.unwrap_or(0) * 1024
+}
--- a/src/trial/connections.rs
+++ b/src/trial/connections.rs
@@ -1,10 +1,11 @@
 //! Memory of open flows: callers and agents together, in one process.
 
-use std::{fs, sync::Arc, thread, time::Duration};
+use std::{sync::Arc, thread, time::Duration};
 
 use serde_json::{Value, json};
 use tokio::runtime::Builder;
 
+use super::resident_bytes;
 use crate::{
     caller::Caller,
     dev::{self, fleet::Fleet},
@@ -14,17 +15,9 @@
 const STEPS: [usize; 4] = [100, 500, 1000, 1500];
 const SETTLE_TIME: Duration = Duration::from_millis(500);
 const RETRY_DELAY: Duration = Duration::from_millis(100);
-const PAGE_BYTES: u64 = 4096;
 const SERVICE: &str = "wind";
 const PATH: &str = "/gusts";
 
-/// Returns the memory that the process holds, in bytes.
-pub fn resident_bytes() -> u64 {
-    let statm = fs::read_to_string("/proc/self/statm").unwrap_or_default();
-    let pages = statm.split(' ').nth(1).and_then(|field| field.parse().ok());
-    pages.unwrap_or(0_u64) * PAGE_BYTES
-}
-
 /// Runs the measurement.
 pub fn run(seed: u64) -> Value {
     let work = thread::spawn(move || {
--- a/src/trial/membership/fleet.rs
+++ b/src/trial/membership/fleet.rs
@@ -10,6 +10,7 @@
     member::{MemberState, Record},
     membership::swim::TICK_INTERVAL,
     owner_id::Incarnation,
+    trial::resident_bytes,
 };
 
 /// Failure domains at the target.
@@ -188,11 +189,3 @@
 fn millis(time: Option<Duration>) -> Value {
     time.map_or(Value::Null, |time| json!(time.as_millis() as u64))
 }
-
-/// Returns the memory of this process in bytes, zero where the system does not tell.
-fn resident_bytes() -> u64 {
-    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
-    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
-    let kilobytes = line.and_then(|l| l.split_whitespace().nth(1)?.parse::<u64>().ok());
-    kilobytes.unwrap_or(0) * 1024
-}
--- a/src/trial/relay.rs
+++ b/src/trial/relay.rs
@@ -13,7 +13,7 @@
 use serde_json::{Value, json};
 use tokio::{net::UdpSocket, runtime::Builder, sync::oneshot};
 
-use super::connections::resident_bytes;
+use super::resident_bytes;
 use crate::{
     balancer::{self, BalancerOptions},
     config::tree::{Region, ServiceSettings},
