--- a/benches/route.rs
+++ b/benches/route.rs
@@ -115,7 +115,7 @@
     });
     let framed = buffer.clone();
     c.bench_function("read frame", |b| {
-        b.iter(|| frame::decode(black_box(&framed)).map(|(h, _)| h));
+        b.iter(|| frame::decode::<Header>(black_box(&framed)).map(|(h, _)| h));
     });
     let mut filter = DecisionFilter::default();
     c.bench_function("filter decision", |b| {
--- a/src/frame.rs
+++ b/core/src/frame.rs
@@ -1,4 +1,4 @@
-//! The header that wraps a datagram between a balancer and an agent.
+//! Headers that wrap datagrams between balancers and agents.
 //!
 //! A frame is one byte with the header's length, the header in MessagePack, and the payload.
 //! Addresses are byte strings of fixed length, so that the frames of a flow have one size and can
@@ -6,7 +6,7 @@
 
 use std::net::{SocketAddr, SocketAddrV4};
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use snafu::{OptionExt, ResultExt, Snafu};
 
 use crate::owner_id::ServiceTag;
@@ -58,7 +58,11 @@
 /// # Errors
 ///
 /// Fails if the codec does.
-pub fn encode(header: &Header, payload: &[u8], buffer: &mut Vec<u8>) -> Result<(), FrameError> {
+pub fn encode<H: Serialize>(
+    header: &H,
+    payload: &[u8],
+    buffer: &mut Vec<u8>,
+) -> Result<(), FrameError> {
     buffer.clear();
     buffer.push(0);
     rmp_serde::encode::write(buffer, header).context(UnwritableSnafu)?;
@@ -73,7 +77,7 @@
 /// # Errors
 ///
 /// Fails if the bytes are not a header.
-pub fn decode(frame: &[u8]) -> Result<(Header, &[u8]), FrameError> {
+pub fn decode<H: DeserializeOwned>(frame: &[u8]) -> Result<(H, &[u8]), FrameError> {
     let (length, rest) = frame.split_first().context(ShortSnafu)?;
     let (header, payload) = rest
         .split_at_checked(usize::from(*length))
--- /dev/null
+++ b/core/src/l4/agent.rs
@@ -0,0 +1,447 @@
+//! The agent beside one backend server: takes or refuses new flows, knows which flows the server
+//! holds, and passes segments both ways.
+
+pub mod flows;
+
+use std::{
+    collections::{HashMap, VecDeque},
+    net::{Ipv4Addr, SocketAddrV4},
+    time::Duration,
+};
+
+use self::flows::{Flows, Held, Progress, Stage};
+use super::{
+    message::{self, Message, Received, Refusal, Standing},
+    outbox::Outbox,
+    routes::ServiceKey,
+    segment::{Codec, FlowKey, Segment, is_after},
+    server::{Change, ReportError, Server, ServerReport, ServerState},
+    workload::Workload,
+};
+use crate::clock::Time;
+
+/// Time in which a backend server answers an opening segment; it needs well under a millisecond.
+const OPENING_ANSWER: Duration = Duration::from_millis(40);
+
+/// Time between two opening segments that try whether a mute backend server answers again.
+const MUTE_RETRY: Duration = Duration::from_millis(200);
+
+/// Time between two reports of the load to balancers that are in touch.
+const LOAD_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Time without a segment after which a balancer gets no more reports.
+const BALANCER_TIME: Duration = Duration::from_secs(5);
+
+/// Time between two searches for expired flows.
+const EXPIRE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Time from a server's leave to the resets of what it held: it exits once its leave is
+/// acknowledged.
+const LEAVE_DELAY: Duration = Duration::from_millis(500);
+
+/// What an agent is told at its start.
+#[derive(Clone, Copy, Debug)]
+pub struct AgentOptions {
+    /// Service of the backend server.
+    pub service: ServiceKey,
+    /// Address at which the backend server takes segments.
+    pub server: SocketAddrV4,
+    /// Time between two reports of the backend server.
+    pub report_interval: Duration,
+    /// Time without a segment after which a flow is forgotten.
+    pub idle: Duration,
+    /// Longest life of a flow.
+    pub max_life: Duration,
+    /// Flows that the backend server holds at most.
+    pub max_flows: u16,
+    /// Port at which balancers take messages.
+    pub peer_port: u16,
+}
+
+/// The state of an agent.
+#[derive(Debug)]
+pub struct Agent<C> {
+    codec: C,
+    options: AgentOptions,
+    server: Server,
+    flows: Flows,
+    workload: Workload,
+    /// Until when the backend server may hold flows that were not seen here.
+    unsure: Option<Time>,
+    balancers: HashMap<SocketAddrV4, Time>,
+    mute: Option<Time>,
+    orphaned: Option<Time>,
+    /// Opening segments that were delivered, with the time in which they should be answered.
+    offers: VecDeque<(Time, FlowKey)>,
+    due: Due,
+    buffer: Vec<u8>,
+}
+
+#[derive(Debug)]
+struct Due {
+    load: Time,
+    expire: Time,
+}
+
+impl<C: Codec> Agent<C> {
+    /// Returns an agent that has just started.
+    pub fn new(codec: C, options: AgentOptions, now: Time) -> Self {
+        Self {
+            codec,
+            server: Server::new(options.server, options.service, options.report_interval),
+            flows: Flows::new(options.idle),
+            workload: Workload::default(),
+            unsure: Some(now + options.max_life),
+            balancers: HashMap::new(),
+            mute: None,
+            orphaned: None,
+            offers: VecDeque::new(),
+            due: Due {
+                load: now,
+                expire: now,
+            },
+            buffer: Vec::new(),
+            options,
+        }
+    }
+
+    /// Returns the state of the backend server, if it reports.
+    pub fn server_state(&self, now: Time) -> Option<ServerState> {
+        self.server.state(now)
+    }
+
+    /// Returns whether the backend server has left.
+    pub fn server_has_left(&self) -> bool {
+        self.server.has_left()
+    }
+
+    /// Returns what the backend server carries.
+    pub fn workload(&self) -> &Workload {
+        &self.workload
+    }
+
+    /// Takes a status report of the backend server.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the report changes nothing.
+    pub fn report(
+        &mut self,
+        report: &ServerReport,
+        now: Time,
+        out: &mut impl Outbox,
+    ) -> Result<(), ReportError> {
+        let change = self.server.report(report, now)?;
+        self.workload.set_slots(report.slots);
+        match change {
+            Change::Started { first } => {
+                tracing::info!(
+                    event = "server_started",
+                    server = report.id,
+                    born_ms = report.born_ms,
+                    sequence = report.sequence,
+                    slots = report.slots,
+                    first,
+                );
+                if first {
+                    self.reset_all("server_restarted", out);
+                    self.unsure = None;
+                }
+                self.orphaned = None;
+                self.mute = None;
+            }
+            Change::State => tracing::info!(
+                event = "server_state",
+                server = report.id,
+                state = ?report.state,
+                sequence = report.sequence,
+            ),
+            Change::Nothing => {}
+        }
+        Ok(())
+    }
+
+    /// Takes the news that the backend server leaves.
+    ///
+    /// # Errors
+    ///
+    /// Fails if another start of the server is known.
+    pub fn leave(&mut self, id: &str, now: Time) -> Result<(), ReportError> {
+        self.server.leave(id)?;
+        tracing::info!(
+            event = "server_left",
+            server = id,
+            flows = self.workload.flows()
+        );
+        self.orphaned = Some(now + LEAVE_DELAY);
+        Ok(())
+    }
+
+    /// Takes a frame of a balancer.
+    pub fn receive(&mut self, received: &Received<'_>, now: Time, out: &mut impl Outbox) {
+        let from = received.from;
+        self.balancers.insert(from, now + BALANCER_TIME);
+        match received.message {
+            Message::Open { service, forced } => {
+                let Some(segment) = self.codec.read(received.datagram) else {
+                    return;
+                };
+                match self.refusal(&segment, service, forced, now) {
+                    Some(refusal) => self.refuse(from, refusal, received.datagram, out),
+                    None => self.open(from, &segment, received.datagram, now, out),
+                }
+            }
+            Message::Carry => self.carry(received, now, out),
+            Message::Find { flow, acknowledged } => {
+                let standing = self.standing(&flow, acknowledged);
+                self.tell(from, &Message::Found { flow, standing }, &[], out);
+            }
+            _ => {}
+        }
+    }
+
+    /// Takes a datagram of the backend server.
+    pub fn receive_from_server(&mut self, datagram: &[u8], now: Time, out: &mut impl Outbox) {
+        let Some(segment) = self.codec.read(datagram) else {
+            return;
+        };
+        self.mute = None;
+        self.server.heard(now);
+        if segment.flags.bounced {
+            self.bounced(&segment, datagram, out);
+            return;
+        }
+        match self.flows.answer(&segment, &mut self.workload, now) {
+            Progress::Accepted { initial, balancer } => {
+                let opened = Message::Opened {
+                    flow: segment.flow_of_server(),
+                    initial,
+                    load: self.workload.load(),
+                };
+                self.tell(balancer, &opened, &[], out);
+            }
+            Progress::Found { balancer } => {
+                let flow = segment.flow_of_server();
+                let standing = Standing::Held;
+                self.tell(balancer, &Message::Found { flow, standing }, &[], out);
+            }
+            Progress::Answered(took) => tracing::debug!(
+                event = "request_answered",
+                flow = %segment.flow_of_server(),
+                took_us = took.as_micros() as u64,
+            ),
+            Progress::Other => {}
+        }
+        out.to_caller(segment.destination, datagram);
+    }
+
+    /// Does the periodic work.
+    pub fn tick(&mut self, now: Time, out: &mut impl Outbox) {
+        if self.unsure.is_some_and(|until| now >= until) {
+            self.unsure = None;
+        }
+        if self.orphaned.is_some_and(|at| now >= at) {
+            self.orphaned = None;
+            self.reset_all("server_left", out);
+        }
+        if now >= self.due.expire {
+            self.due.expire = now + EXPIRE_INTERVAL;
+            self.flows.expire(&mut self.workload, now);
+            self.balancers.retain(|_, until| now < *until);
+        }
+        while let Some((_, flow)) = self.offers.pop_front_if(|(due, _)| *due <= now) {
+            self.check_offer(&flow, now);
+        }
+        if now >= self.due.load {
+            self.due.load = now + LOAD_INTERVAL;
+            self.report_load(out);
+        }
+    }
+
+    /// Returns when [`Agent::tick`] has something to do next.
+    pub fn due(&self) -> Time {
+        let next = self.due.load.min(self.due.expire);
+        self.offers.front().map_or(next, |(due, _)| next.min(*due))
+    }
+
+    /// Notes that the backend server does not answer, if it has not answered an opening segment.
+    fn check_offer(&mut self, flow: &FlowKey, now: Time) {
+        let waits = self.flows.get(flow).is_some_and(|held| held.offered);
+        if !waits || self.mute.is_some() {
+            return;
+        }
+        let server = self.server.id().unwrap_or("-");
+        tracing::warn!(event = "server_mute", server, %flow);
+        self.mute = Some(now + MUTE_RETRY);
+    }
+
+    fn report_load(&mut self, out: &mut impl Outbox) {
+        let carries = Message::Carries(self.workload.load());
+        let mut buffer = std::mem::take(&mut self.buffer);
+        message::encode(&carries, &[], &mut buffer);
+        for balancer in self.balancers.keys() {
+            out.to_peer(*balancer, &buffer);
+        }
+        self.buffer = buffer;
+    }
+
+    fn refusal(
+        &mut self,
+        segment: &Segment,
+        service: ServiceKey,
+        forced: bool,
+        now: Time,
+    ) -> Option<Refusal> {
+        if service != self.options.service {
+            return Some(Refusal::OtherService);
+        }
+        let held = self.flows.get(&segment.flow_of_caller());
+        if held.is_some_and(|held| held.stage != Stage::Ended) {
+            return None;
+        }
+        match self.server.state(now) {
+            None => return Some(Refusal::NoServer),
+            Some(ServerState::Draining) => return Some(Refusal::Draining),
+            Some(ServerState::Ready) => {}
+        }
+        if let Some(retry) = self.mute {
+            if now < retry {
+                return Some(Refusal::Mute);
+            }
+            self.mute = Some(now + MUTE_RETRY);
+        }
+        if self.workload.flows() >= self.options.max_flows {
+            return Some(Refusal::Full);
+        }
+        (!forced && !self.workload.has_room()).then_some(Refusal::Busy)
+    }
+
+    fn open(
+        &mut self,
+        from: SocketAddrV4,
+        segment: &Segment,
+        datagram: &[u8],
+        now: Time,
+        out: &mut impl Outbox,
+    ) {
+        let flow = segment.flow_of_caller();
+        self.flows.offer(flow, from, &mut self.workload, now);
+        self.offers.push_back((now + OPENING_ANSWER, flow));
+        self.deliver(from, datagram, out);
+    }
+
+    fn carry(&mut self, received: &Received<'_>, now: Time, out: &mut impl Outbox) {
+        let Some(segment) = self.codec.read(received.datagram) else {
+            return;
+        };
+        let from = received.from;
+        let passed = self.flows.pass(&segment, from, &mut self.workload, now);
+        match passed {
+            Some(true) => self.log_request(&segment, received.datagram),
+            Some(false) => {}
+            None if self.may_hold_unseen() => {
+                let flow = segment.flow_of_caller();
+                self.flows.test(flow, from, &mut self.workload, now);
+            }
+            None => {
+                self.tell(from, &Message::Unknown, received.datagram, out);
+                return;
+            }
+        }
+        self.deliver(from, received.datagram, out);
+    }
+
+    /// Returns whether the backend server may hold flows that were not seen here.
+    fn may_hold_unseen(&self) -> bool {
+        self.unsure.is_some() && !self.server.has_left()
+    }
+
+    fn log_request(&self, segment: &Segment, datagram: &[u8]) {
+        tracing::info!(
+            event = "request",
+            request = self.codec.request_id(datagram).unwrap_or("-"),
+            flow = %segment.flow_of_caller(),
+            server = self.server.id().unwrap_or("-"),
+            busy = self.workload.load().busy,
+            slots = self.workload.load().slots,
+        );
+    }
+
+    fn standing(&self, flow: &FlowKey, acknowledged: u32) -> Standing {
+        match self.flows.get(flow).map(|held| held.stage) {
+            Some(Stage::Open | Stage::Ended) => Standing::Held,
+            Some(Stage::Accepted { initial }) if follows(acknowledged, initial) => Standing::Held,
+            Some(Stage::Accepted { .. } | Stage::Offered) => Standing::NotHeld,
+            Some(Stage::Tested) => Standing::Unsure,
+            None if self.may_hold_unseen() => Standing::Unsure,
+            None => Standing::NotHeld,
+        }
+    }
+
+    fn bounced(&mut self, segment: &Segment, datagram: &[u8], out: &mut impl Outbox) {
+        self.flows
+            .remove(&segment.flow_of_caller(), &mut self.workload);
+        let balancer = SocketAddrV4::new(Ipv4Addr::from(segment.mark), self.options.peer_port);
+        let mut clean = datagram.to_vec();
+        self.codec.mark(&mut clean, 0);
+        match segment.is_opening() {
+            true => self.refuse(balancer, Refusal::Bounced, &clean, out),
+            false => self.tell(balancer, &Message::Unknown, &clean, out),
+        }
+    }
+
+    fn refuse(
+        &mut self,
+        balancer: SocketAddrV4,
+        refusal: Refusal,
+        datagram: &[u8],
+        out: &mut impl Outbox,
+    ) {
+        let load = self.workload.load();
+        self.tell(balancer, &Message::Refused { refusal, load }, datagram, out);
+    }
+
+    fn tell(
+        &mut self,
+        balancer: SocketAddrV4,
+        message: &Message,
+        datagram: &[u8],
+        out: &mut impl Outbox,
+    ) {
+        message::encode(message, datagram, &mut self.buffer);
+        out.to_peer(balancer, &self.buffer);
+    }
+
+    fn deliver(&mut self, from: SocketAddrV4, datagram: &[u8], out: &mut impl Outbox) {
+        self.buffer.clear();
+        self.buffer.extend_from_slice(datagram);
+        self.codec
+            .mark(&mut self.buffer, u32::from(from.ip().to_owned()));
+        out.to_server(&self.buffer);
+    }
+
+    /// Resets the flows of a backend server that is gone for certain.
+    fn reset_all(&mut self, reason: &'static str, out: &mut impl Outbox) {
+        let flows = self.flows.drain(&mut self.workload);
+        if flows.is_empty() {
+            return;
+        }
+        tracing::info!(event = "flows_reset", reason, flows = flows.len());
+        for (flow, held) in flows {
+            self.reset(&flow, &held, out);
+        }
+    }
+
+    fn reset(&mut self, flow: &FlowKey, held: &Held, out: &mut impl Outbox) {
+        self.codec.reset(flow, held.acknowledged, &mut self.buffer);
+        out.to_caller(flow.caller, &self.buffer);
+    }
+}
+
+/// Returns whether an acknowledgement may belong to a flow that began at `initial`.
+pub fn follows(acknowledged: u32, initial: u32) -> bool {
+    /// Largest window of a flow in bytes, with room to spare.
+    const WINDOW: u32 = 1 << 20;
+    acknowledged == initial
+        || (is_after(acknowledged, initial) && acknowledged.wrapping_sub(initial) < WINDOW)
+}
--- /dev/null
+++ b/core/src/l4/balancer.rs
@@ -0,0 +1,333 @@
+//! The balancer: places new flows on agents, remembers their owners, and finds the owners of flows
+//! that it does not know.
+//!
+//! What it remembers is a shortcut. A flow that it does not know is looked for at the agents, which
+//! see every segment of their backend servers; so any balancer can take over any flow.
+
+pub mod fleet;
+mod opening;
+mod search;
+
+use std::{
+    collections::{HashMap, VecDeque},
+    net::SocketAddrV4,
+    sync::Arc,
+    time::Duration,
+};
+
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use rustc_hash::FxBuildHasher;
+
+use self::{fleet::Fleet, opening::Opening, search::Search};
+use super::{
+    choice::Candidate,
+    message::{self, Message, Received, Standing},
+    outbox::Outbox,
+    routes::RouteTable,
+    segment::{Codec, FlowKey, Segment},
+};
+use crate::{clock::Time, member::View};
+
+/// Time without a segment after which the owner of a flow is forgotten, if the routes name none.
+const IDLE_TIME: Duration = Duration::from_secs(15);
+
+/// Time between two searches for flows to forget.
+const EXPIRE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time for which a flow that no agent holds is answered by a reset without a new search.
+const LOST_TIME: Duration = Duration::from_secs(2);
+
+/// Time between two searches that both found no owner, before the flow is reset: by then the news
+/// of an agent that has just joined has come.
+const CONFIRM_TIME: Duration = Duration::from_millis(1200);
+
+/// Flows that are remembered at most; the largest fleet opens 72 a second in each balancer.
+const MAX_FLOWS: usize = 200_000;
+
+/// What a balancer knows of one flow.
+#[derive(Clone, Debug)]
+enum Entry {
+    /// It is being placed.
+    Opening(Opening),
+    /// An agent holds it.
+    Owned(Owned),
+    /// Its owner is looked for.
+    Searching(Search),
+    /// A search found no owner.
+    NotFound {
+        /// When the first search ended.
+        since: Time,
+        /// When this is forgotten.
+        expires: Time,
+    },
+    /// Nobody holds it; its caller was told.
+    Lost {
+        /// When this is forgotten.
+        expires: Time,
+    },
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Owned {
+    agent: SocketAddrV4,
+    acknowledged: u32,
+    expires: Time,
+}
+
+/// The state of a balancer.
+#[derive(Debug)]
+pub struct Balancer<C> {
+    codec: C,
+    domain: String,
+    flows: HashMap<FlowKey, Entry, FxBuildHasher>,
+    fleet: Fleet,
+    routes: Arc<RouteTable>,
+    view_version: u64,
+    /// When the attempts to place a flow run out.
+    openings: VecDeque<(Time, FlowKey)>,
+    /// When the steps of a search run out.
+    searches: VecDeque<(Time, FlowKey)>,
+    expire: Time,
+    rng: SmallRng,
+    buffer: Vec<u8>,
+    candidates: Vec<Candidate>,
+}
+
+impl<C: Codec> Balancer<C> {
+    /// Returns a balancer that knows no routes and no agents.
+    pub fn new(codec: C, domain: &str, seed: u64) -> Self {
+        Self {
+            codec,
+            domain: domain.to_owned(),
+            flows: HashMap::default(),
+            fleet: Fleet::default(),
+            routes: Arc::default(),
+            view_version: 0,
+            openings: VecDeque::new(),
+            searches: VecDeque::new(),
+            expire: Time::default(),
+            rng: SmallRng::seed_from_u64(seed),
+            buffer: Vec::new(),
+            candidates: Vec::new(),
+        }
+    }
+
+    /// Returns whether the balancer can place flows.
+    pub fn is_ready(&self) -> bool {
+        self.routes.version > 0 && self.fleet.has_ready()
+    }
+
+    /// Returns the number of flows that are remembered.
+    pub fn flows(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// Takes newer routes.
+    pub fn take_routes(&mut self, routes: Arc<RouteTable>) {
+        if routes.version > self.routes.version {
+            self.routes = routes;
+        }
+    }
+
+    /// Takes the members of the fleet, and resets the flows of agents that are gone.
+    pub fn take_view(&mut self, view: &View, now: Time, out: &mut impl Outbox) {
+        self.view_version = view.version;
+        let gone = self.fleet.meet(view, &self.domain);
+        if gone.is_empty() {
+            return;
+        }
+        let mut lost = Vec::new();
+        for (flow, entry) in &self.flows {
+            if let Entry::Owned(owned) = entry
+                && gone.contains(&owned.agent)
+            {
+                lost.push((*flow, *owned));
+            }
+        }
+        for (flow, owned) in lost {
+            self.lose(&flow, owned.acknowledged, "agent_gone", now, out);
+        }
+    }
+
+    /// Takes a datagram of a caller.
+    pub fn receive(&mut self, datagram: &[u8], now: Time, out: &mut impl Outbox) {
+        let Some(segment) = self.codec.read(datagram) else {
+            return;
+        };
+        let flow = segment.flow_of_caller();
+        if !self.routes.routes.contains_key(&flow.address) {
+            self.unrouted(&flow, &segment, now, out);
+            return;
+        }
+        if segment.is_opening() {
+            self.open(&flow, datagram, now, out);
+            return;
+        }
+        match self.flows.get_mut(&flow) {
+            Some(Entry::Owned(owned)) => {
+                owned.acknowledged = segment.acknowledged;
+                owned.expires = now + idle_time(&self.routes);
+                let agent = owned.agent;
+                self.carry(agent, datagram, out);
+            }
+            Some(Entry::Opening(_)) => self.end_opening(&flow, &segment, datagram, now, out),
+            Some(Entry::Searching(search)) => search.keep(datagram),
+            Some(Entry::Lost { expires }) if now < *expires => {
+                self.reset(&flow, segment.acknowledged, out);
+            }
+            _ if segment.flags.rst => {}
+            _ => self.search(&flow, &segment, datagram, now, out),
+        }
+    }
+
+    /// Takes a frame of an agent.
+    pub fn receive_from_agent(
+        &mut self,
+        received: &Received<'_>,
+        now: Time,
+        out: &mut impl Outbox,
+    ) {
+        let from = received.from;
+        match received.message {
+            Message::Opened {
+                flow,
+                initial,
+                load,
+            } => {
+                self.fleet.accepted(from, load);
+                self.opened(&flow, from, initial, now, out);
+            }
+            Message::Refused { refusal, load } => {
+                self.fleet.refused(from, refusal, load, now);
+                let Some(segment) = self.codec.read(received.datagram) else {
+                    return;
+                };
+                self.refused(&segment.flow_of_caller(), from, refusal, now, out);
+            }
+            Message::Unknown => {
+                let Some(segment) = self.codec.read(received.datagram) else {
+                    return;
+                };
+                self.not_held(&segment, from, received.datagram, now, out);
+            }
+            Message::Found { flow, standing } => self.found(&flow, from, standing, now, out),
+            Message::Carries(load) => self.fleet.loaded(from, load),
+            Message::Open { .. } | Message::Carry | Message::Find { .. } => {}
+        }
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, now: Time, out: &mut impl Outbox) {
+        while let Some((_, flow)) = self.openings.pop_front_if(|(due, _)| *due <= now) {
+            self.opening_overdue(&flow, now, out);
+        }
+        while let Some((_, flow)) = self.searches.pop_front_if(|(due, _)| *due <= now) {
+            self.search_overdue(&flow, now, out);
+        }
+        if now >= self.expire {
+            self.expire = now + EXPIRE_INTERVAL;
+            self.flows.retain(|_, entry| now < entry.expires());
+        }
+    }
+
+    /// Returns when [`Balancer::tick`] has something to do next.
+    pub fn due(&self) -> Time {
+        let opening = self.openings.front().map(|(due, _)| *due);
+        let search = self.searches.front().map(|(due, _)| *due);
+        let next = opening.into_iter().chain(search).min();
+        next.map_or(self.expire, |next| next.min(self.expire))
+    }
+
+    /// A segment to an address without a route: an opening is refused at once; a flow is ended if
+    /// it is known here, so that its route was removed and is not just unknown yet.
+    fn unrouted(&mut self, flow: &FlowKey, segment: &Segment, now: Time, out: &mut impl Outbox) {
+        let known = self.flows.contains_key(flow);
+        if !segment.is_opening() && !known || self.routes.version == 0 {
+            return;
+        }
+        self.lose(flow, segment.acknowledged, "no_route", now, out);
+    }
+
+    fn own(&mut self, flow: &FlowKey, agent: SocketAddrV4, acknowledged: u32, now: Time) {
+        let owned = Owned {
+            agent,
+            acknowledged,
+            expires: now + idle_time(&self.routes),
+        };
+        self.insert(flow, Entry::Owned(owned));
+    }
+
+    fn insert(&mut self, flow: &FlowKey, entry: Entry) {
+        if self.flows.len() < MAX_FLOWS || self.flows.contains_key(flow) {
+            self.flows.insert(*flow, entry);
+        }
+    }
+
+    /// Tells the caller that its flow has ended, and remembers it for a while.
+    fn lose(
+        &mut self,
+        flow: &FlowKey,
+        acknowledged: u32,
+        reason: &'static str,
+        now: Time,
+        out: &mut impl Outbox,
+    ) {
+        tracing::info!(
+            event = "flow_reset",
+            %flow,
+            reason,
+            routes = self.routes.version,
+            view = self.view_version,
+        );
+        let expires = now + LOST_TIME;
+        self.insert(flow, Entry::Lost { expires });
+        self.reset(flow, acknowledged, out);
+    }
+
+    fn reset(&mut self, flow: &FlowKey, sequence: u32, out: &mut impl Outbox) {
+        self.codec.reset(flow, sequence, &mut self.buffer);
+        out.to_caller(flow.caller, &self.buffer);
+    }
+
+    fn carry(&mut self, agent: SocketAddrV4, datagram: &[u8], out: &mut impl Outbox) {
+        self.send(agent, &Message::Carry, datagram, out);
+    }
+
+    fn send(
+        &mut self,
+        agent: SocketAddrV4,
+        message: &Message,
+        datagram: &[u8],
+        out: &mut impl Outbox,
+    ) {
+        message::encode(message, datagram, &mut self.buffer);
+        out.to_peer(agent, &self.buffer);
+    }
+
+    fn salt(&mut self) -> u64 {
+        self.rng.random()
+    }
+}
+
+impl Entry {
+    fn expires(&self) -> Time {
+        match self {
+            Entry::Opening(opening) => opening.expires,
+            Entry::Owned(owned) => owned.expires,
+            Entry::Searching(search) => search.expires,
+            Entry::NotFound { expires, .. } | Entry::Lost { expires } => *expires,
+        }
+    }
+}
+
+fn idle_time(routes: &RouteTable) -> Duration {
+    match routes.idle_ms {
+        0 => IDLE_TIME,
+        ms => Duration::from_millis(ms),
+    }
+}
+
+/// Returns whether an agent holds a flow for certain.
+fn is_held(standing: Standing) -> bool {
+    standing == Standing::Held
+}
--- /dev/null
+++ b/core/src/l4/balancer/fleet.rs
@@ -0,0 +1,166 @@
+//! The agents as one balancer knows them: from the membership, and from what they tell it.
+
+use std::{collections::BTreeMap, net::SocketAddrV4, time::Duration};
+
+use crate::{
+    clock::Time,
+    l4::{choice::Candidate, message::Refusal, workload::Load},
+    member::{MemberState, Role, View},
+    owner_id::ServiceTag,
+};
+
+/// Time for which an agent that did not answer gets new flows only where no other can take them.
+const AVOID_SILENT: Duration = Duration::from_secs(1);
+
+/// Time for which an agent that refused gets no new flows, unless it reports.
+const AVOID_REFUSED: Duration = Duration::from_millis(300);
+
+/// One agent.
+#[derive(Clone, Debug)]
+pub struct Peer {
+    /// Service that it serves.
+    pub service: ServiceTag,
+    /// State in the membership.
+    pub state: MemberState,
+    near: bool,
+    load: Load,
+    placed: u16,
+    avoid: Time,
+}
+
+/// All agents.
+#[derive(Clone, Debug, Default)]
+pub struct Fleet {
+    agents: BTreeMap<SocketAddrV4, Peer>,
+}
+
+impl Fleet {
+    /// Takes the members of a view; returns the agents that have just gone for good.
+    pub fn meet(&mut self, view: &View, domain: &str) -> Vec<SocketAddrV4> {
+        let mut gone = Vec::new();
+        for (address, record) in &view.members {
+            if record.role != Role::Agent {
+                continue;
+            }
+            let peer = self.agents.entry(*address).or_insert_with(|| Peer {
+                service: record.service,
+                state: record.state,
+                near: record.domain == domain,
+                load: Load::default(),
+                placed: 0,
+                avoid: Time::default(),
+            });
+            let ended = is_gone(record.state) && !is_gone(peer.state);
+            peer.state = record.state;
+            peer.service = record.service;
+            if ended {
+                gone.push(*address);
+            }
+        }
+        let members = &view.members;
+        self.agents.retain(|address, peer| {
+            let known = members.contains_key(address);
+            if !known && !is_gone(peer.state) {
+                gone.push(*address);
+            }
+            known
+        });
+        gone
+    }
+
+    /// Returns an agent.
+    pub fn get(&self, address: SocketAddrV4) -> Option<&Peer> {
+        self.agents.get(&address)
+    }
+
+    /// Returns the agents that may hold flows.
+    pub fn holders(&self) -> impl Iterator<Item = SocketAddrV4> {
+        let live = self.agents.iter().filter(|(_, peer)| !is_gone(peer.state));
+        live.map(|(address, _)| *address)
+    }
+
+    /// Returns whether any agent of any service takes new flows.
+    pub fn has_ready(&self) -> bool {
+        self.agents
+            .values()
+            .any(|peer| peer.state == MemberState::Ready)
+    }
+
+    /// Fills `candidates` with the agents that may take a flow of a service: those that answer,
+    /// or, where there are none, those that were silent or refused lately.
+    pub fn candidates(
+        &self,
+        service: ServiceTag,
+        excluded: &[SocketAddrV4],
+        now: Time,
+        candidates: &mut Vec<Candidate>,
+    ) {
+        candidates.clear();
+        for avoided in [false, true] {
+            for (address, peer) in &self.agents {
+                let takes = match peer.state {
+                    MemberState::Ready => avoided == (now < peer.avoid),
+                    MemberState::Suspect => avoided,
+                    _ => false,
+                };
+                if peer.service != service || !takes || excluded.contains(address) {
+                    continue;
+                }
+                candidates.push(Candidate {
+                    address: *address,
+                    near: peer.near,
+                    load: peer.load,
+                    placed: peer.placed,
+                });
+            }
+            if !candidates.is_empty() {
+                return;
+            }
+        }
+    }
+
+    /// Notes a new flow that is sent to an agent.
+    pub fn placed(&mut self, address: SocketAddrV4) {
+        if let Some(peer) = self.agents.get_mut(&address) {
+            peer.placed = peer.placed.saturating_add(1);
+        }
+    }
+
+    /// Notes what an agent reports.
+    pub fn loaded(&mut self, address: SocketAddrV4, load: Load) {
+        if let Some(peer) = self.agents.get_mut(&address) {
+            peer.load = load;
+            peer.placed = 0;
+        }
+    }
+
+    /// Notes that an agent accepted a flow.
+    pub fn accepted(&mut self, address: SocketAddrV4, load: Load) {
+        self.loaded(address, load);
+        if let Some(peer) = self.agents.get_mut(&address) {
+            peer.avoid = Time::default();
+        }
+    }
+
+    /// Notes that an agent refused a flow.
+    pub fn refused(&mut self, address: SocketAddrV4, refusal: Refusal, load: Load, now: Time) {
+        self.loaded(address, load);
+        if refusal != Refusal::Busy
+            && let Some(peer) = self.agents.get_mut(&address)
+        {
+            peer.avoid = now + AVOID_REFUSED;
+        }
+    }
+
+    /// Notes that an agent did not answer.
+    pub fn silent(&mut self, address: SocketAddrV4, now: Time) {
+        if let Some(peer) = self.agents.get_mut(&address) {
+            peer.avoid = now + AVOID_SILENT;
+        }
+    }
+}
+
+/// Returns whether a member has left or was given up.
+pub fn is_gone(state: MemberState) -> bool {
+    matches!(state, MemberState::Dead | MemberState::Left)
+}
--- /dev/null
+++ b/core/src/l4/balancer/opening.rs
@@ -0,0 +1,279 @@
+//! Places a new flow: tries agents one after the other until a backend server accepts it.
+
+use std::{net::SocketAddrV4, time::Duration};
+
+use super::{Balancer, Entry};
+use crate::{
+    clock::Time,
+    l4::{
+        agent::follows,
+        choice::{self, Candidate, Typical},
+        message::{Message, Refusal},
+        outbox::Outbox,
+        routes::ServiceKey,
+        segment::{Codec, FlowKey, Segment},
+    },
+};
+
+/// Time in which an agent tells what became of an opening segment; several round trips.
+const ANSWER_TIME: Duration = Duration::from_millis(30);
+
+/// Time after which an opening is forgotten: a caller gives it up after 1.4 s.
+const OPENING_TIME: Duration = Duration::from_secs(3);
+
+/// Agents without a free slot that are passed over before one has to take the flow.
+const BUSY_TRIES: usize = 2;
+
+/// Agents that are tried for one segment of the caller.
+const MAX_TRIES: usize = 6;
+
+/// A flow that is being placed.
+#[derive(Clone, Debug)]
+pub(super) struct Opening {
+    service: ServiceKey,
+    datagram: Box<[u8]>,
+    /// Agents that do not take it or do not answer.
+    excluded: Vec<SocketAddrV4>,
+    /// Agents that have no free slot.
+    busy: Vec<SocketAddrV4>,
+    /// Agent that was asked last, and until when it has to answer.
+    asked: Option<(SocketAddrV4, Time)>,
+    /// Agents that may hold the flow although they did not answer in time.
+    silent: Vec<SocketAddrV4>,
+    /// Agents whose servers accepted the flow, with the servers' first sequence numbers.
+    accepted: Vec<(SocketAddrV4, u32)>,
+    tries: usize,
+    pub(super) expires: Time,
+}
+
+impl<C: Codec> Balancer<C> {
+    /// Takes an opening segment of a caller, or a copy of one.
+    pub(super) fn open(
+        &mut self,
+        flow: &FlowKey,
+        datagram: &[u8],
+        now: Time,
+        out: &mut impl Outbox,
+    ) {
+        match self.flows.get_mut(flow) {
+            Some(Entry::Opening(opening)) => {
+                if let Some((agent, _)) = opening.accepted.first() {
+                    let (agent, service) = (*agent, opening.service);
+                    let again = Message::Open {
+                        service,
+                        forced: true,
+                    };
+                    self.send(agent, &again, datagram, out);
+                } else if opening.asked.is_none() {
+                    opening.excluded.clear();
+                    opening.tries = 0;
+                    self.try_next(flow, now, out);
+                }
+            }
+            Some(Entry::Owned(owned)) => {
+                let agent = owned.agent;
+                let Some(service) = self.service_of(flow) else {
+                    return;
+                };
+                let again = Message::Open {
+                    service,
+                    forced: true,
+                };
+                self.send(agent, &again, datagram, out);
+            }
+            _ => self.start_opening(flow, datagram, now, out),
+        }
+    }
+
+    fn service_of(&self, flow: &FlowKey) -> Option<ServiceKey> {
+        self.routes.routes.get(&flow.address)?.service(flow)
+    }
+
+    fn start_opening(&mut self, flow: &FlowKey, datagram: &[u8], now: Time, out: &mut impl Outbox) {
+        let Some(service) = self.service_of(flow) else {
+            self.lose(flow, 0, "no_target", now, out);
+            return;
+        };
+        let opening = Opening {
+            service,
+            datagram: datagram.into(),
+            excluded: Vec::new(),
+            busy: Vec::new(),
+            asked: None,
+            silent: Vec::new(),
+            accepted: Vec::new(),
+            tries: 0,
+            expires: now + OPENING_TIME,
+        };
+        self.insert(flow, Entry::Opening(opening));
+        self.try_next(flow, now, out);
+    }
+
+    /// Sends the opening segment to the best agent that has not refused it.
+    fn try_next(&mut self, flow: &FlowKey, now: Time, out: &mut impl Outbox) {
+        let salt = self.salt();
+        let Some(Entry::Opening(opening)) = self.flows.get_mut(flow) else {
+            return;
+        };
+        let chosen = match opening.tries < MAX_TRIES {
+            true => choose(opening, &self.fleet, &mut self.candidates, salt, now),
+            false => None,
+        };
+        let Some((candidate, forced)) = chosen else {
+            opening.asked = None;
+            let hopeless = opening.accepted.is_empty() && opening.silent.is_empty();
+            if hopeless {
+                let refused = opening.excluded.len();
+                tracing::warn!(event = "flow_refused", %flow, refused, view = self.view_version);
+                self.lose(flow, 0, "no_agent", now, out);
+            }
+            return;
+        };
+        let due = now + ANSWER_TIME;
+        opening.tries += 1;
+        opening.asked = Some((candidate.address, due));
+        let (service, tries) = (opening.service, opening.tries);
+        let datagram = opening.datagram.clone();
+        tracing::info!(
+            event = "flow_placed",
+            %flow,
+            agent = %candidate.address,
+            near = candidate.near,
+            busy = candidate.load.busy,
+            flows = candidate.load.flows,
+            slots = candidate.load.slots,
+            work_us = candidate.load.work_us,
+            forced,
+            tries,
+            routes = self.routes.version,
+            view = self.view_version,
+        );
+        self.fleet.placed(candidate.address);
+        self.openings.push_back((due, *flow));
+        let message = Message::Open { service, forced };
+        self.send(candidate.address, &message, &datagram, out);
+    }
+
+    /// Takes the news that a backend server accepted a flow.
+    pub(super) fn opened(
+        &mut self,
+        flow: &FlowKey,
+        agent: SocketAddrV4,
+        initial: u32,
+        now: Time,
+        out: &mut impl Outbox,
+    ) {
+        match self.flows.get_mut(flow) {
+            Some(Entry::Opening(opening)) => {
+                opening.asked = None;
+                opening.accepted.retain(|(known, _)| *known != agent);
+                opening.accepted.push((agent, initial));
+            }
+            Some(Entry::Searching(search)) if follows(search.acknowledged, initial) => {
+                self.resolve(flow, agent, now, out);
+            }
+            _ => {}
+        }
+    }
+
+    /// Takes the news that an agent does not take a flow.
+    pub(super) fn refused(
+        &mut self,
+        flow: &FlowKey,
+        agent: SocketAddrV4,
+        refusal: Refusal,
+        now: Time,
+        out: &mut impl Outbox,
+    ) {
+        let Some(Entry::Opening(opening)) = self.flows.get_mut(flow) else {
+            return;
+        };
+        tracing::info!(event = "agent_refused", %flow, %agent, reason = refusal.as_str());
+        opening.silent.retain(|silent| *silent != agent);
+        match refusal {
+            Refusal::Busy => opening.busy.push(agent),
+            _ => opening.excluded.push(agent),
+        }
+        let expected = opening.asked.is_some_and(|(asked, _)| asked == agent);
+        if expected && opening.accepted.is_empty() {
+            self.try_next(flow, now, out);
+        }
+    }
+
+    /// Goes on with an opening whose agent has not answered in time.
+    pub(super) fn opening_overdue(&mut self, flow: &FlowKey, now: Time, out: &mut impl Outbox) {
+        let Some(Entry::Opening(opening)) = self.flows.get_mut(flow) else {
+            return;
+        };
+        let Some((agent, due)) = opening.asked else {
+            return;
+        };
+        if now < due || !opening.accepted.is_empty() {
+            return;
+        }
+        opening.excluded.push(agent);
+        opening.silent.push(agent);
+        tracing::info!(event = "agent_silent", %flow, %agent, tries = opening.tries);
+        self.fleet.silent(agent, now);
+        self.try_next(flow, now, out);
+    }
+
+    /// Takes the first segment behind the opening: it tells which backend server the caller took.
+    pub(super) fn end_opening(
+        &mut self,
+        flow: &FlowKey,
+        segment: &Segment,
+        datagram: &[u8],
+        now: Time,
+        out: &mut impl Outbox,
+    ) {
+        let Some(Entry::Opening(opening)) = self.flows.get(flow) else {
+            return;
+        };
+        let acknowledged = segment.acknowledged;
+        let named = opening
+            .accepted
+            .iter()
+            .find(|(_, initial)| follows(acknowledged, *initial))
+            .map(|(agent, _)| *agent);
+        // An agent whose answer was lost or is late, if it is the only one.
+        let only = match (&opening.silent[..], opening.asked) {
+            ([], Some((agent, _))) => Some(agent),
+            ([agent], None) => Some(*agent),
+            _ => None,
+        };
+        match named.or(only) {
+            Some(agent) => {
+                self.own(flow, agent, acknowledged, now);
+                self.carry(agent, datagram, out);
+            }
+            None => self.search(flow, segment, datagram, now, out),
+        }
+    }
+}
+
+/// Returns the agent to try next, and whether it has to take the flow.
+fn choose(
+    opening: &Opening,
+    fleet: &super::Fleet,
+    candidates: &mut Vec<Candidate>,
+    salt: u64,
+    now: Time,
+) -> Option<(Candidate, bool)> {
+    let service = opening.service.tag();
+    fleet.candidates(service, &opening.excluded, now, candidates);
+    let typical = Typical::of(candidates);
+    if opening.busy.len() < BUSY_TRIES {
+        let all = candidates.len();
+        let mut free: Vec<Candidate> = Vec::with_capacity(all);
+        free.extend(
+            candidates
+                .iter()
+                .filter(|c| !opening.busy.contains(&c.address)),
+        );
+        if let Some(best) = choice::best(&free, &typical, salt) {
+            return Some((best, false));
+        }
+    }
+    choice::best(candidates, &typical, salt).map(|best| (best, true))
+}
--- /dev/null
+++ b/core/src/l4/balancer/search.rs
@@ -0,0 +1,298 @@
+//! Looks for the agent that holds a flow: asks all of them, and lets those that can't tell try.
+
+use std::{net::SocketAddrV4, time::Duration};
+
+use super::{Balancer, CONFIRM_TIME, Entry, is_held};
+use crate::{
+    clock::Time,
+    l4::{
+        message::{Message, Standing},
+        outbox::Outbox,
+        segment::{Codec, FlowKey, Segment},
+    },
+};
+
+/// Time after which agents that have not answered are asked again.
+const ANSWER_TIME: Duration = Duration::from_millis(25);
+
+/// Times that agents are asked.
+const ROUNDS: u8 = 4;
+
+/// Time in which a backend server returns a segment that it does not hold.
+const TEST_TIME: Duration = Duration::from_millis(40);
+
+/// Segments that wait for the end of a search; callers have at most 16 on their way.
+const MAX_WAITING: usize = 16;
+
+/// Time after which a search is forgotten.
+const SEARCH_TIME: Duration = Duration::from_secs(2);
+
+/// Time for which a search without success is remembered.
+const NOT_FOUND_TIME: Duration = Duration::from_secs(5);
+
+/// A flow whose owner is looked for.
+#[derive(Clone, Debug)]
+pub(super) struct Search {
+    /// What the caller acknowledged.
+    pub(super) acknowledged: u32,
+    waiting: Vec<Box<[u8]>>,
+    /// Agents with what they said.
+    asked: Vec<(SocketAddrV4, Option<Standing>)>,
+    rounds: u8,
+    /// Whether agents that can't tell have been sent a segment.
+    testing: bool,
+    due: Time,
+    /// When an earlier search ended without success.
+    missed: Option<Time>,
+    pub(super) expires: Time,
+}
+
+impl Search {
+    /// Keeps a segment until the search ends.
+    pub(super) fn keep(&mut self, datagram: &[u8]) {
+        if self.waiting.len() < MAX_WAITING {
+            self.waiting.push(datagram.into());
+        }
+    }
+
+    fn note(&mut self, agent: SocketAddrV4, standing: Standing) {
+        for (asked, said) in &mut self.asked {
+            if *asked == agent {
+                *said = Some(standing);
+            }
+        }
+    }
+
+    fn count(&self, standing: Standing) -> usize {
+        let same = self
+            .asked
+            .iter()
+            .filter(|(_, said)| *said == Some(standing));
+        same.count()
+    }
+}
+
+impl<C: Codec> Balancer<C> {
+    /// Starts to look for the owner of a flow.
+    pub(super) fn search(
+        &mut self,
+        flow: &FlowKey,
+        segment: &Segment,
+        datagram: &[u8],
+        now: Time,
+        out: &mut impl Outbox,
+    ) {
+        let missed = match self.flows.get(flow) {
+            Some(Entry::NotFound { since, .. }) => Some(*since),
+            _ => None,
+        };
+        let due = now + ANSWER_TIME;
+        let search = Search {
+            acknowledged: segment.acknowledged,
+            waiting: vec![datagram.into()],
+            asked: self.fleet.holders().map(|agent| (agent, None)).collect(),
+            rounds: 1,
+            testing: false,
+            due,
+            missed,
+            expires: now + SEARCH_TIME,
+        };
+        tracing::info!(
+            event = "flow_searched",
+            %flow,
+            request = self.codec.request_id(datagram).unwrap_or("-"),
+            agents = search.asked.len(),
+            routes = self.routes.version,
+            view = self.view_version,
+        );
+        let asked: Vec<SocketAddrV4> = search.asked.iter().map(|(agent, _)| *agent).collect();
+        self.insert(flow, Entry::Searching(search));
+        self.searches.push_back((due, *flow));
+        self.ask(flow, segment.acknowledged, &asked, out);
+    }
+
+    fn ask(
+        &mut self,
+        flow: &FlowKey,
+        acknowledged: u32,
+        agents: &[SocketAddrV4],
+        out: &mut impl Outbox,
+    ) {
+        let find = Message::Find {
+            flow: *flow,
+            acknowledged,
+        };
+        for agent in agents {
+            self.send(*agent, &find, &[], out);
+        }
+    }
+
+    /// Takes an agent's answer about a flow.
+    pub(super) fn found(
+        &mut self,
+        flow: &FlowKey,
+        agent: SocketAddrV4,
+        standing: Standing,
+        now: Time,
+        out: &mut impl Outbox,
+    ) {
+        let Some(Entry::Searching(search)) = self.flows.get_mut(flow) else {
+            return;
+        };
+        if is_held(standing) {
+            self.resolve(flow, agent, now, out);
+            return;
+        }
+        if search.testing && standing == Standing::Unsure {
+            return;
+        }
+        search.note(agent, standing);
+        self.conclude(flow, now, out);
+    }
+
+    /// Takes back a segment of a flow that an agent does not hold.
+    pub(super) fn not_held(
+        &mut self,
+        segment: &Segment,
+        agent: SocketAddrV4,
+        datagram: &[u8],
+        now: Time,
+        out: &mut impl Outbox,
+    ) {
+        let flow = segment.flow_of_caller();
+        match self.flows.get_mut(&flow) {
+            Some(Entry::Searching(search)) => {
+                search.note(agent, Standing::NotHeld);
+                self.conclude(&flow, now, out);
+            }
+            Some(Entry::Owned(owned)) if owned.agent != agent => {
+                let owner = owned.agent;
+                self.carry(owner, datagram, out);
+            }
+            Some(Entry::Lost { .. } | Entry::Opening(_)) => {}
+            _ => self.search(&flow, segment, datagram, now, out),
+        }
+    }
+
+    /// Ends a search with success.
+    pub(super) fn resolve(
+        &mut self,
+        flow: &FlowKey,
+        agent: SocketAddrV4,
+        now: Time,
+        out: &mut impl Outbox,
+    ) {
+        let Some(Entry::Searching(search)) = self.flows.remove(flow) else {
+            return;
+        };
+        tracing::info!(event = "flow_found", %flow, %agent, rounds = search.rounds);
+        self.own(flow, agent, search.acknowledged, now);
+        // A test has brought the first segment to the agent.
+        let delivered = usize::from(search.testing);
+        for datagram in search.waiting.iter().skip(delivered) {
+            self.carry(agent, datagram, out);
+        }
+    }
+
+    /// Ends a search if all answers are there.
+    fn conclude(&mut self, flow: &FlowKey, now: Time, out: &mut impl Outbox) {
+        let Some(Entry::Searching(search)) = self.flows.get_mut(flow) else {
+            return;
+        };
+        let open = search.asked.iter().any(|(_, said)| said.is_none());
+        if open {
+            return;
+        }
+        let unsure = search.count(Standing::Unsure);
+        if unsure == 0 {
+            let (acknowledged, missed) = (search.acknowledged, search.missed);
+            self.miss(flow, acknowledged, missed, now, out);
+            return;
+        }
+        if search.testing {
+            return;
+        }
+        search.testing = true;
+        search.due = now + TEST_TIME;
+        let due = search.due;
+        let mut testers = Vec::with_capacity(unsure);
+        for (agent, said) in &search.asked {
+            if *said == Some(Standing::Unsure) {
+                testers.push(*agent);
+            }
+        }
+        let datagram = search.waiting.first().cloned().unwrap_or_default();
+        self.searches.push_back((due, *flow));
+        for agent in testers {
+            self.carry(agent, &datagram, out);
+        }
+    }
+
+    /// Notes that no agent holds a flow; the second time, its caller is told.
+    fn miss(
+        &mut self,
+        flow: &FlowKey,
+        acknowledged: u32,
+        missed: Option<Time>,
+        now: Time,
+        out: &mut impl Outbox,
+    ) {
+        let since = missed.unwrap_or(now);
+        if now.since(since) >= CONFIRM_TIME {
+            self.lose(flow, acknowledged, "not_held", now, out);
+            return;
+        }
+        tracing::info!(event = "flow_not_found", %flow, view = self.view_version);
+        let expires = now + NOT_FOUND_TIME;
+        self.insert(flow, Entry::NotFound { since, expires });
+    }
+
+    /// Goes on with a search whose answers are late.
+    pub(super) fn search_overdue(&mut self, flow: &FlowKey, now: Time, out: &mut impl Outbox) {
+        let Some(Entry::Searching(search)) = self.flows.get_mut(flow) else {
+            return;
+        };
+        if now < search.due {
+            return;
+        }
+        if search.testing {
+            self.end_test(flow, now, out);
+            return;
+        }
+        if search.rounds >= ROUNDS {
+            let silent = search.asked.iter().filter(|(_, said)| said.is_none());
+            tracing::info!(event = "flow_search_ended", %flow, silent = silent.count());
+            // Agents that can't tell may try, although others have not answered.
+            for (_, said) in &mut search.asked {
+                said.get_or_insert(Standing::NotHeld);
+            }
+            let unsure = search.count(Standing::Unsure) > 0;
+            match unsure {
+                true => self.conclude(flow, now, out),
+                false => drop(self.flows.remove(flow)),
+            }
+            return;
+        }
+        search.rounds += 1;
+        search.due = now + ANSWER_TIME;
+        let (due, acknowledged) = (search.due, search.acknowledged);
+        let silent = search.asked.iter().filter(|(_, said)| said.is_none());
+        let silent: Vec<SocketAddrV4> = silent.map(|(agent, _)| *agent).collect();
+        self.searches.push_back((due, *flow));
+        self.ask(flow, acknowledged, &silent, out);
+    }
+
+    /// Ends a test: the one agent whose server has not returned the segment holds the flow.
+    fn end_test(&mut self, flow: &FlowKey, now: Time, out: &mut impl Outbox) {
+        let Some(Entry::Searching(search)) = self.flows.get(flow) else {
+            return;
+        };
+        let unsure = search.asked.iter();
+        let unsure = unsure.filter(|(_, said)| *said == Some(Standing::Unsure));
+        let holders: Vec<SocketAddrV4> = unsure.map(|(agent, _)| *agent).collect();
+        match holders[..] {
+            [agent] => self.resolve(flow, agent, now, out),
+            _ => drop(self.flows.remove(flow)),
+        }
+    }
+}
--- a/src/log.rs
+++ b/core/src/log.rs
@@ -1,25 +1,32 @@
 //! The log: one line of key=value pairs for each event.
 
-use std::{fmt, sync::OnceLock};
+use std::{fmt, io::Write, sync::OnceLock};
 
 use tracing::{
     Event, Subscriber,
     field::{Field, Visit},
+    level_filters::LevelFilter,
 };
 use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::{
-    EnvFilter,
+    Layer,
+    filter::Targets,
     fmt::{
         FmtContext, FormatEvent, FormatFields,
         format::Writer,
         time::{FormatTime, SystemTime},
     },
+    layer::SubscriberExt,
     registry::LookupSpan,
+    util::SubscriberInitExt,
 };
 
 /// Lines that wait for the writer; more are lost and counted.
 const BUFFERED_LINES: usize = 8192;
 
+/// Level of a log whose wanted level can't be read.
+const DEFAULT_LEVEL: LevelFilter = LevelFilter::INFO;
+
 static LOST: OnceLock<ErrorCounter> = OnceLock::new();
 
 /// Keeps the log's writer running; what is left is written when it is dropped.
@@ -37,17 +44,25 @@
 ///
 /// Lines are written by a thread of their own, so that a slow reader never holds up the work.
 pub fn start(level: &str) -> LogGuard {
-    let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new(level));
+    start_on(std::io::stderr(), level)
+}
+
+/// Starts the log of a process on `output`, as [`start`] does on standard error.
+pub fn start_on<W: Write + Send + 'static>(output: W, level: &str) -> LogGuard {
+    let wanted = std::env::var("RUST_LOG").unwrap_or_else(|_| level.to_owned());
+    let filter: Targets = wanted
+        .parse()
+        .unwrap_or_else(|_| Targets::new().with_default(DEFAULT_LEVEL));
     let (writer, worker) = NonBlockingBuilder::default()
         .buffered_lines_limit(BUFFERED_LINES)
         .lossy(true)
-        .finish(std::io::stderr());
+        .finish(output);
     let _ = LOST.set(writer.error_counter());
-    tracing_subscriber::fmt()
+    let lines = tracing_subscriber::fmt::layer()
         .event_format(KeyValues)
-        .with_env_filter(filter)
         .with_writer(writer)
-        .init();
+        .with_filter(filter);
+    tracing_subscriber::registry().with(lines).init();
     LogGuard { _worker: worker }
 }
 
--- a/src/membership/service.rs
+++ b/core/src/membership/service.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddrV4, sync::Arc};
 
-use tokio::{net::UdpSocket, time::MissedTickBehavior};
+use tokio::{net::UdpSocket, sync::mpsc, time::MissedTickBehavior};
 
 use super::{
     LocalRecord,
@@ -16,7 +16,10 @@
     member::{Directory, Record},
 };
 
-/// Starts the membership of a process.
+/// Lists of found seeds that wait for the task.
+const FOUND_SEEDS: usize = 4;
+
+/// Starts the membership of a process; seeds that are found later go into the returned channel.
 ///
 /// # Errors
 ///
@@ -26,7 +29,8 @@
     socket: UdpSocket,
     signer: Signer,
     seeds: Vec<SocketAddrV4>,
-) -> Result<(), KernelError> {
+) -> Result<mpsc::Sender<Vec<SocketAddrV4>>, KernelError> {
+    let (sender, found) = mpsc::channel(FOUND_SEEDS);
     let clock = kernel.clock();
     let local: Arc<LocalRecord> = kernel.find(LocalRecord::NAME)?;
     let swim = Swim::new(local.get(), seeds, clock.now(), rand::random());
@@ -38,8 +42,8 @@
         socket,
         swim,
     };
-    kernel.spawn(service.run());
-    Ok(())
+    kernel.spawn(service.run(found));
+    Ok(sender)
 }
 
 struct Service {
@@ -52,13 +56,14 @@
 }
 
 impl Service {
-    async fn run(mut self) {
+    async fn run(mut self, mut found: mpsc::Receiver<Vec<SocketAddrV4>>) {
         let mut ticks = tokio::time::interval(TICK_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut buffer = vec![0; 2 * MESSAGE_BYTES];
         loop {
             tokio::select! {
                 _ = ticks.tick() => self.tick().await,
+                Some(seeds) = found.recv() => self.swim.add_seeds(&seeds),
                 received = self.socket.recv_from(&mut buffer) => {
                     let Ok((length, _)) = received else { continue };
                     self.receive(&buffer[..length]).await;
--- a/src/membership/swim.rs
+++ b/core/src/membership/swim.rs
@@ -168,6 +168,15 @@
         swim
     }
 
+    /// Adds control addresses to announce to.
+    pub fn add_seeds(&mut self, seeds: &[SocketAddrV4]) {
+        for seed in seeds {
+            if !self.seeds.contains(seed) {
+                self.seeds.push(*seed);
+            }
+        }
+    }
+
     /// Returns the members as the view shows them.
     pub fn members(&self) -> BTreeMap<SocketAddrV4, Record> {
         self.roster.shown()
--- a/src/placement.rs
+++ b/core/src/placement.rs
@@ -8,8 +8,10 @@
 
 use crate::owner_id::ServiceTag;
 
+mod relays;
 mod slots;
 
+pub use relays::{RELAYS, relays};
 pub use slots::Slots;
 
 /// Members up to which rendezvous hashing is used: its lookups cost in proportion to them.
--- a/src/settings/seeds.rs
+++ b/core/src/seeds.rs
@@ -1,27 +1,24 @@
-//! The short list of seeds in the store: each relay keeps its control address under a lease.
+//! The short list of seeds in the store: some processes keep their control addresses under leases.
 
 use std::{net::SocketAddrV4, sync::Arc, time::Duration};
 
 use tokio::time::{sleep, timeout};
 
-use super::layout::Layout;
 use crate::store::{LeaseId, Store, StoreError, Transaction, Write};
 
 const LEASE_SECONDS: u64 = 10;
 const RENEW_INTERVAL: Duration = Duration::from_secs(3);
 const FIND_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Returns the seeds in the store; none if it does not answer at once.
-pub async fn find_seeds(store: &dyn Store, region: &str) -> Vec<SocketAddrV4> {
-    let layout = Layout::new(region);
-    let prefix = layout.seeds();
-    let Ok(Ok(snapshot)) = timeout(FIND_TIMEOUT, store.range(&prefix, 0)).await else {
-        tracing::warn!(event = "seeds_not_found", region);
+/// Returns the seeds under a prefix of the store; none if it does not answer at once.
+pub async fn find_seeds(store: &dyn Store, prefix: &str) -> Vec<SocketAddrV4> {
+    let Ok(Ok(snapshot)) = timeout(FIND_TIMEOUT, store.range(prefix, 0)).await else {
+        tracing::warn!(event = "seeds_not_found", prefix);
         return Vec::new();
     };
     let mut seeds = Vec::with_capacity(snapshot.items.len());
     for item in &snapshot.items {
-        let address = item.key.strip_prefix(&prefix);
+        let address = item.key.strip_prefix(prefix);
         seeds.extend(address.and_then(|address| address.parse::<SocketAddrV4>().ok()));
     }
     seeds
--- a/src/agent/socket.rs
+++ b/src/agent/socket.rs
@@ -101,7 +101,7 @@
         if self.severed.load(Ordering::Relaxed) {
             return None;
         }
-        let Ok((header, payload)) = frame::decode(datagram) else {
+        let Ok((header, payload)) = frame::decode::<Header>(datagram) else {
             self.options.metrics.count_drop("damaged_frame");
             return None;
         };
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -151,7 +151,7 @@
     }
 
     fn answer(&mut self, moment: &Moment, datagram: &[u8], outbox: &mut Outbox) {
-        let Ok((header, payload)) = frame::decode(datagram) else {
+        let Ok((header, payload)) = frame::decode::<Header>(datagram) else {
             return self.drop_datagram("damaged_frame");
         };
         let Some(address) = moment.plan.addresses.get(&header.service) else {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -25,7 +25,8 @@
     observe,
     operations::{self, DrainRequest},
     owner_id::{Incarnation, Keyring, Owner, Purpose, ServiceTag},
-    settings::{self, InForce, Plan, seeds::find_seeds},
+    seeds::find_seeds,
+    settings::{self, InForce, Plan, layout::Layout},
     store::{EtcdStore, Store},
 };
 
@@ -118,7 +119,8 @@
         let store = open_store(settings);
         let mut seeds = settings.seeds.clone();
         if let Some(store) = &store {
-            seeds.extend(find_seeds(store.as_ref(), &settings.tree.region).await);
+            let prefix = Layout::new(&settings.tree.region).seeds();
+            seeds.extend(find_seeds(store.as_ref(), &prefix).await);
             seeds.sort_unstable();
             seeds.dedup();
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,27 +29,16 @@
 pub mod balancer;
 pub mod caller;
 pub mod cli;
-pub mod clock;
 pub mod config;
-pub mod consts;
-pub mod control;
 pub mod daemon;
 pub mod datagram;
 pub mod decision;
 pub mod dev;
 pub mod flow;
-pub mod frame;
-pub mod kernel;
 pub mod load;
-pub mod log;
-pub mod member;
-pub mod membership;
-pub mod metrics;
 pub mod observe;
 pub mod operations;
-pub mod owner_id;
 pub mod packet;
-pub mod placement;
 pub mod proxy_header;
 pub mod retry;
 pub mod settings;
@@ -58,6 +47,11 @@
 pub mod store;
 pub mod trial;
 
+pub use berylvalve_core::{
+    clock, consts, control, frame, kernel, l4, log, member, membership, metrics, owner_id,
+    placement, seeds,
+};
+
 pub use agent::answer::Outcome;
 pub use caller::{Call, Caller, Reply};
 pub use config::tree::Region;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -21,7 +21,6 @@
 pub mod layout;
 pub mod operator;
 pub mod part;
-pub mod seeds;
 pub mod service;
 pub mod spread;
 
--- a/src/settings/service.rs
+++ b/src/settings/service.rs
@@ -20,7 +20,6 @@
     first::{PULL_PATH, RegionPull, first_parts},
     layout::Layout,
     operator,
-    seeds::keep_seed,
     spread::{Action, Event, Page, Pull, Spread},
 };
 use crate::{
@@ -31,6 +30,7 @@
     member::Directory,
     membership::LocalRecord,
     metrics::Metrics,
+    seeds::keep_seed,
     store::{Store, StoreError},
 };
 
--- a/src/settings/spread.rs
+++ b/src/settings/spread.rs
@@ -8,7 +8,6 @@
 
 use rand::{Rng, SeedableRng, rngs::SmallRng, seq::IndexedRandom};
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::{
     change::EDIT_PARTS,
@@ -19,13 +18,11 @@
 use crate::{
     clock::Time,
     config::{Fault, tree::Region},
-    member::{MemberState, Role, View},
+    member::{MemberState, View},
+    placement::relays,
     store::Committed,
 };
 
-/// Relays in each failure domain.
-pub const RELAYS: usize = 2;
-
 /// Largest page of parts that one pull returns, in bytes.
 pub const PAGE_BYTES: usize = 128 << 10;
 
@@ -46,30 +43,6 @@
 
 const HINT_INTERVAL: Duration = Duration::from_millis(200);
 
-const RELAY_SEED: u64 = 0x7265_6c61_7973;
-
-/// Returns the relays of a failure domain: the live balancers that rank first.
-///
-/// Ranks by rendezvous hashing (Thaler and Ravishankar, 1998), so that a balancer that joins or
-/// leaves moves at most one duty.
-pub fn relays(view: &View, domain: &str) -> Vec<SocketAddrV4> {
-    let mut ranked = Vec::new();
-    for record in view.members.values() {
-        let ready = record.role == Role::Balancer && record.state == MemberState::Ready;
-        if !ready || record.domain != domain {
-            continue;
-        }
-        let name = record.address.to_string();
-        ranked.push((
-            xxh3_64_with_seed(name.as_bytes(), RELAY_SEED),
-            record.address,
-        ));
-    }
-    ranked.sort_unstable();
-    ranked.truncate(RELAYS);
-    ranked.into_iter().map(|(_, address)| address).collect()
-}
-
 /// A request for the parts behind a place in the order of revision and name.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Pull {
--- a/src/store/etcd.rs
+++ b/src/store/etcd.rs
@@ -1,26 +1,15 @@
 //! A client of the etcd v3 HTTP/JSON gateway.
 
-use std::{
-    net::SocketAddrV4,
-    sync::atomic::{AtomicUsize, Ordering},
-    time::Duration,
-};
+use std::net::SocketAddrV4;
 
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use futures::{FutureExt, StreamExt, future::BoxFuture, stream};
-use http::{Request, StatusCode, header::CONTENT_TYPE};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use hyper_util::{
-    client::legacy::{Client, connect::HttpConnector},
-    rt::TokioExecutor,
-};
-use serde::{Serialize, de::DeserializeOwned};
-use tokio::time::timeout;
 
 use super::{
-    Committed, Compare, Item, LeaseId, LostSnafu, RefusedSnafu, Snapshot, Store, StoreError,
-    Transaction, UnreachableSnafu, Watch, Write,
+    Committed, Compare, HttpCalls, Item, LeaseId, Snapshot, Store, StoreError, Transaction, Watch,
+    Write,
     wire::{
         Blob, CompareRequest, GrantRequest, Int64, KeepAliveRequest, LeaseResponse, Operation,
         PutRequest, RangeRequest, RangeResponse, Streamed, TxnRequest, TxnResponse, WatchCreate,
@@ -28,76 +17,19 @@
     },
 };
 
-/// Time in which a call must be answered.
-const CALL_TIMEOUT: Duration = Duration::from_secs(1);
-
-/// Largest answer, in bytes.
-const ANSWER_BYTES: usize = 64 << 20;
-
 /// A client that goes to the next endpoint when one can't be reached.
 #[derive(Debug)]
 pub struct EtcdStore {
-    client: Client<HttpConnector, Full<Bytes>>,
-    endpoints: Vec<SocketAddrV4>,
-    current: AtomicUsize,
+    calls: HttpCalls,
 }
 
 impl EtcdStore {
     /// Returns a client of a store that is reached at any of its endpoints.
     pub fn new(endpoints: Vec<SocketAddrV4>) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_connect_timeout(Some(CALL_TIMEOUT));
         Self {
-            client: Client::builder(TokioExecutor::new()).build(connector),
-            endpoints,
-            current: AtomicUsize::new(0),
-        }
-    }
-
-    fn endpoint(&self) -> SocketAddrV4 {
-        let current = self.current.load(Ordering::Relaxed);
-        self.endpoints[current % self.endpoints.len()]
-    }
-
-    async fn open<M: Serialize>(&self, path: &str, message: &M) -> Result<Incoming, StoreError> {
-        let endpoint = self.endpoint();
-        let body = serde_json::to_vec(message).expect("messages encode");
-        let request = Request::post(format!("http://{endpoint}{path}"))
-            .header(CONTENT_TYPE, "application/json")
-            .body(Full::new(Bytes::from(body)))
-            .expect("valid request");
-        let answered = timeout(CALL_TIMEOUT, self.client.request(request)).await;
-        match answered {
-            Ok(Ok(response)) if response.status() == StatusCode::OK => Ok(response.into_body()),
-            Ok(Ok(response)) => RefusedSnafu {
-                endpoint,
-                status: response.status(),
-            }
-            .fail(),
-            Ok(Err(error)) if error.is_connect() => {
-                self.current.fetch_add(1, Ordering::Relaxed);
-                UnreachableSnafu { endpoint }.fail()
-            }
-            _ => {
-                self.current.fetch_add(1, Ordering::Relaxed);
-                LostSnafu { endpoint }.fail()
-            }
+            calls: HttpCalls::new(endpoints),
         }
     }
-
-    async fn call<M, A>(&self, path: &str, message: &M) -> Result<A, StoreError>
-    where
-        M: Serialize,
-        A: DeserializeOwned,
-    {
-        let endpoint = self.endpoint();
-        let body = Limited::new(self.open(path, message).await?, ANSWER_BYTES);
-        let body = timeout(CALL_TIMEOUT, body.collect()).await;
-        let Ok(Ok(body)) = body else {
-            return LostSnafu { endpoint }.fail();
-        };
-        serde_json::from_slice(&body.to_bytes()).map_err(|_| StoreError::Lost { endpoint })
-    }
 }
 
 impl Store for EtcdStore {
@@ -112,7 +44,7 @@
                 range_end: Blob(prefix_end(prefix.as_bytes())),
                 min_mod_revision: Int64(if since == 0 { 0 } else { since + 1 }),
             };
-            let answer: RangeResponse = self.call("/v3/kv/range", &request).await?;
+            let answer: RangeResponse = self.calls.post("/v3/kv/range", &request).await?;
             let mut items = Vec::with_capacity(answer.kvs.len());
             for kv in answer.kvs {
                 items.push(Item {
@@ -138,7 +70,7 @@
                 compare: transaction.compares.iter().map(compare).collect(),
                 success: transaction.writes.iter().map(put).collect(),
             };
-            let answer: TxnResponse = self.call("/v3/kv/txn", &request).await?;
+            let answer: TxnResponse = self.calls.post("/v3/kv/txn", &request).await?;
             Ok(if answer.succeeded {
                 Committed::Done
             } else {
@@ -153,7 +85,7 @@
             let request = GrantRequest {
                 ttl: Int64(seconds),
             };
-            let answer: LeaseResponse = self.call("/v3/lease/grant", &request).await?;
+            let answer: LeaseResponse = self.calls.post("/v3/lease/grant", &request).await?;
             Ok(LeaseId(answer.id.0))
         }
         .boxed()
@@ -163,7 +95,7 @@
         async move {
             let request = KeepAliveRequest { id: Int64(lease.0) };
             let answer: Streamed<LeaseResponse> =
-                self.call("/v3/lease/keepalive", &request).await?;
+                self.calls.post("/v3/lease/keepalive", &request).await?;
             Ok(answer.result.ttl.0 > 0)
         }
         .boxed()
@@ -181,6 +113,7 @@
                 start_revision: Int64(since + 1),
             };
             let body = self
+                .calls
                 .open("/v3/watch", &WatchRequest { create_request })
                 .await?;
             Ok(revisions(body))
--- a/tests/frame.rs
+++ b/tests/frame.rs
@@ -42,7 +42,7 @@
         let sent = header(caller, Some(second));
         let mut buffer = Vec::new();
         frame::encode(&sent, &payload, &mut buffer).unwrap();
-        let (received, rest) = frame::decode(&buffer).unwrap();
+        let (received, rest) = frame::decode::<Header>(&buffer).unwrap();
         prop_assert_eq!(received, sent);
         prop_assert_eq!(rest, payload.as_slice());
         Ok(())
@@ -66,7 +66,7 @@
 #[test]
 fn damaged_datagrams_are_refused_without_panic() {
     let result = runner().run(&any::<Vec<u8>>(), |bytes| {
-        let _ = frame::decode(&bytes);
+        let _ = frame::decode::<Header>(&bytes);
         let _ = proxy_header::unwrap(&bytes);
         Ok(())
     });
--- a/tests/settings_outage.rs
+++ b/tests/settings_outage.rs
@@ -6,12 +6,8 @@
     daemon::Daemon,
     dev,
     kernel::Kernel,
-    settings::{
-        InForce,
-        change::Change,
-        edit::Outcome,
-        seeds::{find_seeds, keep_seed},
-    },
+    seeds::{find_seeds, keep_seed},
+    settings::{InForce, change::Change, edit::Outcome},
     standin::kv::Kv,
     store::EtcdStore,
 };
@@ -91,13 +87,13 @@
     kernel.spawn(keep_seed(store.clone(), key, seed));
     for lapses in 0..2 {
         let mut polls = 0;
-        while find_seeds(store.as_ref(), "r").await != [seed] {
+        while find_seeds(store.as_ref(), "berylvalve/r/seeds/").await != [seed] {
             assert!(polls < POLLS, "no seed after {lapses} lapses");
             polls += 1;
             sleep(POLL_INTERVAL).await;
         }
         kv.lapse();
-        assert_eq!(find_seeds(store.as_ref(), "r").await, []);
+        assert_eq!(find_seeds(store.as_ref(), "berylvalve/r/seeds/").await, []);
     }
     kernel.stop().await;
 }
--- a/tests/settings_spread/main.rs
+++ b/tests/settings_spread/main.rs
@@ -5,12 +5,13 @@
 use berylvalve::{
     clock::Time,
     member::{MemberState, View},
+    placement::relays,
     settings::{
         change::Change,
         edit::{Action as EditAction, Edit, Outcome},
         layout::Layout,
         part::PartName,
-        spread::{Action, Event, Spread, relays},
+        spread::{Action, Event, Spread},
     },
 };
 use proptest::{
