--- a/core/src/kernel.rs
+++ b/core/src/kernel.rs
@@ -48,7 +48,7 @@
 ///
 /// ```
 /// use std::sync::Arc;
-/// use berylvalve::kernel::Kernel;
+/// use berylvalve_core::kernel::Kernel;
 ///
 /// # #[tokio::main(flavor = "current_thread")]
 /// # async fn main() {
