--- a/core/src/l4.rs
+++ b/core/src/l4.rs
@@ -21,4 +21,5 @@
 pub mod segment;
 pub mod server;
 pub mod spread;
+pub mod waiting;
 pub mod workload;
--- a/core/src/l4/agent.rs
+++ b/core/src/l4/agent.rs
@@ -16,9 +16,10 @@
     routes::ServiceKey,
     segment::{Codec, FlowKey, Segment, is_after},
     server::{Change, ReportError, Server, ServerReport, ServerState},
+    waiting::{Urgency, WaitingRoom},
     workload::Workload,
 };
-use crate::clock::Time;
+use crate::{clock::Time, member::View};
 
 /// Time in which a backend server answers an opening segment; it needs well under a millisecond.
 const OPENING_ANSWER: Duration = Duration::from_millis(40);
@@ -68,6 +69,9 @@
     workload: Workload,
     /// Until when the backend server may hold flows that were not seen here.
     unsure: Option<Time>,
+    waiting: WaitingRoom,
+    /// Digest of the agents that the membership shows.
+    agents: u64,
     balancers: HashMap<SocketAddrV4, Time>,
     mute: Option<Time>,
     orphaned: Option<Time>,
@@ -92,6 +96,8 @@
             flows: Flows::new(options.idle),
             workload: Workload::default(),
             unsure: Some(now + options.max_life),
+            waiting: WaitingRoom::default(),
+            agents: 0,
             balancers: HashMap::new(),
             mute: None,
             orphaned: None,
@@ -120,6 +126,11 @@
         &self.workload
     }
 
+    /// Takes the members of the fleet.
+    pub fn take_view(&mut self, view: &View) {
+        self.agents = view.agents();
+    }
+
     /// Takes a status report of the backend server.
     ///
     /// # Errors
@@ -182,19 +193,29 @@
         let from = received.from;
         self.balancers.insert(from, now + BALANCER_TIME);
         match received.message {
-            Message::Open { service, forced } => {
+            Message::Open {
+                service,
+                forced,
+                priority,
+                target_ms,
+            } => {
+                let urgency = Urgency {
+                    priority,
+                    target: Duration::from_millis(target_ms.into()),
+                    work: self.workload.work(),
+                };
                 let Some(segment) = self.codec.read(received.datagram) else {
                     return;
                 };
                 match self.refusal(&segment, service, forced, now) {
                     Some(refusal) => self.refuse(from, refusal, received.datagram, out),
-                    None => self.open(from, &segment, received.datagram, now, out),
+                    None => self.open(&segment, urgency, received, now, out),
                 }
             }
             Message::Carry => self.carry(received, now, out),
             Message::Find { flow, acknowledged } => {
                 let standing = self.standing(&flow, acknowledged);
-                self.tell(from, &Message::Found { flow, standing }, &[], out);
+                self.say_standing(from, flow, standing, out);
             }
             _ => {}
         }
@@ -209,6 +230,7 @@
         self.server.heard(now);
         if segment.flags.bounced {
             self.bounced(&segment, datagram, out);
+            self.serve_waiting(now, out);
             return;
         }
         match self.flows.answer(&segment, &mut self.workload, now) {
@@ -223,7 +245,7 @@
             Progress::Found { balancer } => {
                 let flow = segment.flow_of_server();
                 let standing = Standing::Held;
-                self.tell(balancer, &Message::Found { flow, standing }, &[], out);
+                self.say_standing(balancer, flow, standing, out);
             }
             Progress::Answered(took) => tracing::debug!(
                 event = "request_answered",
@@ -233,6 +255,7 @@
             Progress::Other => {}
         }
         out.to_caller(segment.destination, datagram);
+        self.serve_waiting(now, out);
     }
 
     /// Does the periodic work.
@@ -252,6 +275,7 @@
         while let Some((_, flow)) = self.offers.pop_front_if(|(due, _)| *due <= now) {
             self.check_offer(&flow, now);
         }
+        self.serve_waiting(now, out);
         if now >= self.due.load {
             self.due.load = now + LOAD_INTERVAL;
             self.report_load(out);
@@ -266,8 +290,8 @@
 
     /// Notes that the backend server does not answer, if it has not answered an opening segment.
     fn check_offer(&mut self, flow: &FlowKey, now: Time) {
-        let waits = self.flows.get(flow).is_some_and(|held| held.offered);
-        if !waits || self.mute.is_some() {
+        let unanswered = self.flows.check_offer(flow, &mut self.workload);
+        if !unanswered || self.mute.is_some() {
             return;
         }
         let server = self.server.id().unwrap_or("-");
@@ -310,26 +334,91 @@
             }
             self.mute = Some(now + MUTE_RETRY);
         }
-        if self.workload.flows() >= self.options.max_flows {
+        let waits = !self.waiting.has_room(self.workload.interval());
+        if waits || self.workload.flows() >= self.options.max_flows {
             return Some(Refusal::Full);
         }
         (!forced && !self.workload.has_room()).then_some(Refusal::Busy)
     }
 
+    /// Takes a flow: offers it to the backend server, or lets it wait for a slot.
     fn open(
         &mut self,
-        from: SocketAddrV4,
         segment: &Segment,
-        datagram: &[u8],
+        urgency: Urgency,
+        received: &Received<'_>,
         now: Time,
         out: &mut impl Outbox,
     ) {
         let flow = segment.flow_of_caller();
+        let from = received.from;
+        if self.waiting.contains(&flow) {
+            return;
+        }
+        let known = self.flows.get(&flow).is_some();
+        if known || (self.waiting.is_empty() && self.workload.can_queue()) {
+            self.offer(flow, from, received.datagram, now, out);
+            return;
+        }
+        self.waiting
+            .add(flow, from, received.datagram, urgency, now);
+        self.workload.set_waiting(self.waiting.len());
+        let load = self.workload.load();
+        tracing::info!(event = "flow_waits", %flow, waiting = self.waiting.len(), busy = load.busy);
+        self.tell(from, &Message::Waits { flow, load }, &[], out);
+    }
+
+    fn offer(
+        &mut self,
+        flow: FlowKey,
+        from: SocketAddrV4,
+        datagram: &[u8],
+        now: Time,
+        out: &mut impl Outbox,
+    ) {
         self.flows.offer(flow, from, &mut self.workload, now);
         self.offers.push_back((now + OPENING_ANSWER, flow));
         self.deliver(from, datagram, out);
     }
 
+    /// Offers waiting flows while the backend server has room, and refuses those that are too late.
+    fn serve_waiting(&mut self, now: Time, out: &mut impl Outbox) {
+        if self.waiting.is_empty() {
+            return;
+        }
+        while let Some(late) = self.waiting.expired(now) {
+            self.refuse(late.balancer, Refusal::Full, &late.datagram, out);
+        }
+        if self.server.state(now) != Some(ServerState::Ready) {
+            for waiting in self.waiting.drain() {
+                let refusal = Refusal::Draining;
+                self.refuse(waiting.balancer, refusal, &waiting.datagram, out);
+            }
+        }
+        while self.workload.can_queue() {
+            let Some(next) = self.waiting.next(now) else {
+                break;
+            };
+            self.offer(next.flow, next.balancer, &next.datagram, now, out);
+        }
+        self.workload.set_waiting(self.waiting.len());
+    }
+
+    fn say_standing(
+        &mut self,
+        to: SocketAddrV4,
+        flow: FlowKey,
+        standing: Standing,
+        out: &mut impl Outbox,
+    ) {
+        let found = Message::Found {
+            flow,
+            standing,
+            agents: self.agents,
+        };
+        self.tell(to, &found, &[], out);
+    }
+
     fn carry(&mut self, received: &Received<'_>, now: Time, out: &mut impl Outbox) {
         let Some(segment) = self.codec.read(received.datagram) else {
             return;
--- a/core/src/l4/agent/flows.rs
+++ b/core/src/l4/agent/flows.rs
@@ -57,6 +57,8 @@
     pub expires: Time,
     /// Whether the backend server has not answered the opening segment.
     pub offered: bool,
+    /// Whether the flow is about to bring its first request.
+    opening: bool,
     running: Option<Running>,
     caller_end: Option<u32>,
     caller_done: bool,
@@ -125,6 +127,8 @@
         load.open();
         let mut held = Held::new(Stage::Offered, balancer, now + OPENING_TIME);
         held.offered = true;
+        held.opening = true;
+        load.offered();
         self.held.insert(flow, held);
     }
 
@@ -162,6 +166,7 @@
             held.caller_end = Some(segment.end());
         }
         if begins {
+            held.settle_opening(load);
             held.running = Some(load.begin(now));
         }
         if segment.flags.fin {
@@ -213,6 +218,16 @@
         progress
     }
 
+    /// Ends the wait for the first request of a flow; returns whether the backend server has not
+    /// even answered the opening segment.
+    pub fn check_offer(&mut self, flow: &FlowKey, load: &mut Workload) -> bool {
+        let Some(held) = self.held.get_mut(flow) else {
+            return false;
+        };
+        held.settle_opening(load);
+        held.offered
+    }
+
     /// Forgets a flow that the backend server does not hold.
     pub fn remove(&mut self, flow: &FlowKey, load: &mut Workload) {
         if let Some(mut held) = self.held.remove(flow) {
@@ -247,6 +262,7 @@
             acknowledged: 0,
             expires,
             offered: false,
+            opening: false,
             running: None,
             caller_end: None,
             caller_done: false,
@@ -263,8 +279,15 @@
         self.expires = now + LINGER;
     }
 
+    fn settle_opening(&mut self, load: &mut Workload) {
+        if std::mem::take(&mut self.opening) {
+            load.settled();
+        }
+    }
+
     /// Takes the flow out of the workload.
     fn leave(&mut self, load: &mut Workload) {
+        self.settle_opening(load);
         if self.running.take().is_some() {
             load.abandon();
         }
--- a/core/src/l4/balancer.rs
+++ b/core/src/l4/balancer.rs
@@ -37,10 +37,6 @@
 /// Time for which a flow that no agent holds is answered by a reset without a new search.
 const LOST_TIME: Duration = Duration::from_secs(2);
 
-/// Time between two searches that both found no owner, before the flow is reset: by then the news
-/// of an agent that has just joined has come.
-const CONFIRM_TIME: Duration = Duration::from_millis(1200);
-
 /// Flows that are remembered at most; the largest fleet opens 72 a second in each balancer.
 const MAX_FLOWS: usize = 200_000;
 
@@ -53,13 +49,6 @@
     Owned(Owned),
     /// Its owner is looked for.
     Searching(Search),
-    /// A search found no owner.
-    NotFound {
-        /// When the first search ended.
-        since: Time,
-        /// When this is forgotten.
-        expires: Time,
-    },
     /// Nobody holds it; its caller was told.
     Lost {
         /// When this is forgotten.
@@ -79,10 +68,14 @@
 pub struct Balancer<C> {
     codec: C,
     domain: String,
+    own: SocketAddrV4,
     flows: HashMap<FlowKey, Entry, FxBuildHasher>,
     fleet: Fleet,
     routes: Arc<RouteTable>,
     view_version: u64,
+    /// Digest of the agents that the membership shows.
+    agents: u64,
+    joined: bool,
     /// When the attempts to place a flow run out.
     openings: VecDeque<(Time, FlowKey)>,
     /// When the steps of a search run out.
@@ -94,15 +87,18 @@
 }
 
 impl<C: Codec> Balancer<C> {
-    /// Returns a balancer that knows no routes and no agents.
-    pub fn new(codec: C, domain: &str, seed: u64) -> Self {
+    /// Returns a balancer that knows no routes and no agents; others send frames to `own`.
+    pub fn new(codec: C, own: SocketAddrV4, domain: &str, seed: u64) -> Self {
         Self {
             codec,
+            own,
             domain: domain.to_owned(),
             flows: HashMap::default(),
             fleet: Fleet::default(),
             routes: Arc::default(),
             view_version: 0,
+            agents: 0,
+            joined: false,
             openings: VecDeque::new(),
             searches: VecDeque::new(),
             expire: Time::default(),
@@ -114,7 +110,7 @@
 
     /// Returns whether the balancer can place flows.
     pub fn is_ready(&self) -> bool {
-        self.routes.version > 0 && self.fleet.has_ready()
+        self.routes.version > 0 && self.joined && self.fleet.has_ready()
     }
 
     /// Returns the number of flows that are remembered.
@@ -132,6 +128,8 @@
     /// Takes the members of the fleet, and resets the flows of agents that are gone.
     pub fn take_view(&mut self, view: &View, now: Time, out: &mut impl Outbox) {
         self.view_version = view.version;
+        self.agents = view.agents();
+        self.joined = view.joined;
         let gone = self.fleet.meet(view, &self.domain);
         if gone.is_empty() {
             return;
@@ -210,9 +208,18 @@
                 };
                 self.not_held(&segment, from, received.datagram, now, out);
             }
-            Message::Found { flow, standing } => self.found(&flow, from, standing, now, out),
+            Message::Found {
+                flow,
+                standing,
+                agents,
+            } => self.found(&flow, from, (standing, agents), now, out),
+            Message::Waits { flow, load } => {
+                self.fleet.accepted(from, load);
+                self.waits(&flow, from);
+            }
             Message::Carries(load) => self.fleet.loaded(from, load),
-            Message::Open { .. } | Message::Carry | Message::Find { .. } => {}
+            Message::Find { flow, .. } => self.say_standing(from, &flow, out),
+            Message::Open { .. } | Message::Carry => {}
         }
     }
 
@@ -238,6 +245,21 @@
         next.map_or(self.expire, |next| next.min(self.expire))
     }
 
+    /// Tells another balancer where a flow is, if that is known here.
+    fn say_standing(&mut self, to: SocketAddrV4, flow: &FlowKey, out: &mut impl Outbox) {
+        let standing = match self.flows.get(flow) {
+            Some(Entry::Owned(owned)) => Standing::At(owned.agent),
+            Some(Entry::Opening(opening)) => opening.standing(),
+            _ => Standing::NotHeld,
+        };
+        let found = Message::Found {
+            flow: *flow,
+            standing,
+            agents: self.agents,
+        };
+        self.send(to, &found, &[], out);
+    }
+
     /// A segment to an address without a route: an opening is refused at once; a flow is ended if
     /// it is known here, so that its route was removed and is not just unknown yet.
     fn unrouted(&mut self, flow: &FlowKey, segment: &Segment, now: Time, out: &mut impl Outbox) {
@@ -315,7 +337,7 @@
             Entry::Opening(opening) => opening.expires,
             Entry::Owned(owned) => owned.expires,
             Entry::Searching(search) => search.expires,
-            Entry::NotFound { expires, .. } | Entry::Lost { expires } => *expires,
+            Entry::Lost { expires } => *expires,
         }
     }
 }
@@ -326,8 +348,3 @@
         ms => Duration::from_millis(ms),
     }
 }
-
-/// Returns whether an agent holds a flow for certain.
-fn is_held(standing: Standing) -> bool {
-    standing == Standing::Held
-}
--- a/core/src/l4/balancer/fleet.rs
+++ b/core/src/l4/balancer/fleet.rs
@@ -32,14 +32,18 @@
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
     agents: BTreeMap<SocketAddrV4, Peer>,
+    balancers: Vec<SocketAddrV4>,
 }
 
 impl Fleet {
     /// Takes the members of a view; returns the agents that have just gone for good.
     pub fn meet(&mut self, view: &View, domain: &str) -> Vec<SocketAddrV4> {
         let mut gone = Vec::new();
+        self.balancers.clear();
         for (address, record) in &view.members {
             if record.role != Role::Agent {
+                let ready = record.state == MemberState::Ready;
+                self.balancers.extend(ready.then_some(*address));
                 continue;
             }
             let peer = self.agents.entry(*address).or_insert_with(|| Peer {
@@ -79,6 +83,11 @@
         live.map(|(address, _)| *address)
     }
 
+    /// Returns the balancers that serve callers, this one included.
+    pub fn balancers(&self) -> &[SocketAddrV4] {
+        &self.balancers
+    }
+
     /// Returns whether any agent of any service takes new flows.
     pub fn has_ready(&self) -> bool {
         self.agents
--- a/core/src/l4/balancer/opening.rs
+++ b/core/src/l4/balancer/opening.rs
@@ -8,7 +8,7 @@
     l4::{
         agent::follows,
         choice::{self, Candidate, Typical},
-        message::{Message, Refusal},
+        message::{Message, Refusal, Standing},
         outbox::Outbox,
         routes::ServiceKey,
         segment::{Codec, FlowKey, Segment},
@@ -42,10 +42,22 @@
     silent: Vec<SocketAddrV4>,
     /// Agents whose servers accepted the flow, with the servers' first sequence numbers.
     accepted: Vec<(SocketAddrV4, u32)>,
+    /// Agent at which the flow waits for a slot.
+    waits: Option<SocketAddrV4>,
     tries: usize,
     pub(super) expires: Time,
 }
 
+impl Opening {
+    /// Returns what this balancer can tell another one about the flow.
+    pub(super) fn standing(&self) -> Standing {
+        let accepted = self.accepted.first().map(|(agent, _)| *agent);
+        let asked = self.asked.map(|(agent, _)| agent);
+        let known = accepted.or(asked).or(self.waits);
+        known.map_or(Standing::NotHeld, Standing::At)
+    }
+}
+
 impl<C: Codec> Balancer<C> {
     /// Takes an opening segment of a caller, or a copy of one.
     pub(super) fn open(
@@ -55,36 +67,39 @@
         now: Time,
         out: &mut impl Outbox,
     ) {
-        match self.flows.get_mut(flow) {
-            Some(Entry::Opening(opening)) => {
-                if let Some((agent, _)) = opening.accepted.first() {
-                    let (agent, service) = (*agent, opening.service);
-                    let again = Message::Open {
-                        service,
-                        forced: true,
-                    };
-                    self.send(agent, &again, datagram, out);
-                } else if opening.asked.is_none() {
+        let owner = match self.flows.get_mut(flow) {
+            Some(Entry::Owned(owned)) => owned.agent,
+            Some(Entry::Opening(opening)) => match opening.accepted.first() {
+                Some((agent, _)) => *agent,
+                None if opening.asked.is_some() || opening.waits.is_some() => return,
+                None => {
                     opening.excluded.clear();
                     opening.tries = 0;
                     self.try_next(flow, now, out);
-                }
-            }
-            Some(Entry::Owned(owned)) => {
-                let agent = owned.agent;
-                let Some(service) = self.service_of(flow) else {
                     return;
-                };
-                let again = Message::Open {
-                    service,
-                    forced: true,
-                };
-                self.send(agent, &again, datagram, out);
+                }
+            },
+            _ => {
+                self.start_opening(flow, datagram, now, out);
+                return;
             }
-            _ => self.start_opening(flow, datagram, now, out),
+        };
+        if let Some(message) = self.open_message(flow, true) {
+            self.send(owner, &message, datagram, out);
         }
     }
 
+    /// Returns the message that offers a flow to an agent.
+    fn open_message(&self, flow: &FlowKey, forced: bool) -> Option<Message> {
+        let route = self.routes.routes.get(&flow.address)?;
+        Some(Message::Open {
+            service: route.service(flow)?,
+            forced,
+            priority: route.priority,
+            target_ms: route.target_ms,
+        })
+    }
+
     fn service_of(&self, flow: &FlowKey) -> Option<ServiceKey> {
         self.routes.routes.get(&flow.address)?.service(flow)
     }
@@ -102,6 +117,7 @@
             asked: None,
             silent: Vec::new(),
             accepted: Vec::new(),
+            waits: None,
             tries: 0,
             expires: now + OPENING_TIME,
         };
@@ -121,8 +137,8 @@
         };
         let Some((candidate, forced)) = chosen else {
             opening.asked = None;
-            let hopeless = opening.accepted.is_empty() && opening.silent.is_empty();
-            if hopeless {
+            let may_open = !opening.accepted.is_empty() || !opening.silent.is_empty();
+            if !may_open && opening.waits.is_none() {
                 let refused = opening.excluded.len();
                 tracing::warn!(event = "flow_refused", %flow, refused, view = self.view_version);
                 self.lose(flow, 0, "no_agent", now, out);
@@ -132,7 +148,7 @@
         let due = now + ANSWER_TIME;
         opening.tries += 1;
         opening.asked = Some((candidate.address, due));
-        let (service, tries) = (opening.service, opening.tries);
+        let tries = opening.tries;
         let datagram = opening.datagram.clone();
         tracing::info!(
             event = "flow_placed",
@@ -150,8 +166,9 @@
         );
         self.fleet.placed(candidate.address);
         self.openings.push_back((due, *flow));
-        let message = Message::Open { service, forced };
-        self.send(candidate.address, &message, &datagram, out);
+        if let Some(message) = self.open_message(flow, forced) {
+            self.send(candidate.address, &message, &datagram, out);
+        }
     }
 
     /// Takes the news that a backend server accepted a flow.
@@ -166,6 +183,7 @@
         match self.flows.get_mut(flow) {
             Some(Entry::Opening(opening)) => {
                 opening.asked = None;
+                opening.waits = None;
                 opening.accepted.retain(|(known, _)| *known != agent);
                 opening.accepted.push((agent, initial));
             }
@@ -176,6 +194,14 @@
         }
     }
 
+    /// Takes the news that a flow waits for a slot at an agent.
+    pub(super) fn waits(&mut self, flow: &FlowKey, agent: SocketAddrV4) {
+        if let Some(Entry::Opening(opening)) = self.flows.get_mut(flow) {
+            opening.asked = None;
+            opening.waits = Some(agent);
+        }
+    }
+
     /// Takes the news that an agent does not take a flow.
     pub(super) fn refused(
         &mut self,
@@ -194,7 +220,8 @@
             Refusal::Busy => opening.busy.push(agent),
             _ => opening.excluded.push(agent),
         }
-        let expected = opening.asked.is_some_and(|(asked, _)| asked == agent);
+        let waited = opening.waits.take_if(|waits| *waits == agent).is_some();
+        let expected = waited || opening.asked.is_some_and(|(asked, _)| asked == agent);
         if expected && opening.accepted.is_empty() {
             self.try_next(flow, now, out);
         }
--- a/core/src/l4/balancer/search.rs
+++ b/core/src/l4/balancer/search.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddrV4, time::Duration};
 
-use super::{Balancer, CONFIRM_TIME, Entry, is_held};
+use super::{Balancer, Entry};
 use crate::{
     clock::Time,
     l4::{
@@ -27,9 +27,6 @@
 /// Time after which a search is forgotten.
 const SEARCH_TIME: Duration = Duration::from_secs(2);
 
-/// Time for which a search without success is remembered.
-const NOT_FOUND_TIME: Duration = Duration::from_secs(5);
-
 /// A flow whose owner is looked for.
 #[derive(Clone, Debug)]
 pub(super) struct Search {
@@ -42,8 +39,8 @@
     /// Whether agents that can't tell have been sent a segment.
     testing: bool,
     due: Time,
-    /// When an earlier search ended without success.
-    missed: Option<Time>,
+    /// Whether all who answered know the same agents as this balancer.
+    agreed: bool,
     pub(super) expires: Time,
 }
 
@@ -63,6 +60,13 @@
         }
     }
 
+    /// Returns whether a flow can be at an agent that a balancer remembers as its owner: the agent
+    /// has not said otherwise.
+    fn can_be_at(&self, agent: SocketAddrV4) -> bool {
+        let said = self.asked.iter().find(|(asked, _)| *asked == agent);
+        said.is_none_or(|(_, said)| said.is_none())
+    }
+
     fn count(&self, standing: Standing) -> usize {
         let same = self
             .asked
@@ -82,19 +86,15 @@
         now: Time,
         out: &mut impl Outbox,
     ) {
-        let missed = match self.flows.get(flow) {
-            Some(Entry::NotFound { since, .. }) => Some(*since),
-            _ => None,
-        };
         let due = now + ANSWER_TIME;
         let search = Search {
             acknowledged: segment.acknowledged,
             waiting: vec![datagram.into()],
-            asked: self.fleet.holders().map(|agent| (agent, None)).collect(),
+            asked: self.asked().map(|peer| (peer, None)).collect(),
             rounds: 1,
             testing: false,
             due,
-            missed,
+            agreed: true,
             expires: now + SEARCH_TIME,
         };
         tracing::info!(
@@ -111,6 +111,13 @@
         self.ask(flow, segment.acknowledged, &asked, out);
     }
 
+    /// Returns who may know the owner of a flow.
+    fn asked(&self) -> impl Iterator<Item = SocketAddrV4> {
+        let balancers = self.fleet.balancers().iter().copied();
+        let others = balancers.filter(|balancer| *balancer != self.own);
+        self.fleet.holders().chain(others)
+    }
+
     fn ask(
         &mut self,
         flow: &FlowKey,
@@ -127,27 +134,34 @@
         }
     }
 
-    /// Takes an agent's answer about a flow.
+    /// Takes the answer of an agent or a balancer about a flow, with the digest of the agents that
+    /// it knows.
     pub(super) fn found(
         &mut self,
         flow: &FlowKey,
-        agent: SocketAddrV4,
-        standing: Standing,
+        from: SocketAddrV4,
+        (standing, agents): (Standing, u64),
         now: Time,
         out: &mut impl Outbox,
     ) {
+        let own_agents = self.agents;
         let Some(Entry::Searching(search)) = self.flows.get_mut(flow) else {
             return;
         };
-        if is_held(standing) {
-            self.resolve(flow, agent, now, out);
-            return;
-        }
-        if search.testing && standing == Standing::Unsure {
-            return;
+        search.agreed &= agents == own_agents;
+        match standing {
+            Standing::Held => self.resolve(flow, from, now, out),
+            Standing::At(agent) if search.can_be_at(agent) => self.resolve(flow, agent, now, out),
+            Standing::At(_) | Standing::NotHeld => {
+                search.note(from, Standing::NotHeld);
+                self.conclude(flow, now, out);
+            }
+            Standing::Unsure if search.testing => {}
+            Standing::Unsure => {
+                search.note(from, standing);
+                self.conclude(flow, now, out);
+            }
         }
-        search.note(agent, standing);
-        self.conclude(flow, now, out);
     }
 
     /// Takes back a segment of a flow that an agent does not hold.
@@ -170,7 +184,12 @@
                 self.carry(owner, datagram, out);
             }
             Some(Entry::Lost { .. } | Entry::Opening(_)) => {}
-            _ => self.search(&flow, segment, datagram, now, out),
+            _ => {
+                self.search(&flow, segment, datagram, now, out);
+                if let Some(Entry::Searching(search)) = self.flows.get_mut(&flow) {
+                    search.note(agent, Standing::NotHeld);
+                }
+            }
         }
     }
 
@@ -205,8 +224,8 @@
         }
         let unsure = search.count(Standing::Unsure);
         if unsure == 0 {
-            let (acknowledged, missed) = (search.acknowledged, search.missed);
-            self.miss(flow, acknowledged, missed, now, out);
+            let (acknowledged, agreed) = (search.acknowledged, search.agreed);
+            self.miss(flow, acknowledged, agreed, now, out);
             return;
         }
         if search.testing {
@@ -228,23 +247,22 @@
         }
     }
 
-    /// Notes that no agent holds a flow; the second time, its caller is told.
+    /// Notes that no agent holds a flow. Its caller is told if all know the same agents: else the
+    /// owner may be one that has just joined, and the caller's next copy starts a new search.
     fn miss(
         &mut self,
         flow: &FlowKey,
         acknowledged: u32,
-        missed: Option<Time>,
+        agreed: bool,
         now: Time,
         out: &mut impl Outbox,
     ) {
-        let since = missed.unwrap_or(now);
-        if now.since(since) >= CONFIRM_TIME {
+        if agreed && self.joined {
             self.lose(flow, acknowledged, "not_held", now, out);
             return;
         }
         tracing::info!(event = "flow_not_found", %flow, view = self.view_version);
-        let expires = now + NOT_FOUND_TIME;
-        self.insert(flow, Entry::NotFound { since, expires });
+        self.flows.remove(flow);
     }
 
     /// Goes on with a search whose answers are late.
--- a/core/src/l4/daemon.rs
+++ b/core/src/l4/daemon.rs
@@ -38,11 +38,9 @@
 /// Time in which the news of a stop reaches the others.
 const FAREWELL_TIME: Duration = Duration::from_millis(300);
 
-/// Interval between two looks for seeds in the store.
-const SEED_INTERVAL: Duration = Duration::from_secs(20);
-
-/// Pause before the first look is repeated if it found nobody.
-const SEED_PAUSE: Duration = Duration::from_secs(2);
+/// Time without any other process after which a process looks for seeds in the store: those in its
+/// settings answer within some hundred milliseconds, or not at all.
+const SEED_PAUSE: Duration = Duration::from_millis(1500);
 
 /// An error at the start of a daemon.
 #[derive(Debug, Snafu)]
@@ -133,8 +131,7 @@
             None,
             &kernel,
         );
-        balancer_loop::start(&kernel, codec, &options.domain, sockets, routes)
-            .context(KernelSnafu)?;
+        balancer_loop::start(&kernel, codec, sockets, routes).context(KernelSnafu)?;
         log_start(options, role);
         Ok(Self { kernel, role })
     }
@@ -238,26 +235,27 @@
     let seeds = options.seeds.clone();
     let found = membership::start(&kernel, socket, signer.clone(), seeds).context(KernelSnafu)?;
     let prefix = options.seed_prefix.clone();
-    kernel.spawn(look_for_seeds(store.clone(), prefix, found));
+    let directory: Arc<Directory> = kernel.find(Directory::NAME).context(KernelSnafu)?;
+    kernel.spawn(look_for_seeds(store.clone(), prefix, directory, found));
     Ok((kernel, ControlClient::new(signer)))
 }
 
-/// Tells the membership of seeds in the store, now and from time to time.
+/// Tells the membership of seeds in the store whenever no other process is known.
 async fn look_for_seeds(
     store: Arc<dyn Store>,
     prefix: String,
+    directory: Arc<Directory>,
     found: mpsc::Sender<Vec<SocketAddrV4>>,
 ) {
     loop {
+        tokio::time::sleep(SEED_PAUSE).await;
+        if directory.view().members.len() > 1 {
+            continue;
+        }
         let seeds = find_seeds(store.as_ref(), &prefix).await;
-        let pause = match seeds.is_empty() {
-            true => SEED_PAUSE,
-            false => SEED_INTERVAL,
-        };
         if found.send(seeds).await.is_err() {
             return;
         }
-        tokio::time::sleep(pause).await;
     }
 }
 
--- a/core/src/l4/daemon/agent_loop.rs
+++ b/core/src/l4/daemon/agent_loop.rs
@@ -19,7 +19,7 @@
         segment::Codec,
         server::{ReportError, ServerReport, ServerState},
     },
-    member::MemberState,
+    member::{Directory, MemberState},
     membership::LocalRecord,
 };
 
@@ -92,6 +92,7 @@
         alive,
         clock,
         control,
+        directory: kernel.find(Directory::NAME)?,
         local: kernel.find(LocalRecord::NAME)?,
         sockets,
         state: None,
@@ -105,6 +106,7 @@
     alive: Arc<AtomicBool>,
     clock: Clock,
     control: Arc<Control>,
+    directory: Arc<Directory>,
     local: Arc<LocalRecord>,
     sockets: Sockets,
     state: Option<ServerState>,
@@ -113,6 +115,7 @@
 impl<C: Codec> Run<C> {
     async fn run(mut self, mut calls: mpsc::Receiver<Call>) {
         let mut buffer = Box::new([0; DATAGRAM_BYTES]);
+        let mut changes = self.directory.changes();
         loop {
             let due = self.clock.instant(self.agent.due());
             tokio::select! {
@@ -123,6 +126,7 @@
                     let _ = answer.send(self.take_news(news));
                 }
                 () = tokio::time::sleep_until(due) => {}
+                Ok(()) = changes.changed() => self.agent.take_view(&self.directory.view()),
                 else => return,
             }
             let now = self.clock.now();
--- a/core/src/l4/daemon/balancer_loop.rs
+++ b/core/src/l4/daemon/balancer_loop.rs
@@ -23,16 +23,17 @@
 pub fn start<C: Codec>(
     kernel: &Kernel,
     codec: C,
-    domain: &str,
     sockets: Sockets,
     routes: watch::Receiver<Arc<RouteTable>>,
 ) -> Result<(), KernelError> {
+    let local: Arc<LocalRecord> = kernel.find(LocalRecord::NAME)?;
+    let own = local.get();
     let run = Run {
-        balancer: Balancer::new(codec, domain, rand::random()),
+        balancer: Balancer::new(codec, own.address, &own.domain, rand::random()),
         clock: kernel.clock(),
         control: kernel.find(Control::NAME)?,
         directory: kernel.find(Directory::NAME)?,
-        local: kernel.find(LocalRecord::NAME)?,
+        local,
         routes,
         serving: false,
         sockets,
--- a/core/src/l4/message.rs
+++ b/core/src/l4/message.rs
@@ -16,7 +16,7 @@
     Busy,
     /// The backend server finishes what it holds.
     Draining,
-    /// The backend server holds as many flows as it may.
+    /// The backend server holds as many flows as it may, or too many wait for it.
     Full,
     /// The backend server does not answer.
     Mute,
@@ -41,9 +41,11 @@
     }
 }
 
-/// What an agent says about a flow.
+/// What an agent or a balancer says about a flow.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Standing {
+    /// A balancer remembers another agent as its owner.
+    At(SocketAddrV4),
     /// Its backend server holds the flow.
     Held,
     /// Its backend server does not hold the flow.
@@ -61,10 +63,14 @@
         service: ServiceKey,
         /// Whether to take it although all slots are in use.
         forced: bool,
+        /// Rank under overload: 0 goes first.
+        priority: u8,
+        /// Time in which answers are expected, in milliseconds.
+        target_ms: u32,
     },
     /// To an agent, with a segment of a flow that it is believed to hold.
     Carry,
-    /// To an agent: do you hold this flow?
+    /// To an agent or a balancer: do you hold this flow, or know who does?
     Find {
         /// The flow.
         flow: FlowKey,
@@ -80,6 +86,13 @@
         /// What the backend server carries.
         load: Load,
     },
+    /// To a balancer: the flow waits for a slot.
+    Waits {
+        /// The flow.
+        flow: FlowKey,
+        /// What the backend server carries.
+        load: Load,
+    },
     /// To a balancer, with the opening segment of a flow that is not taken.
     Refused {
         /// Why.
@@ -93,8 +106,10 @@
     Found {
         /// The flow.
         flow: FlowKey,
-        /// What the agent knows.
+        /// What the asked process knows.
         standing: Standing,
+        /// Digest of the agents that the asked process knows.
+        agents: u64,
     },
     /// To a balancer: what the backend server carries now.
     Carries(Load),
--- a/core/src/l4/workload.rs
+++ b/core/src/l4/workload.rs
@@ -9,12 +9,15 @@
 /// Share of a new sample in the mean work time, as a divisor.
 const WORK_DIVISOR: u64 = 8;
 
+/// Requests at the backend server for each slot, beyond which new flows wait at the agent.
+const QUEUE_FACTOR: u16 = 2;
+
 /// What a backend server carries, as balancers hear of it.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Load {
     /// Requests that it works on at once.
     pub slots: u16,
-    /// Requests that it has not answered.
+    /// Requests that it has not answered, and new flows that are about to bring one.
     pub busy: u16,
     /// Open flows.
     pub flows: u16,
@@ -26,7 +29,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct Workload {
     slots: u16,
-    busy: u16,
+    running: u16,
+    opening: u16,
+    waiting: u16,
     flows: u16,
     work_us: u64,
 }
@@ -63,8 +68,8 @@
 
     /// Counts a request that reaches the backend server.
     pub fn begin(&mut self, now: Time) -> Running {
-        let queued = self.busy >= self.slots;
-        self.busy += 1;
+        let queued = self.running >= self.slots;
+        self.running += 1;
         Running {
             started: now,
             queued,
@@ -87,19 +92,51 @@
 
     /// Counts a request that ended without an answer.
     pub fn abandon(&mut self) {
-        self.busy = self.busy.saturating_sub(1);
+        self.running = self.running.saturating_sub(1);
+    }
+
+    /// Counts a flow that was offered to the backend server and is about to bring a request.
+    pub fn offered(&mut self) {
+        self.opening += 1;
+    }
+
+    /// Counts an offered flow that brought its request or did not.
+    pub fn settled(&mut self) {
+        self.opening = self.opening.saturating_sub(1);
+    }
+
+    /// Takes the number of flows that wait to be offered.
+    pub fn set_waiting(&mut self, waiting: usize) {
+        self.waiting = u16::try_from(waiting).unwrap_or(u16::MAX);
     }
 
     /// Forgets all requests and flows: the backend server has started anew.
     pub fn clear(&mut self) {
-        self.busy = 0;
+        self.running = 0;
+        self.opening = 0;
         self.flows = 0;
         self.work_us = 0;
     }
 
     /// Returns whether a new request finds a free slot.
     pub fn has_room(&self) -> bool {
-        self.busy < self.slots
+        self.running + self.opening < self.slots
+    }
+
+    /// Returns whether the backend server can queue a new request: as many as it works on keep its
+    /// slots in use, and more would only wait there instead of here.
+    pub fn can_queue(&self) -> bool {
+        self.running + self.opening < QUEUE_FACTOR * self.slots
+    }
+
+    /// Returns the mean time of a request that found a free slot; zero if none was seen.
+    pub fn work(&self) -> Duration {
+        Duration::from_micros(self.work_us)
+    }
+
+    /// Returns the mean time between two answers when all slots are in use.
+    pub fn interval(&self) -> Duration {
+        self.work() / u32::from(self.slots.max(1))
     }
 
     /// Returns the number of open flows.
@@ -111,7 +148,7 @@
     pub fn load(&self) -> Load {
         Load {
             slots: self.slots,
-            busy: self.busy,
+            busy: self.running + self.opening + self.waiting,
             flows: self.flows,
             work_us: u32::try_from(self.work_us).unwrap_or(u32::MAX),
         }
--- a/core/src/member.rs
+++ b/core/src/member.rs
@@ -10,6 +10,7 @@
 use arc_swap::ArcSwap;
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     owner_id::{Incarnation, ServiceTag},
@@ -93,6 +94,8 @@
     pub tables: HashMap<ServiceTag, Arc<Table>>,
     /// Placement tables before the last change.
     pub earlier: HashMap<ServiceTag, Arc<Table>>,
+    /// Whether the process has fetched what its seeds knew when it joined.
+    pub joined: bool,
 }
 
 impl View {
@@ -106,6 +109,7 @@
             members,
             tables: self.tables.clone(),
             earlier: self.earlier.clone(),
+            joined: self.joined,
         };
         if changed.is_empty() {
             return view;
@@ -123,6 +127,21 @@
         }
         view
     }
+
+    /// Returns a digest of the agents that may hold flows; equal where the same ones are known.
+    pub fn agents(&self) -> u64 {
+        let mut digest = 0;
+        for record in self.members.values() {
+            let gone = matches!(record.state, MemberState::Dead | MemberState::Left);
+            if gone || record.role != Role::Agent {
+                continue;
+            }
+            let ip = u64::from(record.address.ip().to_bits());
+            let bytes = (ip << 16 | u64::from(record.address.port())).to_be_bytes();
+            digest ^= xxh3_64(&bytes);
+        }
+        digest
+    }
 }
 
 /// Returns the services whose candidates differ between two sets of members.
@@ -230,6 +249,16 @@
         self.changes.send_replace(version);
     }
 
+    /// Notes that the process has fetched what its seeds knew.
+    pub fn set_joined(&self) {
+        let mut view = View::clone(&self.view.load());
+        view.version += 1;
+        view.joined = true;
+        let version = view.version;
+        self.view.store(Arc::new(view));
+        self.changes.send_replace(version);
+    }
+
     /// Returns a receiver that learns each new version.
     pub fn changes(&self) -> watch::Receiver<u64> {
         self.changes.subscribe()
--- a/core/src/membership/service.rs
+++ b/core/src/membership/service.rs
@@ -37,6 +37,7 @@
     let service = Service {
         clock,
         directory: kernel.find(Directory::NAME)?,
+        joined: false,
         local,
         signer,
         socket,
@@ -49,6 +50,7 @@
 struct Service {
     clock: Clock,
     directory: Arc<Directory>,
+    joined: bool,
     local: Arc<LocalRecord>,
     signer: Signer,
     socket: UdpSocket,
@@ -77,6 +79,10 @@
         let mut actions = self.swim.local(&self.local.get(), now);
         actions.extend(self.swim.tick(now));
         self.act(actions).await;
+        if !self.joined && self.swim.is_joined() {
+            self.joined = true;
+            self.directory.set_joined();
+        }
     }
 
     async fn receive(&mut self, bytes: &[u8]) {
