Ask the homes of a flow and near balancers first, and everybody within a budget

Ruled out: processor (0.055 of 0.09 cores at most). Change: lasting flows are registered with two homes by rendezvous among the agents of their service; a search asks them and the balancers of the domain; everybody only behind a token bucket. Tries wait longer each.

--- a/core/src/l4.rs
+++ b/core/src/l4.rs
@@ -15,6 +15,7 @@
 pub mod balancer;
 pub mod choice;
 pub mod daemon;
+pub mod homes;
 pub mod message;
 pub mod outbox;
 pub mod routes;
--- a/core/src/l4/agent.rs
+++ b/core/src/l4/agent.rs
@@ -11,10 +11,11 @@
 
 use self::flows::{Flows, Held, Progress, Stage};
 use super::{
+    homes::{Homes, REGISTERED_TIME, Registry},
     message::{self, Message, Received, Refusal, Standing},
     outbox::Outbox,
     routes::ServiceKey,
-    segment::{Codec, FlowKey, Segment, is_after},
+    segment::{Codec, FlowKey, Segment, follows},
     server::{Change, ReportError, Server, ServerReport, ServerState},
     waiting::{Urgency, WaitingRoom},
     workload::Workload,
@@ -33,6 +34,9 @@
 /// Time without a segment after which a balancer gets no more reports.
 const BALANCER_TIME: Duration = Duration::from_secs(5);
 
+/// Time between two registrations of flows that have begun to last.
+const REGISTER_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Time between two searches for expired flows.
 const EXPIRE_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -55,8 +59,8 @@
     pub max_life: Duration,
     /// Flows that the backend server holds at most.
     pub max_flows: u16,
-    /// Port at which balancers take messages.
-    pub peer_port: u16,
+    /// Address at which the other processes send frames; balancers have the same port.
+    pub own: SocketAddrV4,
 }
 
 /// The state of an agent.
@@ -72,6 +76,10 @@
     waiting: WaitingRoom,
     /// Digest of the agents that the membership shows.
     agents: u64,
+    homes: Homes,
+    registry: Registry,
+    /// Between which times flows began to last that were registered last.
+    registered: (Time, Time),
     balancers: HashMap<SocketAddrV4, Time>,
     mute: Option<Time>,
     orphaned: Option<Time>,
@@ -85,6 +93,8 @@
 struct Due {
     load: Time,
     expire: Time,
+    register: Time,
+    register_all: Time,
 }
 
 impl<C: Codec> Agent<C> {
@@ -98,6 +108,9 @@
             unsure: Some(now + options.max_life),
             waiting: WaitingRoom::default(),
             agents: 0,
+            homes: Homes::default(),
+            registry: Registry::default(),
+            registered: (now, now),
             balancers: HashMap::new(),
             mute: None,
             orphaned: None,
@@ -105,6 +118,8 @@
             due: Due {
                 load: now,
                 expire: now,
+                register: now,
+                register_all: now,
             },
             buffer: Vec::new(),
             options,
@@ -128,7 +143,35 @@
 
     /// Takes the members of the fleet.
     pub fn take_view(&mut self, view: &View) {
-        self.agents = view.agents();
+        let agents = view.agent_digest();
+        if agents == self.agents {
+            return;
+        }
+        self.agents = agents;
+        let tag = self.options.service.tag();
+        let same = view.agents().filter(|record| record.service == tag);
+        self.homes = Homes::new(same.map(|record| record.address));
+        // Homes have changed for some flows.
+        self.due.register = Time::default();
+    }
+
+    /// Tells the homes of lasting flows who owns them.
+    fn register(&mut self, now: Time, out: &mut impl Outbox) {
+        let (from, until) = self.registered;
+        self.registered = (until, now);
+        let all = self.due.register == Time::default() || self.due.register_all <= now;
+        if all {
+            self.due.register_all = now + REGISTERED_TIME / 2;
+        }
+        self.due.register = now + REGISTER_INTERVAL;
+        let lasting = self.flows.lasting(now, (from, until), all);
+        for flow in lasting {
+            for home in self.homes.of(&flow).into_iter().flatten() {
+                if home != self.options.own {
+                    self.tell(home, &Message::Register { flow }, &[], out);
+                }
+            }
+        }
     }
 
     /// Takes a status report of the backend server.
@@ -191,7 +234,10 @@
     /// Takes a frame of a balancer.
     pub fn receive(&mut self, received: &Received<'_>, now: Time, out: &mut impl Outbox) {
         let from = received.from;
-        self.balancers.insert(from, now + BALANCER_TIME);
+        let registers = matches!(received.message, Message::Register { .. });
+        if !registers {
+            self.balancers.insert(from, now + BALANCER_TIME);
+        }
         match received.message {
             Message::Open {
                 service,
@@ -213,6 +259,7 @@
                 }
             }
             Message::Carry => self.carry(received, now, out),
+            Message::Register { flow } => self.registry.register(flow, from, now),
             Message::Find { flow, acknowledged } => {
                 let standing = self.standing(&flow, acknowledged);
                 self.say_standing(from, flow, standing, out);
@@ -267,8 +314,12 @@
             self.orphaned = None;
             self.reset_all("server_left", out);
         }
+        if now >= self.due.register {
+            self.register(now, out);
+        }
         if now >= self.due.expire {
             self.due.expire = now + EXPIRE_INTERVAL;
+            self.registry.expire(now);
             self.flows.expire(&mut self.workload, now);
             self.balancers.retain(|_, until| now < *until);
         }
@@ -284,7 +335,7 @@
 
     /// Returns when [`Agent::tick`] has something to do next.
     pub fn due(&self) -> Time {
-        let next = self.due.load.min(self.due.expire);
+        let next = self.due.load.min(self.due.expire).min(self.due.register);
         self.offers.front().map_or(next, |(due, _)| next.min(*due))
     }
 
@@ -462,6 +513,13 @@
             Some(Stage::Accepted { initial }) if follows(acknowledged, initial) => Standing::Held,
             Some(Stage::Accepted { .. } | Stage::Offered) => Standing::NotHeld,
             Some(Stage::Tested) => Standing::Unsure,
+            None => self.standing_elsewhere(flow),
+        }
+    }
+
+    fn standing_elsewhere(&self, flow: &FlowKey) -> Standing {
+        match self.registry.owner(flow) {
+            Some(owner) => Standing::At(owner),
             None if self.may_hold_unseen() => Standing::Unsure,
             None => Standing::NotHeld,
         }
@@ -470,7 +528,7 @@
     fn bounced(&mut self, segment: &Segment, datagram: &[u8], out: &mut impl Outbox) {
         self.flows
             .remove(&segment.flow_of_caller(), &mut self.workload);
-        let balancer = SocketAddrV4::new(Ipv4Addr::from(segment.mark), self.options.peer_port);
+        let balancer = SocketAddrV4::new(Ipv4Addr::from(segment.mark), self.options.own.port());
         let mut clean = datagram.to_vec();
         self.codec.mark(&mut clean, 0);
         match segment.is_opening() {
@@ -526,11 +584,3 @@
         out.to_caller(flow.caller, &self.buffer);
     }
 }
-
-/// Returns whether an acknowledgement may belong to a flow that began at `initial`.
-pub fn follows(acknowledged: u32, initial: u32) -> bool {
-    /// Largest window of a flow in bytes, with room to spare.
-    const WINDOW: u32 = 1 << 20;
-    acknowledged == initial
-        || (is_after(acknowledged, initial) && acknowledged.wrapping_sub(initial) < WINDOW)
-}
--- a/core/src/l4/agent/flows.rs
+++ b/core/src/l4/agent/flows.rs
@@ -11,7 +11,7 @@
 use crate::{
     clock::Time,
     l4::{
-        segment::{FlowKey, Segment, is_after},
+        segment::{FlowKey, Segment, follows, is_after},
         workload::{Running, Workload},
     },
 };
@@ -26,6 +26,9 @@
 /// Stands for a balancer that is not known.
 const NOBODY: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0);
 
+/// Age from which a flow is one that lasts; most flows bring one request and end before.
+const LASTING_TIME: Duration = Duration::from_millis(500);
+
 /// How far a flow has come.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Stage {
@@ -59,6 +62,8 @@
     pub offered: bool,
     /// Whether the flow is about to bring its first request.
     opening: bool,
+    /// When the flow counts as a lasting one.
+    lasts: Time,
     running: Option<Running>,
     caller_end: Option<u32>,
     caller_done: bool,
@@ -125,7 +130,7 @@
             return;
         }
         load.open();
-        let mut held = Held::new(Stage::Offered, balancer, now + OPENING_TIME);
+        let mut held = Held::new(Stage::Offered, balancer, now, now + OPENING_TIME);
         held.offered = true;
         held.opening = true;
         load.offered();
@@ -135,7 +140,7 @@
     /// Notes that a segment of an unknown flow goes to the backend server, which may hold it.
     pub fn test(&mut self, flow: FlowKey, balancer: SocketAddrV4, load: &mut Workload, now: Time) {
         load.open();
-        let held = Held::new(Stage::Tested, balancer, now + self.idle);
+        let held = Held::new(Stage::Tested, balancer, now, now + self.idle);
         self.held.insert(flow, held);
     }
 
@@ -149,6 +154,11 @@
         now: Time,
     ) -> Option<bool> {
         let held = self.held.get_mut(&segment.flow_of_caller())?;
+        if let Stage::Accepted { initial } = held.stage
+            && !follows(segment.acknowledged, initial)
+        {
+            return None;
+        }
         held.balancer = balancer;
         held.acknowledged = segment.acknowledged;
         if held.stage == Stage::Ended {
@@ -182,7 +192,7 @@
         let flow = segment.flow_of_server();
         let held = self.held.entry(flow).or_insert_with(|| {
             load.open();
-            Held::new(Stage::Open, NOBODY, now + idle)
+            Held::new(Stage::Open, NOBODY, now, now + idle)
         });
         let mut progress = Progress::Other;
         if held.stage == Stage::Ended {
@@ -246,6 +256,18 @@
         });
     }
 
+    /// Returns the open flows that last: all of them, or those that began to between two times.
+    pub fn lasting(&self, now: Time, (from, until): (Time, Time), all: bool) -> Vec<FlowKey> {
+        let mut lasting = Vec::new();
+        for (flow, held) in &self.held {
+            let new = held.lasts >= from && held.lasts < until;
+            if held.stage == Stage::Open && held.lasts <= now && (all || new) {
+                lasting.push(*flow);
+            }
+        }
+        lasting
+    }
+
     /// Forgets all flows and returns those that had not ended.
     pub fn drain(&mut self, load: &mut Workload) -> Vec<(FlowKey, Held)> {
         load.clear();
@@ -255,7 +277,7 @@
 }
 
 impl Held {
-    fn new(stage: Stage, balancer: SocketAddrV4, expires: Time) -> Self {
+    fn new(stage: Stage, balancer: SocketAddrV4, now: Time, expires: Time) -> Self {
         Self {
             stage,
             balancer,
@@ -263,6 +285,7 @@
             expires,
             offered: false,
             opening: false,
+            lasts: now + LASTING_TIME,
             running: None,
             caller_end: None,
             caller_done: false,
--- a/core/src/l4/balancer.rs
+++ b/core/src/l4/balancer.rs
@@ -9,7 +9,8 @@
 mod search;
 
 use std::{
-    collections::{HashMap, VecDeque},
+    cmp::Reverse,
+    collections::{BinaryHeap, HashMap, binary_heap::PeekMut},
     net::SocketAddrV4,
     sync::Arc,
     time::Duration,
@@ -18,7 +19,11 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use rustc_hash::FxBuildHasher;
 
-use self::{fleet::Fleet, opening::Opening, search::Search};
+use self::{
+    fleet::Fleet,
+    opening::Opening,
+    search::{Search, SearchBudget},
+};
 use super::{
     choice::Candidate,
     message::{self, Message, Received, Standing},
@@ -32,11 +37,14 @@
 const IDLE_TIME: Duration = Duration::from_secs(15);
 
 /// Time between two searches for flows to forget.
-const EXPIRE_INTERVAL: Duration = Duration::from_secs(1);
+const EXPIRE_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Time for which a flow that no agent holds is answered by a reset without a new search.
 const LOST_TIME: Duration = Duration::from_secs(2);
 
+/// Longest wait of a balancer that knows some agents for news of the others.
+const SETTLE_TIME: Duration = Duration::from_millis(300);
+
 /// Flows that are remembered at most; the largest fleet opens 72 a second in each balancer.
 const MAX_FLOWS: usize = 200_000;
 
@@ -63,6 +71,9 @@
     expires: Time,
 }
 
+/// When something runs out, earliest first.
+type Timers = BinaryHeap<Reverse<(Time, FlowKey)>>;
+
 /// The state of a balancer.
 #[derive(Debug)]
 pub struct Balancer<C> {
@@ -76,10 +87,13 @@
     /// Digest of the agents that the membership shows.
     agents: u64,
     joined: bool,
+    /// Until when a balancer that knows some agents waits for the others.
+    settled: Option<Time>,
     /// When the attempts to place a flow run out.
-    openings: VecDeque<(Time, FlowKey)>,
+    openings: Timers,
     /// When the steps of a search run out.
-    searches: VecDeque<(Time, FlowKey)>,
+    searches: Timers,
+    budget: SearchBudget,
     expire: Time,
     rng: SmallRng,
     buffer: Vec<u8>,
@@ -99,8 +113,10 @@
             view_version: 0,
             agents: 0,
             joined: false,
-            openings: VecDeque::new(),
-            searches: VecDeque::new(),
+            settled: None,
+            openings: Timers::new(),
+            searches: Timers::new(),
+            budget: SearchBudget::new(),
             expire: Time::default(),
             rng: SmallRng::seed_from_u64(seed),
             buffer: Vec::new(),
@@ -108,9 +124,16 @@
         }
     }
 
-    /// Returns whether the balancer can place flows.
+    /// Returns whether the balancer knows routes and agents.
     pub fn is_ready(&self) -> bool {
-        self.routes.version > 0 && self.joined && self.fleet.has_ready()
+        self.routes.version > 0 && self.fleet.has_ready()
+    }
+
+    /// Returns whether the balancer may take its share of the flows: it knows all that its seeds
+    /// knew, or has waited long enough for the rest.
+    pub fn is_settled(&self, now: Time) -> bool {
+        let waited = self.settled.is_some_and(|settled| now >= settled);
+        self.is_ready() && (self.joined || waited)
     }
 
     /// Returns the number of flows that are remembered.
@@ -128,9 +151,16 @@
     /// Takes the members of the fleet, and resets the flows of agents that are gone.
     pub fn take_view(&mut self, view: &View, now: Time, out: &mut impl Outbox) {
         self.view_version = view.version;
-        self.agents = view.agents();
+        let started = self.is_ready();
+        self.agents = view.agent_digest();
         self.joined = view.joined;
         let gone = self.fleet.meet(view, &self.domain);
+        if self.fleet.has_ready() {
+            self.settled.get_or_insert(now + SETTLE_TIME);
+        }
+        if !started {
+            self.retry_openings(now, out);
+        }
         if gone.is_empty() {
             return;
         }
@@ -219,16 +249,16 @@
             }
             Message::Carries(load) => self.fleet.loaded(from, load),
             Message::Find { flow, .. } => self.say_standing(from, &flow, out),
-            Message::Open { .. } | Message::Carry => {}
+            Message::Open { .. } | Message::Carry | Message::Register { .. } => {}
         }
     }
 
     /// Does what is due.
     pub fn tick(&mut self, now: Time, out: &mut impl Outbox) {
-        while let Some((_, flow)) = self.openings.pop_front_if(|(due, _)| *due <= now) {
+        while let Some(flow) = pop_due(&mut self.openings, now) {
             self.opening_overdue(&flow, now, out);
         }
-        while let Some((_, flow)) = self.searches.pop_front_if(|(due, _)| *due <= now) {
+        while let Some(flow) = pop_due(&mut self.searches, now) {
             self.search_overdue(&flow, now, out);
         }
         if now >= self.expire {
@@ -239,8 +269,8 @@
 
     /// Returns when [`Balancer::tick`] has something to do next.
     pub fn due(&self) -> Time {
-        let opening = self.openings.front().map(|(due, _)| *due);
-        let search = self.searches.front().map(|(due, _)| *due);
+        let opening = self.openings.peek().map(|Reverse((due, _))| *due);
+        let search = self.searches.peek().map(|Reverse((due, _))| *due);
         let next = opening.into_iter().chain(search).min();
         next.map_or(self.expire, |next| next.min(self.expire))
     }
@@ -342,6 +372,11 @@
     }
 }
 
+fn pop_due(timers: &mut Timers, now: Time) -> Option<FlowKey> {
+    let next = timers.peek_mut()?;
+    (next.0.0 <= now).then(|| PeekMut::pop(next).0.1)
+}
+
 fn idle_time(routes: &RouteTable) -> Duration {
     match routes.idle_ms {
         0 => IDLE_TIME,
--- a/core/src/l4/balancer/fleet.rs
+++ b/core/src/l4/balancer/fleet.rs
@@ -1,10 +1,14 @@
 //! The agents as one balancer knows them: from the membership, and from what they tell it.
 
-use std::{collections::BTreeMap, net::SocketAddrV4, time::Duration};
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddrV4,
+    time::Duration,
+};
 
 use crate::{
     clock::Time,
-    l4::{choice::Candidate, message::Refusal, workload::Load},
+    l4::{choice::Candidate, homes::Homes, message::Refusal, segment::FlowKey, workload::Load},
     member::{MemberState, Role, View},
     owner_id::ServiceTag,
 };
@@ -33,6 +37,9 @@
 pub struct Fleet {
     agents: BTreeMap<SocketAddrV4, Peer>,
     balancers: Vec<SocketAddrV4>,
+    /// Balancers of this failure domain, which callers of the domain may have used before.
+    near: Vec<SocketAddrV4>,
+    homes: HashMap<ServiceTag, Homes>,
 }
 
 impl Fleet {
@@ -40,10 +47,14 @@
     pub fn meet(&mut self, view: &View, domain: &str) -> Vec<SocketAddrV4> {
         let mut gone = Vec::new();
         self.balancers.clear();
+        self.near.clear();
+        self.take_homes(view);
         for (address, record) in &view.members {
             if record.role != Role::Agent {
                 let ready = record.state == MemberState::Ready;
                 self.balancers.extend(ready.then_some(*address));
+                let near = record.domain == domain && !is_gone(record.state);
+                self.near.extend(near.then_some(*address));
                 continue;
             }
             let peer = self.agents.entry(*address).or_insert_with(|| Peer {
@@ -83,6 +94,28 @@
         live.map(|(address, _)| *address)
     }
 
+    fn take_homes(&mut self, view: &View) {
+        let mut services: HashMap<ServiceTag, Vec<SocketAddrV4>> = HashMap::new();
+        for record in view.agents() {
+            let agents = services.entry(record.service).or_default();
+            agents.push(record.address);
+        }
+        self.homes.clear();
+        for (service, agents) in services {
+            self.homes.insert(service, Homes::new(agents.into_iter()));
+        }
+    }
+
+    /// Returns who probably knows the owner of a flow: the balancers of this failure domain and the
+    /// flow's homes.
+    pub fn likely(&self, service: ServiceTag, flow: &FlowKey) -> Vec<SocketAddrV4> {
+        let mut likely = self.near.clone();
+        if let Some(homes) = self.homes.get(&service) {
+            likely.extend(homes.of(flow).into_iter().flatten());
+        }
+        likely
+    }
+
     /// Returns the balancers that serve callers, this one included.
     pub fn balancers(&self) -> &[SocketAddrV4] {
         &self.balancers
--- a/core/src/l4/balancer/opening.rs
+++ b/core/src/l4/balancer/opening.rs
@@ -1,21 +1,21 @@
 //! Places a new flow: tries agents one after the other until a backend server accepts it.
 
-use std::{net::SocketAddrV4, time::Duration};
+use std::{cmp::Reverse, net::SocketAddrV4, time::Duration};
 
 use super::{Balancer, Entry};
 use crate::{
     clock::Time,
     l4::{
-        agent::follows,
         choice::{self, Candidate, Typical},
         message::{Message, Refusal, Standing},
         outbox::Outbox,
         routes::ServiceKey,
-        segment::{Codec, FlowKey, Segment},
+        segment::{Codec, FlowKey, Segment, follows},
     },
 };
 
-/// Time in which an agent tells what became of an opening segment; several round trips.
+/// Time in which an agent tells what became of an opening segment, at the first try; several round
+/// trips.
 const ANSWER_TIME: Duration = Duration::from_millis(30);
 
 /// Time after which an opening is forgotten: a caller gives it up after 1.4 s.
@@ -49,6 +49,10 @@
 }
 
 impl Opening {
+    fn is_untried(&self) -> bool {
+        self.asked.is_none() && self.accepted.is_empty() && self.waits.is_none()
+    }
+
     /// Returns what this balancer can tell another one about the flow.
     pub(super) fn standing(&self) -> Standing {
         let accepted = self.accepted.first().map(|(agent, _)| *agent);
@@ -100,7 +104,7 @@
         })
     }
 
-    fn service_of(&self, flow: &FlowKey) -> Option<ServiceKey> {
+    pub(super) fn service_of(&self, flow: &FlowKey) -> Option<ServiceKey> {
         self.routes.routes.get(&flow.address)?.service(flow)
     }
 
@@ -138,14 +142,17 @@
         let Some((candidate, forced)) = chosen else {
             opening.asked = None;
             let may_open = !opening.accepted.is_empty() || !opening.silent.is_empty();
-            if !may_open && opening.waits.is_none() {
+            // A balancer that has just started knows no agents yet; it tries again when it does.
+            let starts = !self.routes.routes.is_empty() && !self.fleet.has_ready() && !self.joined;
+            if !may_open && opening.waits.is_none() && !starts {
                 let refused = opening.excluded.len();
                 tracing::warn!(event = "flow_refused", %flow, refused, view = self.view_version);
                 self.lose(flow, 0, "no_agent", now, out);
             }
             return;
         };
-        let due = now + ANSWER_TIME;
+        // Longer with each try: it may be this balancer's own link that is slow.
+        let due = now + ANSWER_TIME * (1 << opening.tries.min(4));
         opening.tries += 1;
         opening.asked = Some((candidate.address, due));
         let tries = opening.tries;
@@ -165,12 +172,27 @@
             view = self.view_version,
         );
         self.fleet.placed(candidate.address);
-        self.openings.push_back((due, *flow));
+        self.openings.push(Reverse((due, *flow)));
         if let Some(message) = self.open_message(flow, forced) {
             self.send(candidate.address, &message, &datagram, out);
         }
     }
 
+    /// Places flows that came before any agent was known.
+    pub(super) fn retry_openings(&mut self, now: Time, out: &mut impl Outbox) {
+        let mut early = Vec::new();
+        for (flow, entry) in &self.flows {
+            if let Entry::Opening(opening) = entry
+                && opening.is_untried()
+            {
+                early.push(*flow);
+            }
+        }
+        for flow in early {
+            self.try_next(&flow, now, out);
+        }
+    }
+
     /// Takes the news that a backend server accepted a flow.
     pub(super) fn opened(
         &mut self,
--- a/core/src/l4/balancer/search.rs
+++ b/core/src/l4/balancer/search.rs
@@ -1,6 +1,12 @@
-//! Looks for the agent that holds a flow: asks all of them, and lets those that can't tell try.
+//! Looks for the agent that holds a flow: asks those that probably know it, then all, and lets
+//! agents that can't tell try.
+//!
+//! When a balancer joins or leaves the rotation, nearly all flows of a failure domain come to
+//! balancers that don't know them. Asking everybody about each would fill a small balancer's link:
+//! the first question goes to the balancers of the domain and to the flow's two homes, and the
+//! question to everybody has a budget.
 
-use std::{net::SocketAddrV4, time::Duration};
+use std::{cmp::Reverse, net::SocketAddrV4, time::Duration};
 
 use super::{Balancer, Entry};
 use crate::{
@@ -12,9 +18,22 @@
     },
 };
 
+/// Time in which those that probably know a flow answer; then all are asked.
+const LIKELY_TIME: Duration = Duration::from_millis(8);
+
 /// Time after which agents that have not answered are asked again.
 const ANSWER_TIME: Duration = Duration::from_millis(25);
 
+/// Bytes of a question or an answer on the wire, with all headers.
+const QUESTION_BYTES: u64 = 100;
+
+/// Bytes a second that questions to everybody may take in one direction: a tenth of the smallest
+/// link, 10 Mbit/s.
+const QUESTION_RATE: u64 = 125_000;
+
+/// Bytes that questions to everybody may take at once.
+const QUESTION_BURST: u64 = 250_000;
+
 /// Times that agents are asked.
 const ROUNDS: u8 = 4;
 
@@ -36,6 +55,8 @@
     /// Agents with what they said.
     asked: Vec<(SocketAddrV4, Option<Standing>)>,
     rounds: u8,
+    /// Whether only those that probably know the flow have been asked.
+    narrow: bool,
     /// Whether agents that can't tell have been sent a segment.
     testing: bool,
     due: Time,
@@ -86,12 +107,16 @@
         now: Time,
         out: &mut impl Outbox,
     ) {
-        let due = now + ANSWER_TIME;
+        let due = now + LIKELY_TIME;
+        let service = self.service_of(flow).unwrap_or_default();
+        let mut asked = self.fleet.likely(service.tag(), flow);
+        asked.retain(|peer| *peer != self.own);
         let search = Search {
             acknowledged: segment.acknowledged,
             waiting: vec![datagram.into()],
-            asked: self.asked().map(|peer| (peer, None)).collect(),
+            asked: asked.iter().map(|peer| (*peer, None)).collect(),
             rounds: 1,
+            narrow: true,
             testing: false,
             due,
             agreed: true,
@@ -101,21 +126,37 @@
             event = "flow_searched",
             %flow,
             request = self.codec.request_id(datagram).unwrap_or("-"),
-            agents = search.asked.len(),
+            asked = search.asked.len(),
             routes = self.routes.version,
             view = self.view_version,
         );
-        let asked: Vec<SocketAddrV4> = search.asked.iter().map(|(agent, _)| *agent).collect();
         self.insert(flow, Entry::Searching(search));
-        self.searches.push_back((due, *flow));
+        self.searches.push(Reverse((due, *flow)));
         self.ask(flow, segment.acknowledged, &asked, out);
     }
 
-    /// Returns who may know the owner of a flow.
-    fn asked(&self) -> impl Iterator<Item = SocketAddrV4> {
-        let balancers = self.fleet.balancers().iter().copied();
-        let others = balancers.filter(|balancer| *balancer != self.own);
-        self.fleet.holders().chain(others)
+    /// Asks all that have not been asked.
+    fn widen(&mut self, flow: &FlowKey, now: Time, out: &mut impl Outbox) {
+        let Some(Entry::Searching(search)) = self.flows.get_mut(flow) else {
+            return;
+        };
+        let mut others: Vec<SocketAddrV4> = self.fleet.holders().collect();
+        others.extend(self.fleet.balancers());
+        let (own, known) = (self.own, &search.asked);
+        others.retain(|peer| *peer != own && known.iter().all(|(asked, _)| asked != peer));
+        if !self.budget.take(others.len() as u64 * QUESTION_BYTES, now) {
+            tracing::info!(event = "flow_search_postponed", %flow, asked = others.len());
+            self.flows.remove(flow);
+            return;
+        }
+        search.narrow = false;
+        search.rounds += 1;
+        search.due = now + ANSWER_TIME;
+        search.asked.extend(others.iter().map(|peer| (*peer, None)));
+        let (due, acknowledged) = (search.due, search.acknowledged);
+        self.searches.push(Reverse((due, *flow)));
+        self.ask(flow, acknowledged, &others, out);
+        self.conclude(flow, now, out);
     }
 
     fn ask(
@@ -222,6 +263,10 @@
         if open {
             return;
         }
+        if search.narrow {
+            self.widen(flow, now, out);
+            return;
+        }
         let unsure = search.count(Standing::Unsure);
         if unsure == 0 {
             let (acknowledged, agreed) = (search.acknowledged, search.agreed);
@@ -241,7 +286,7 @@
             }
         }
         let datagram = search.waiting.first().cloned().unwrap_or_default();
-        self.searches.push_back((due, *flow));
+        self.searches.push(Reverse((due, *flow)));
         for agent in testers {
             self.carry(agent, &datagram, out);
         }
@@ -277,6 +322,10 @@
             self.end_test(flow, now, out);
             return;
         }
+        if search.narrow {
+            self.widen(flow, now, out);
+            return;
+        }
         if search.rounds >= ROUNDS {
             let silent = search.asked.iter().filter(|(_, said)| said.is_none());
             tracing::info!(event = "flow_search_ended", %flow, silent = silent.count());
@@ -296,7 +345,7 @@
         let (due, acknowledged) = (search.due, search.acknowledged);
         let silent = search.asked.iter().filter(|(_, said)| said.is_none());
         let silent: Vec<SocketAddrV4> = silent.map(|(agent, _)| *agent).collect();
-        self.searches.push_back((due, *flow));
+        self.searches.push(Reverse((due, *flow)));
         self.ask(flow, acknowledged, &silent, out);
     }
 
@@ -314,3 +363,33 @@
         }
     }
 }
+
+/// A token bucket for questions to everybody.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct SearchBudget {
+    bytes: u64,
+    filled: Time,
+}
+
+impl SearchBudget {
+    /// Returns a full bucket.
+    pub(super) fn new() -> Self {
+        Self {
+            bytes: QUESTION_BURST,
+            filled: Time::default(),
+        }
+    }
+
+    /// Takes bytes out of the bucket; returns whether they were there.
+    fn take(&mut self, bytes: u64, now: Time) -> bool {
+        let millis = now.since(self.filled).as_millis() as u64;
+        if millis > 0 {
+            let earned = millis.saturating_mul(QUESTION_RATE) / 1000;
+            self.bytes = QUESTION_BURST.min(self.bytes.saturating_add(earned));
+            self.filled = now;
+        }
+        let left = self.bytes.checked_sub(bytes);
+        self.bytes = left.unwrap_or(self.bytes);
+        left.is_some()
+    }
+}
--- a/core/src/l4/daemon/balancer_loop.rs
+++ b/core/src/l4/daemon/balancer_loop.rs
@@ -73,6 +73,7 @@
             if now >= self.balancer.due() {
                 self.balancer.tick(now, &mut &self.sockets);
             }
+            self.serve_when_ready(now);
         }
     }
 
@@ -103,17 +104,15 @@
         let now: Time = self.clock.now();
         let view = self.directory.view();
         self.balancer.take_view(&view, now, &mut &self.sockets);
-        self.serve_when_ready();
     }
 
     fn take_routes(&mut self) {
         let routes = self.routes.borrow_and_update().clone();
         self.balancer.take_routes(routes);
-        self.serve_when_ready();
     }
 
-    fn serve_when_ready(&mut self) {
-        if self.serving || !self.balancer.is_ready() {
+    fn serve_when_ready(&mut self, now: Time) {
+        if self.serving || !self.balancer.is_settled(now) {
             return;
         }
         self.serving = true;
--- a/core/src/l4/message.rs
+++ b/core/src/l4/message.rs
@@ -44,7 +44,7 @@
 /// What an agent or a balancer says about a flow.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Standing {
-    /// A balancer remembers another agent as its owner.
+    /// Another agent is remembered as its owner.
     At(SocketAddrV4),
     /// Its backend server holds the flow.
     Held,
@@ -77,6 +77,11 @@
         /// What the caller has acknowledged; tells two half-open flows apart.
         acknowledged: u32,
     },
+    /// To an agent that is a home of this flow: the sender holds it.
+    Register {
+        /// The flow.
+        flow: FlowKey,
+    },
     /// To a balancer: the backend server accepted the flow.
     Opened {
         /// The flow.
--- a/core/src/l4/routes.rs
+++ b/core/src/l4/routes.rs
@@ -60,7 +60,7 @@
         if self.targets.len() < 2 || total == 0 {
             return self.targets.first().map(|t| t.service);
         }
-        let mut place = split_hash(flow) % total;
+        let mut place = xxh3_64_with_seed(&flow.to_bytes(), SPLIT_SEED) % total;
         for target in &self.targets {
             let weight = u64::from(target.weight);
             if place < weight {
@@ -72,15 +72,6 @@
     }
 }
 
-fn split_hash(flow: &FlowKey) -> u64 {
-    let mut bytes = [0; 12];
-    bytes[..4].copy_from_slice(&flow.caller.ip().octets());
-    bytes[4..6].copy_from_slice(&flow.caller.port().to_be_bytes());
-    bytes[6..10].copy_from_slice(&flow.address.ip().octets());
-    bytes[10..].copy_from_slice(&flow.address.port().to_be_bytes());
-    xxh3_64_with_seed(&bytes, SPLIT_SEED)
-}
-
 /// All routes of one version.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RouteTable {
--- a/core/src/l4/segment.rs
+++ b/core/src/l4/segment.rs
@@ -13,6 +13,18 @@
     pub address: SocketAddrV4,
 }
 
+impl FlowKey {
+    /// Returns the addresses and ports as bytes, for hashes.
+    pub fn to_bytes(&self) -> [u8; 12] {
+        let mut bytes = [0; 12];
+        bytes[..4].copy_from_slice(&self.caller.ip().octets());
+        bytes[4..6].copy_from_slice(&self.caller.port().to_be_bytes());
+        bytes[6..10].copy_from_slice(&self.address.ip().octets());
+        bytes[10..].copy_from_slice(&self.address.port().to_be_bytes());
+        bytes
+    }
+}
+
 impl fmt::Display for FlowKey {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}>{}", self.caller, self.address)
@@ -86,6 +98,14 @@
     a != b && a.wrapping_sub(b) < 1 << 31
 }
 
+/// Returns whether an acknowledgement may belong to the start of a flow whose other end began at
+/// `initial`.
+pub fn follows(acknowledged: u32, initial: u32) -> bool {
+    /// Data that may be acknowledged at the start of a flow, in bytes, with room to spare.
+    const WINDOW: u32 = 1 << 20;
+    acknowledged.wrapping_sub(initial) < WINDOW
+}
+
 /// Reads and writes segments in the wire format of a deployment.
 pub trait Codec: Clone + Send + Sync + 'static {
     /// Returns the head of a datagram, or `None` if it is not a segment.
--- a/core/src/member.rs
+++ b/core/src/member.rs
@@ -128,14 +128,18 @@
         view
     }
 
-    /// Returns a digest of the agents that may hold flows; equal where the same ones are known.
-    pub fn agents(&self) -> u64 {
-        let mut digest = 0;
-        for record in self.members.values() {
+    /// Returns the agents that may hold flows.
+    pub fn agents(&self) -> impl Iterator<Item = &Record> {
+        self.members.values().filter(|record| {
             let gone = matches!(record.state, MemberState::Dead | MemberState::Left);
-            if gone || record.role != Role::Agent {
-                continue;
-            }
+            record.role == Role::Agent && !gone
+        })
+    }
+
+    /// Returns a digest of [`View::agents`]; equal where the same ones are known.
+    pub fn agent_digest(&self) -> u64 {
+        let mut digest = 0;
+        for record in self.agents() {
             let ip = u64::from(record.address.ip().to_bits());
             let bytes = (ip << 16 | u64::from(record.address.port())).to_be_bytes();
             digest ^= xxh3_64(&bytes);
