A model of the platform for flows of five-tuples; silence is no proof that a flow is not held

The model runs the real balancers and agents in virtual time and judges what callers and servers see.

--- a/core/src/l4.rs
+++ b/core/src/l4.rs
@@ -18,6 +18,7 @@
 pub mod homes;
 pub mod message;
 pub mod outbox;
+pub mod outlier;
 pub mod routes;
 pub mod segment;
 pub mod server;
--- a/core/src/l4/agent.rs
+++ b/core/src/l4/agent.rs
@@ -4,7 +4,7 @@
 pub mod flows;
 
 use std::{
-    collections::{HashMap, VecDeque},
+    collections::{BTreeMap, VecDeque},
     net::{Ipv4Addr, SocketAddrV4},
     time::Duration,
 };
@@ -14,6 +14,7 @@
     homes::{Homes, REGISTERED_TIME, Registry},
     message::{self, Message, Received, Refusal, Standing},
     outbox::Outbox,
+    outlier::Outlier,
     routes::ServiceKey,
     segment::{Codec, FlowKey, Segment, follows},
     server::{Change, ReportError, Server, ServerReport, ServerState},
@@ -80,8 +81,9 @@
     registry: Registry,
     /// Between which times flows began to last that were registered last.
     registered: (Time, Time),
-    balancers: HashMap<SocketAddrV4, Time>,
+    balancers: BTreeMap<SocketAddrV4, Time>,
     mute: Option<Time>,
+    outlier: Outlier,
     orphaned: Option<Time>,
     /// Opening segments that were delivered, with the time in which they should be answered.
     offers: VecDeque<(Time, FlowKey)>,
@@ -111,8 +113,9 @@
             homes: Homes::default(),
             registry: Registry::default(),
             registered: (now, now),
-            balancers: HashMap::new(),
+            balancers: BTreeMap::new(),
             mute: None,
+            outlier: Outlier::default(),
             orphaned: None,
             offers: VecDeque::new(),
             due: Due {
@@ -203,6 +206,7 @@
                 }
                 self.orphaned = None;
                 self.mute = None;
+                self.outlier.clear();
             }
             Change::State => tracing::info!(
                 event = "server_state",
@@ -294,11 +298,12 @@
                 let standing = Standing::Held;
                 self.say_standing(balancer, flow, standing, out);
             }
-            Progress::Answered(took) => tracing::debug!(
-                event = "request_answered",
-                flow = %segment.flow_of_server(),
-                took_us = took.as_micros() as u64,
-            ),
+            Progress::Answered(took) => {
+                self.log_answer(&segment, took);
+                let failed = self.codec.reports_failure(datagram).unwrap_or(false);
+                self.judge(failed, now);
+            }
+            Progress::BrokeOff => self.judge(true, now),
             Progress::Other => {}
         }
         out.to_caller(segment.destination, datagram);
@@ -327,6 +332,7 @@
             self.check_offer(&flow, now);
         }
         self.serve_waiting(now, out);
+        self.workload.set_failing(self.outlier.is_ejected(now));
         if now >= self.due.load {
             self.due.load = now + LOAD_INTERVAL;
             self.report_load(out);
@@ -379,6 +385,9 @@
             Some(ServerState::Draining) => return Some(Refusal::Draining),
             Some(ServerState::Ready) => {}
         }
+        if !forced && self.outlier.is_ejected(now) {
+            return Some(Refusal::Failing);
+        }
         if let Some(retry) = self.mute {
             if now < retry {
                 return Some(Refusal::Mute);
@@ -496,6 +505,28 @@
         self.unsure.is_some() && !self.server.has_left()
     }
 
+    fn log_answer(&self, segment: &Segment, took: Duration) {
+        tracing::debug!(
+            event = "request_answered",
+            flow = %segment.flow_of_server(),
+            took_us = took.as_micros() as u64,
+        );
+    }
+
+    /// Notes whether the backend server failed a request.
+    fn judge(&mut self, failed: bool, now: Time) {
+        if !failed {
+            self.outlier.succeeded(now);
+        } else if let Some(time) = self.outlier.failed(now) {
+            tracing::warn!(
+                event = "server_failing",
+                server = self.server.id().unwrap_or("-"),
+                avoided_ms = time.as_millis() as u64,
+            );
+        }
+        self.workload.set_failing(self.outlier.is_ejected(now));
+    }
+
     fn log_request(&self, segment: &Segment, datagram: &[u8]) {
         tracing::info!(
             event = "request",
--- a/core/src/l4/agent/flows.rs
+++ b/core/src/l4/agent/flows.rs
@@ -87,6 +87,8 @@
     },
     /// It began to answer a request.
     Answered(Duration),
+    /// It reset the flow while a request was open.
+    BrokeOff,
     /// Nothing that matters here.
     Other,
 }
@@ -221,6 +223,9 @@
         {
             progress = Progress::Answered(load.answered(running, now));
         }
+        if segment.flags.rst && held.running.is_some() {
+            progress = Progress::BrokeOff;
+        }
         if segment.flags.fin {
             held.server_done = true;
         }
--- a/core/src/l4/balancer/fleet.rs
+++ b/core/src/l4/balancer/fleet.rs
@@ -32,6 +32,12 @@
     avoid: Time,
 }
 
+impl Peer {
+    fn is_avoided(&self, now: Time) -> bool {
+        now < self.avoid || self.load.failing
+    }
+}
+
 /// All agents.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
@@ -141,7 +147,7 @@
         for avoided in [false, true] {
             for (address, peer) in &self.agents {
                 let takes = match peer.state {
-                    MemberState::Ready => avoided == (now < peer.avoid),
+                    MemberState::Ready => avoided == peer.is_avoided(now),
                     MemberState::Suspect => avoided,
                     _ => false,
                 };
@@ -187,7 +193,7 @@
     /// Notes that an agent refused a flow.
     pub fn refused(&mut self, address: SocketAddrV4, refusal: Refusal, load: Load, now: Time) {
         self.loaded(address, load);
-        if refusal != Refusal::Busy
+        if !matches!(refusal, Refusal::Busy | Refusal::Failing)
             && let Some(peer) = self.agents.get_mut(&address)
         {
             peer.avoid = now + AVOID_REFUSED;
--- a/core/src/l4/balancer/opening.rs
+++ b/core/src/l4/balancer/opening.rs
@@ -36,6 +36,8 @@
     excluded: Vec<SocketAddrV4>,
     /// Agents that have no free slot.
     busy: Vec<SocketAddrV4>,
+    /// Agents whose servers fail.
+    failing: Vec<SocketAddrV4>,
     /// Agent that was asked last, and until when it has to answer.
     asked: Option<(SocketAddrV4, Time)>,
     /// Agents that may hold the flow although they did not answer in time.
@@ -118,6 +120,7 @@
             datagram: datagram.into(),
             excluded: Vec::new(),
             busy: Vec::new(),
+            failing: Vec::new(),
             asked: None,
             silent: Vec::new(),
             accepted: Vec::new(),
@@ -240,6 +243,7 @@
         opening.silent.retain(|silent| *silent != agent);
         match refusal {
             Refusal::Busy => opening.busy.push(agent),
+            Refusal::Failing => opening.failing.push(agent),
             _ => opening.excluded.push(agent),
         }
         let waited = opening.waits.take_if(|waits| *waits == agent).is_some();
@@ -311,8 +315,12 @@
 ) -> Option<(Candidate, bool)> {
     let service = opening.service.tag();
     fleet.candidates(service, &opening.excluded, now, candidates);
+    let sound = candidates.iter().any(|c| !opening.failing.contains(&c.address));
+    if sound {
+        candidates.retain(|c| !opening.failing.contains(&c.address));
+    }
     let typical = Typical::of(candidates);
-    if opening.busy.len() < BUSY_TRIES {
+    if sound && opening.busy.len() < BUSY_TRIES {
         let all = candidates.len();
         let mut free: Vec<Candidate> = Vec::with_capacity(all);
         free.extend(
--- a/core/src/l4/balancer/search.rs
+++ b/core/src/l4/balancer/search.rs
@@ -329,7 +329,9 @@
         if search.rounds >= ROUNDS {
             let silent = search.asked.iter().filter(|(_, said)| said.is_none());
             tracing::info!(event = "flow_search_ended", %flow, silent = silent.count());
-            // Agents that can't tell may try, although others have not answered.
+            // Agents that can't tell may try, although others have not answered; but silence is no
+            // proof that a flow is not held.
+            search.agreed = false;
             for (_, said) in &mut search.asked {
                 said.get_or_insert(Standing::NotHeld);
             }
--- a/core/src/l4/message.rs
+++ b/core/src/l4/message.rs
@@ -16,6 +16,8 @@
     Busy,
     /// The backend server finishes what it holds.
     Draining,
+    /// The backend server fails many of its requests; it may be forced where no other is left.
+    Failing,
     /// The backend server holds as many flows as it may, or too many wait for it.
     Full,
     /// The backend server does not answer.
@@ -33,6 +35,7 @@
             Refusal::Bounced => "bounced",
             Refusal::Busy => "busy",
             Refusal::Draining => "draining",
+            Refusal::Failing => "failing",
             Refusal::Full => "full",
             Refusal::Mute => "mute",
             Refusal::NoServer => "no_server",
--- a/core/src/l4/segment.rs
+++ b/core/src/l4/segment.rs
@@ -118,6 +118,10 @@
     /// Writes a reset from the service's end of a flow to `buffer`, in place of what it held.
     fn reset(&self, flow: &FlowKey, sequence: u32, buffer: &mut Vec<u8>);
 
+    /// Returns whether the data of a datagram begins an answer that reports a failure of the server,
+    /// or `None` if it does not begin an answer.
+    fn reports_failure(&self, datagram: &[u8]) -> Option<bool>;
+
     /// Returns the id of the request whose head begins with the data of a datagram.
     fn request_id<'a>(&self, datagram: &'a [u8]) -> Option<&'a str>;
 }
--- a/core/src/l4/workload.rs
+++ b/core/src/l4/workload.rs
@@ -23,6 +23,8 @@
     pub flows: u16,
     /// Mean time of a request that found a free slot, in microseconds; 0 if none was seen.
     pub work_us: u32,
+    /// Whether it fails many of its requests.
+    pub failing: bool,
 }
 
 /// Counts the requests and flows of one backend server.
@@ -34,6 +36,7 @@
     waiting: u16,
     flows: u16,
     work_us: u64,
+    failing: bool,
 }
 
 /// A request that a backend server has not answered.
@@ -105,6 +108,11 @@
         self.opening = self.opening.saturating_sub(1);
     }
 
+    /// Takes whether the backend server fails many of its requests.
+    pub fn set_failing(&mut self, failing: bool) {
+        self.failing = failing;
+    }
+
     /// Takes the number of flows that wait to be offered.
     pub fn set_waiting(&mut self, waiting: usize) {
         self.waiting = u16::try_from(waiting).unwrap_or(u16::MAX);
@@ -151,6 +159,7 @@
             busy: self.running + self.opening + self.waiting,
             flows: self.flows,
             work_us: u32::try_from(self.work_us).unwrap_or(u32::MAX),
+            failing: self.failing,
         }
     }
 }
--- a/src/trial.rs
+++ b/src/trial.rs
@@ -10,6 +10,7 @@
 pub mod membership;
 pub mod placement;
 pub mod relay;
+pub mod segments;
 pub mod settings;
 
 /// A measurement that anyone can run again.
@@ -61,6 +62,11 @@
         about: "a balancer's datagrams a second and memory against a bare UDP relay",
         run: relay::run,
     },
+    Trial {
+        name: "segments",
+        about: "five-tuple flows through balancers and agents under faults: what callers see",
+        run: segments::run,
+    },
     Trial {
         name: "settings",
         about: "time to all, bytes and store calls of a change of settings, by the size of the fleet",
--- /dev/null
+++ b/src/trial/segments/world.rs
@@ -0,0 +1,875 @@
+//! The events of the model and what is checked at each.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BinaryHeap, HashMap},
+    net::{Ipv4Addr, SocketAddrV4},
+    sync::Arc,
+    time::Duration,
+};
+
+use berylvalve_core::{
+    clock::Time,
+    l4::{
+        agent::{Agent, AgentOptions},
+        balancer::Balancer,
+        message,
+        outbox::Outbox,
+        routes::{Route, RouteTable, ServiceKey, Target},
+        segment::{Codec, FlowKey},
+        server::{ServerReport, ServerState},
+    },
+    member::{MemberState, Record, Role, View},
+    owner_id::Incarnation,
+};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+use super::{
+    Figures, Plan,
+    caller::{Caller, DEADLINE, Seen, Stage},
+    codec::{self, ModelCodec},
+    faults::Fault,
+    server::{Reaction, Server},
+};
+
+/// Length of a run.
+const RUN_TIME: Time = Time::from_millis(20_000);
+
+/// Time before callers begin.
+const LEAD_TIME: Time = Time::from_millis(1_000);
+
+const DOMAINS: usize = 3;
+const BALANCERS: usize = 6;
+const SERVERS: usize = 9;
+const CALLERS: usize = 60;
+const PEER_PORT: u16 = 7001;
+const SERVER_PORT: u16 = 8000;
+const SERVER_SLOTS: usize = 3;
+const SERVER_WORK: Duration = Duration::from_millis(20);
+const REPORT_INTERVAL: Duration = Duration::from_millis(700);
+const TARGET_MS: u32 = 150;
+
+/// One in so many datagrams between processes is lost.
+const LOSS: u32 = 200;
+
+/// Longest time until a process learns of a change of the membership.
+const MAX_NEWS_MS: u64 = 900;
+
+/// Time after which a silent process is given up.
+const GIVE_UP: Duration = Duration::from_millis(2_500);
+
+/// Time without a balancer's answer after which routers take it out.
+const ROUTER_TIME: Duration = Duration::from_millis(1_000);
+
+/// Time after a server's or agent's last disturbance from which its flows must not be broken.
+const CALM_TIME: Duration = Duration::from_millis(4_000);
+
+/// Segments of a flow at other servers, with none at its own, that count as a broken flow.
+const STRAY_SEGMENTS: u32 = 3;
+
+/// What is delivered to a process of the system.
+#[derive(Clone, Debug)]
+enum Event {
+    ToBalancer(usize, SocketAddrV4, Vec<u8>),
+    FromCaller(usize, Vec<u8>),
+    ToAgent(usize, SocketAddrV4, Vec<u8>),
+    FromServer(usize, u64, Vec<u8>),
+    ToServer(usize, Vec<u8>),
+    ToCaller(Vec<u8>, bool),
+    Done(usize, u64, FlowKey),
+    CallerDue(usize),
+    Tick(Place),
+    Report(usize, u64),
+    News(Place, Box<View>),
+    Fault(Fault),
+    Back(Place),
+    ServerBack(usize),
+    Gone(Place, u64),
+    OutOfRotation(usize, u64),
+}
+
+/// A process of the system.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+enum Place {
+    Balancer(usize),
+    Agent(usize),
+}
+
+/// When a process was disturbed last, and whether it runs.
+#[derive(Clone, Copy, Debug)]
+struct Standing {
+    up: bool,
+    life: u64,
+    frozen: Time,
+    disturbed: Time,
+}
+
+/// What is known of an open flow, to check what happens to it.
+#[derive(Clone, Copy, Debug)]
+struct Truth {
+    server: usize,
+    life: u64,
+    stray: u32,
+}
+
+#[derive(Default)]
+struct Sent {
+    peers: Vec<(SocketAddrV4, Vec<u8>)>,
+    callers: Vec<Vec<u8>>,
+    server: Vec<Vec<u8>>,
+}
+
+impl Outbox for Sent {
+    fn to_peer(&mut self, peer: SocketAddrV4, frame: &[u8]) {
+        self.peers.push((peer, frame.to_vec()));
+    }
+
+    fn to_caller(&mut self, _: SocketAddrV4, datagram: &[u8]) {
+        self.callers.push(datagram.to_vec());
+    }
+
+    fn to_server(&mut self, datagram: &[u8]) {
+        self.server.push(datagram.to_vec());
+    }
+}
+
+/// One run of the model.
+pub struct World {
+    now: Time,
+    count: u64,
+    events: BinaryHeap<Reverse<(Time, u64, usize)>>,
+    slots: Vec<Option<Event>>,
+    rng: SmallRng,
+    figures: Figures,
+    balancers: Vec<Balancer<ModelCodec>>,
+    agents: Vec<Agent<ModelCodec>>,
+    servers: Vec<Server>,
+    callers: Vec<Caller>,
+    standing: BTreeMap<Place, Standing>,
+    members: BTreeMap<SocketAddrV4, Record>,
+    view: View,
+    /// Version of the view that each process has learnt last.
+    news: BTreeMap<Place, u64>,
+    rotation: Vec<bool>,
+    truths: HashMap<FlowKey, Truth>,
+    written: HashMap<Vec<u8>, ()>,
+    routes: Arc<RouteTable>,
+}
+
+fn service(server: usize) -> ServiceKey {
+    ServiceKey::of(match server < SERVERS - 3 {
+        true => "desk",
+        false => "maps",
+    })
+}
+
+fn service_address(desk: bool) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, if desk { 1 } else { 2 }), 443)
+}
+
+fn address(place: Place) -> SocketAddrV4 {
+    let ip = match place {
+        Place::Balancer(index) => Ipv4Addr::new(10, 0, 0, index as u8 + 1),
+        Place::Agent(index) => Ipv4Addr::new(10, 0, 1, index as u8 + 1),
+    };
+    SocketAddrV4::new(ip, PEER_PORT)
+}
+
+fn place(address: SocketAddrV4) -> Place {
+    let [_, _, kind, index] = address.ip().octets();
+    match kind {
+        0 => Place::Balancer(usize::from(index) - 1),
+        _ => Place::Agent(usize::from(index) - 1),
+    }
+}
+
+fn domain(index: usize) -> String {
+    format!("domain-{}", index % DOMAINS)
+}
+
+fn route_table() -> RouteTable {
+    let mut routes = HashMap::new();
+    for (name, server) in [("desk", 0), ("maps", SERVERS - 1)] {
+        let route = Route {
+            name: name.to_owned(),
+            idempotent: true,
+            priority: 1,
+            target_ms: TARGET_MS,
+            targets: vec![Target {
+                service: service(server),
+                weight: 1,
+            }],
+        };
+        routes.insert(service_address(name == "desk"), route);
+    }
+    RouteTable {
+        version: 1,
+        idle_ms: 15_000,
+        routes,
+    }
+}
+
+fn agent(index: usize, now: Time) -> Agent<ModelCodec> {
+    let own = address(Place::Agent(index));
+    let options = AgentOptions {
+        service: service(index),
+        server: SocketAddrV4::new(*own.ip(), SERVER_PORT),
+        report_interval: REPORT_INTERVAL,
+        idle: Duration::from_secs(60),
+        max_life: Duration::from_secs(60),
+        max_flows: 2000,
+        own,
+    };
+    Agent::new(ModelCodec, options, now)
+}
+
+impl World {
+    /// Returns a world before its first event.
+    pub fn new(plan: Plan, seed: u64) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let faults = plan.schedule(&mut rng, RUN_TIME);
+        let mut world = Self {
+            now: Time::default(),
+            count: 0,
+            events: BinaryHeap::new(),
+            slots: Vec::new(),
+            figures: Figures::default(),
+            balancers: Vec::new(),
+            agents: (0..SERVERS).map(|i| agent(i, Time::default())).collect(),
+            servers: Vec::new(),
+            callers: Vec::new(),
+            standing: BTreeMap::new(),
+            members: BTreeMap::new(),
+            view: View {
+                joined: true,
+                ..View::default()
+            },
+            news: BTreeMap::new(),
+            rotation: vec![true; BALANCERS],
+            truths: HashMap::new(),
+            written: HashMap::new(),
+            routes: Arc::new(route_table()),
+            rng,
+        };
+        for index in 0..BALANCERS {
+            let balancer = world.balancer(index);
+            world.balancers.push(balancer);
+        }
+        for index in 0..SERVERS {
+            let work = SERVER_WORK.mul_f64(if index % 3 == 0 { 1.7 } else { 0.8 });
+            world.servers.push(Server::new(SERVER_SLOTS, work));
+        }
+        world.start();
+        for (at, fault) in faults {
+            world.at(at, Event::Fault(fault));
+        }
+        world
+    }
+
+    fn balancer(&mut self, index: usize) -> Balancer<ModelCodec> {
+        let own = address(Place::Balancer(index));
+        let seed = self.rng.random();
+        let mut balancer = Balancer::new(ModelCodec, own, &domain(index), seed);
+        balancer.take_routes(self.routes.clone());
+        balancer
+    }
+
+    fn start(&mut self) {
+        let places = (0..BALANCERS).map(Place::Balancer);
+        let places: Vec<Place> = places.chain((0..SERVERS).map(Place::Agent)).collect();
+        for place in places {
+            let standing = Standing {
+                up: true,
+                life: 1,
+                frozen: Time::default(),
+                disturbed: Time::default(),
+            };
+            self.standing.insert(place, standing);
+            self.member(place, MemberState::Ready);
+            self.after(Duration::ZERO, Event::Tick(place));
+        }
+        self.tell_all(Duration::ZERO);
+        for index in 0..SERVERS {
+            self.after(Duration::from_millis(5), Event::Report(index, 1));
+        }
+        for index in 0..CALLERS {
+            let lasting = index % 3 != 0;
+            let ip = Ipv4Addr::new(100, 64, 0, index as u8 + 1);
+            let due = LEAD_TIME + Duration::from_millis(self.rng.random_range(0..1000));
+            let requests = if lasting { 1000 } else { 1 };
+            let target = service_address(index % 5 != 0);
+            let caller = Caller::new(ip, target, index % DOMAINS, requests, due);
+            self.callers.push(caller);
+            self.at(due, Event::CallerDue(index));
+        }
+    }
+
+    /// Runs to the end and returns what callers and servers saw.
+    pub fn run(mut self) -> Figures {
+        while let Some(Reverse((time, _, slot))) = self.events.pop() {
+            if time >= RUN_TIME {
+                break;
+            }
+            self.now = time;
+            if let Some(event) = self.slots[slot].take() {
+                self.handle(event);
+            }
+        }
+        self.figures.openings_ms.sort_unstable();
+        self.figures.answers_ms.sort_unstable();
+        self.figures
+    }
+
+    fn at(&mut self, time: Time, event: Event) {
+        self.count += 1;
+        self.slots.push(Some(event));
+        let slot = self.slots.len() - 1;
+        self.events.push(Reverse((time, self.count, slot)));
+    }
+
+    fn after(&mut self, delay: Duration, event: Event) {
+        self.at(self.now + delay, event);
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::ToBalancer(index, from, frame) => {
+                if self.deferred(Place::Balancer(index), || {
+                    Event::ToBalancer(index, from, frame.clone())
+                }) {
+                    return;
+                }
+                let mut sent = Sent::default();
+                if let Ok(received) = message::decode(from, &frame) {
+                    self.balancers[index].receive_from_agent(&received, self.now, &mut sent);
+                }
+                self.send(Place::Balancer(index), sent);
+            }
+            Event::FromCaller(index, datagram) => {
+                if self.deferred(Place::Balancer(index), || {
+                    Event::FromCaller(index, datagram.clone())
+                }) {
+                    return;
+                }
+                let mut sent = Sent::default();
+                self.balancers[index].receive(&datagram, self.now, &mut sent);
+                self.send(Place::Balancer(index), sent);
+            }
+            Event::ToAgent(index, from, frame) => {
+                if self.deferred(Place::Agent(index), || {
+                    Event::ToAgent(index, from, frame.clone())
+                }) {
+                    return;
+                }
+                let mut sent = Sent::default();
+                if let Ok(received) = message::decode(from, &frame) {
+                    self.agents[index].receive(&received, self.now, &mut sent);
+                }
+                self.send(Place::Agent(index), sent);
+            }
+            Event::FromServer(index, life, datagram) => {
+                if self.servers[index].life != life {
+                    return;
+                }
+                if self.deferred(Place::Agent(index), || {
+                    Event::FromServer(index, life, datagram.clone())
+                }) {
+                    return;
+                }
+                let mut sent = Sent::default();
+                self.agents[index].receive_from_server(&datagram, self.now, &mut sent);
+                self.send(Place::Agent(index), sent);
+            }
+            Event::ToServer(index, datagram) => self.to_server(index, &datagram),
+            Event::ToCaller(datagram, own) => self.to_caller(&datagram, own),
+            Event::Done(index, life, flow) => {
+                if self.servers[index].life == life {
+                    let reaction = self.servers[index].done(&flow, &mut self.rng);
+                    self.react(index, reaction);
+                }
+            }
+            Event::CallerDue(index) => self.caller_due(index),
+            Event::Tick(place) => self.tick(place),
+            Event::Report(index, life) => self.report(index, life),
+            Event::News(place, view) => self.news(place, &view),
+            Event::Fault(fault) => self.strike(fault),
+            Event::Back(place) => self.back(place),
+            Event::ServerBack(index) => self.server_back(index),
+            Event::Gone(place, life) => {
+                let standing = self.standing[&place];
+                if standing.life == life && !standing.up {
+                    self.member(place, MemberState::Dead);
+                    self.tell_all(Duration::from_millis(MAX_NEWS_MS));
+                }
+            }
+            Event::OutOfRotation(index, life) => {
+                let standing = self.standing[&Place::Balancer(index)];
+                if standing.life == life {
+                    self.rotation[index] = false;
+                }
+            }
+        }
+    }
+
+    /// Drops an event of a process that is down, or defers it if the process is frozen.
+    fn deferred(&mut self, place: Place, again: impl FnOnce() -> Event) -> bool {
+        let standing = self.standing[&place];
+        if !standing.up {
+            return true;
+        }
+        if self.now < standing.frozen {
+            self.at(standing.frozen, again());
+            return true;
+        }
+        false
+    }
+
+    fn tick(&mut self, place: Place) {
+        if self.deferred(place, || Event::Tick(place)) {
+            return;
+        }
+        let mut sent = Sent::default();
+        let due = match place {
+            Place::Balancer(index) => {
+                self.balancers[index].tick(self.now, &mut sent);
+                self.balancers[index].due()
+            }
+            Place::Agent(index) => {
+                self.agents[index].tick(self.now, &mut sent);
+                self.agents[index].due()
+            }
+        };
+        self.send(place, sent);
+        let soonest = self.now + Duration::from_millis(1);
+        let latest = self.now + Duration::from_millis(5);
+        self.at(due.clamp(soonest, latest), Event::Tick(place));
+    }
+
+    fn send(&mut self, from: Place, sent: Sent) {
+        for (peer, frame) in sent.peers {
+            self.figures.messages += 1;
+            if self.rng.random_range(0..LOSS) == 0 {
+                continue;
+            }
+            let delay = Duration::from_micros(self.rng.random_range(150..900));
+            let event = match place(peer) {
+                Place::Balancer(index) if index < BALANCERS => {
+                    Event::ToBalancer(index, address(from), frame)
+                }
+                Place::Agent(index) if index < SERVERS => {
+                    Event::ToAgent(index, address(from), frame)
+                }
+                _ => continue,
+            };
+            self.after(delay, event);
+        }
+        for datagram in sent.callers {
+            let delay = Duration::from_micros(self.rng.random_range(1000..1500));
+            let reset = ModelCodec.read(&datagram).is_some_and(|s| s.flags.rst);
+            self.after(delay, Event::ToCaller(datagram, reset));
+        }
+        if let Place::Agent(index) = from {
+            for datagram in sent.server {
+                let delay = Duration::from_micros(50);
+                self.after(delay, Event::ToServer(index, datagram));
+            }
+        }
+    }
+
+    fn to_server(&mut self, index: usize, datagram: &[u8]) {
+        let Some(segment) = ModelCodec.read(datagram) else {
+            self.broke("a server got bytes that are no segment");
+            return;
+        };
+        if !self.written.contains_key(&codec::fixed(datagram)) {
+            self.broke("a server got a segment that no caller wrote");
+        }
+        let flow = segment.flow_of_caller();
+        let desk = flow.address == service_address(true);
+        if segment.is_opening() && service(index) != service(if desk { 0 } else { SERVERS - 1 }) {
+            self.broke("an opening reached another service");
+        }
+        self.check_stray(index, &flow);
+        let before = self.servers[index].holds(&flow);
+        let reaction = self.servers[index].receive(&segment, datagram, &mut self.rng);
+        if !before && self.servers[index].holds(&flow) {
+            let truth = Truth {
+                server: index,
+                life: self.servers[index].life,
+                stray: 0,
+            };
+            self.truths.insert(flow, truth);
+        }
+        self.react(index, reaction);
+    }
+
+    /// Counts segments of an open flow that reach other servers and not its own.
+    fn check_stray(&mut self, index: usize, flow: &FlowKey) {
+        let Some(truth) = self.truths.get_mut(flow) else {
+            return;
+        };
+        let owner = truth.server;
+        let lives = self.servers[owner].life == truth.life && self.servers[owner].holds(flow);
+        if owner == index || !lives {
+            truth.stray = 0;
+            return;
+        }
+        truth.stray += 1;
+        let stray = truth.stray;
+        if stray >= STRAY_SEGMENTS && self.is_calm(Place::Agent(owner)) {
+            self.broke(&format!(
+                "the segments of {flow} reach server {index} and not {owner}"
+            ));
+        }
+    }
+
+    fn is_calm(&self, place: Place) -> bool {
+        let standing = self.standing[&place];
+        standing.up && self.now.since(standing.disturbed) >= CALM_TIME
+    }
+
+    fn react(&mut self, index: usize, reaction: Reaction) {
+        let life = self.servers[index].life;
+        for datagram in reaction.sent {
+            let delay = Duration::from_micros(300);
+            self.after(delay, Event::FromServer(index, life, datagram));
+        }
+        for (flow, time) in reaction.started {
+            self.after(time, Event::Done(index, life, flow));
+        }
+    }
+
+    fn to_caller(&mut self, datagram: &[u8], own_reset: bool) {
+        let Some(segment) = ModelCodec.read(datagram) else {
+            return;
+        };
+        let flow = segment.flow_of_server();
+        let index = usize::from(flow.caller.ip().octets()[3]) - 1;
+        if own_reset {
+            self.check_reset(index, &flow);
+        }
+        let now = self.now;
+        let caller = &mut self.callers[index];
+        let (seen, answer) = caller.receive(&segment, now);
+        match seen {
+            Seen::Opened(took) => {
+                self.figures.flows += 1;
+                self.figures.openings_ms.push(took.as_millis() as u64);
+                let due = self.callers[index].due;
+                self.at(due, Event::CallerDue(index));
+            }
+            Seen::Answered(took) => self.answered(index, took),
+            Seen::Reset => {
+                self.figures.resets += 1;
+                self.try_again(index);
+            }
+            Seen::Nothing => {}
+        }
+        if let Some(answer) = answer {
+            self.from_caller(index, answer);
+        }
+    }
+
+    /// A reset must not reach an open flow whose server lives and was not disturbed.
+    fn check_reset(&mut self, index: usize, flow: &FlowKey) {
+        let current = self.callers[index].flow == Some(*flow);
+        let Some(truth) = self.truths.get(flow).filter(|_| current) else {
+            return;
+        };
+        let server = &self.servers[truth.server];
+        if server.life == truth.life && server.holds(flow) {
+            let owner = truth.server;
+            self.broke(&format!(
+                "the open flow {flow} was reset while its server {owner} lives"
+            ));
+        }
+    }
+
+    fn answered(&mut self, index: usize, took: Duration) {
+        self.figures.answered += 1;
+        self.figures.answers_ms.push(took.as_millis() as u64);
+        if self.callers[index].answered >= self.callers[index].requests_per_flow {
+            let last = self.callers[index].finish();
+            self.from_caller(index, last);
+        }
+        self.pause(index);
+    }
+
+    fn pause(&mut self, index: usize) {
+        let pause = Duration::from_millis(self.rng.random_range(50..400));
+        self.callers[index].stage = Stage::Idle;
+        self.callers[index].due = self.now + pause;
+        let due = self.callers[index].due;
+        self.at(due, Event::CallerDue(index));
+    }
+
+    fn caller_due(&mut self, index: usize) {
+        if self.now < self.callers[index].due {
+            return;
+        }
+        if self.callers[index].stage == Stage::Idle {
+            self.figures.requests += 1;
+        }
+        match self.callers[index].act(self.now) {
+            Some(datagram) => {
+                let due = self.callers[index].due;
+                self.at(due, Event::CallerDue(index));
+                self.from_caller(index, datagram);
+            }
+            None => {
+                self.callers[index].flow = None;
+                self.try_again(index);
+            }
+        }
+    }
+
+    /// Opens another flow for the request in progress, or gives it up at its deadline.
+    fn try_again(&mut self, index: usize) {
+        let caller = &mut self.callers[index];
+        if caller.stage == Stage::Idle {
+            return;
+        }
+        if self.now >= caller.began + DEADLINE {
+            self.figures.given_up += 1;
+            self.pause(index);
+            return;
+        }
+        let datagram = caller.open(self.now);
+        let due = caller.due;
+        self.at(due, Event::CallerDue(index));
+        self.from_caller(index, datagram);
+    }
+
+    /// Sends a caller's datagram through the router of its domain.
+    fn from_caller(&mut self, index: usize, datagram: Vec<u8>) {
+        self.written.insert(codec::fixed(&datagram), ());
+        let Some(segment) = ModelCodec.read(&datagram) else {
+            return;
+        };
+        let domain = self.callers[index].domain;
+        let near = (0..BALANCERS).filter(|b| b % DOMAINS == domain);
+        let mut rotation: Vec<usize> = near.filter(|b| self.rotation[*b]).collect();
+        if rotation.is_empty() {
+            rotation = (0..BALANCERS).collect();
+        }
+        let port = usize::from(segment.source.port());
+        let chosen = rotation[(port * 31 + index * 17) % rotation.len()];
+        let delay = Duration::from_micros(self.rng.random_range(1000..1500));
+        self.after(delay, Event::FromCaller(chosen, datagram));
+    }
+
+    fn report(&mut self, index: usize, life: u64) {
+        let server = &mut self.servers[index];
+        if !server.alive || server.life != life {
+            return;
+        }
+        server.sequence += 1;
+        let report = ServerReport {
+            id: format!("server-{index}-{life}"),
+            service: service(index),
+            address: SocketAddrV4::new(*address(Place::Agent(index)).ip(), SERVER_PORT),
+            born_ms: life,
+            sequence: server.sequence,
+            state: match server.draining {
+                true => ServerState::Draining,
+                false => ServerState::Ready,
+            },
+            slots: server.slots as u16,
+        };
+        self.after(REPORT_INTERVAL, Event::Report(index, life));
+        let standing = self.standing[&Place::Agent(index)];
+        if !standing.up || self.now < standing.frozen {
+            return;
+        }
+        let mut sent = Sent::default();
+        let taken = self.agents[index].report(&report, self.now, &mut sent);
+        if taken.is_err() {
+            self.broke("a report of a live server was refused");
+        }
+        self.send(Place::Agent(index), sent);
+        let state = match report.state {
+            ServerState::Ready => MemberState::Ready,
+            ServerState::Draining => MemberState::Draining,
+        };
+        let known = self.members.get(&address(Place::Agent(index)));
+        if known.is_none_or(|record| record.state != state) {
+            self.member(Place::Agent(index), state);
+            self.tell_all(Duration::from_millis(MAX_NEWS_MS));
+        }
+    }
+
+    fn member(&mut self, place: Place, state: MemberState) {
+        let (role, tag, index) = match place {
+            Place::Balancer(index) => (Role::Balancer, ServiceKey::default().tag(), index),
+            Place::Agent(index) => (Role::Agent, service(index).tag(), index),
+        };
+        let record = Record {
+            address: address(place),
+            control: address(place),
+            incarnation: Incarnation(1),
+            domain: domain(index),
+            role,
+            service: tag,
+            state,
+            weight: 100,
+            version: 0,
+            revision: 1,
+        };
+        self.members.insert(address(place), record);
+        self.view = self.view.next(self.members.clone());
+    }
+
+    /// Lets each process learn the members after a time of its own.
+    fn tell_all(&mut self, longest: Duration) {
+        let places: Vec<Place> = self.standing.keys().copied().collect();
+        for place in places {
+            let delay = longest.mul_f64(self.rng.random());
+            let view = Box::new(self.view.clone());
+            self.after(delay, Event::News(place, view));
+        }
+    }
+
+    fn news(&mut self, place: Place, view: &View) {
+        if self.deferred(place, || Event::News(place, Box::new(view.clone()))) {
+            return;
+        }
+        // News of the same members can't overtake each other: later lives and versions win.
+        let last = self.news.insert(place, view.version);
+        if let Some(last) = last.filter(|last| *last > view.version) {
+            self.news.insert(place, last);
+            return;
+        }
+        let mut sent = Sent::default();
+        match place {
+            Place::Balancer(index) => self.balancers[index].take_view(view, self.now, &mut sent),
+            Place::Agent(index) => self.agents[index].take_view(view),
+        }
+        self.send(place, sent);
+    }
+
+    fn strike(&mut self, fault: Fault) {
+        match fault {
+            Fault::StopBalancer(n) => self.stop_balancer(n % BALANCERS),
+            Fault::KillBalancer(n) => self.kill(Place::Balancer(n % BALANCERS), 900),
+            Fault::RestartAgent(n) => self.kill(Place::Agent(n % SERVERS), 400),
+            Fault::DrainServer(n) => self.drain_server(n % SERVERS),
+            Fault::CrashServer(n) => self.crash_server(n % SERVERS, 1_500),
+            Fault::PowerServer(n) => {
+                self.crash_server(n % SERVERS, 3_500);
+                self.kill(Place::Agent(n % SERVERS), 3_500);
+            }
+            Fault::Freeze(n) => {
+                let frozen = self.now + Duration::from_millis(2_000);
+                let place = Place::Agent(n % SERVERS);
+                if let Some(standing) = self.standing.get_mut(&place) {
+                    standing.frozen = frozen;
+                    standing.disturbed = frozen;
+                }
+            }
+            Fault::KillAll => self.kill_all(),
+            Fault::PowerAll => {
+                self.kill_all();
+                for index in 0..SERVERS {
+                    self.crash_server(index, 800);
+                }
+            }
+            Fault::Fail(n) => self.servers[n % (SERVERS - 3)].failing = 50,
+        }
+    }
+
+    fn kill_all(&mut self) {
+        let places: Vec<Place> = self.standing.keys().copied().collect();
+        for place in places {
+            let down = self.rng.random_range(700..1_000);
+            self.kill(place, down);
+        }
+    }
+
+    fn kill(&mut self, place: Place, down_ms: u64) {
+        let now = self.now;
+        let Some(standing) = self.standing.get_mut(&place).filter(|s| s.up) else {
+            return;
+        };
+        let back = now + Duration::from_millis(down_ms);
+        standing.up = false;
+        standing.life += 1;
+        standing.disturbed = back;
+        let life = standing.life;
+        self.at(back, Event::Back(place));
+        self.after(GIVE_UP, Event::Gone(place, life));
+        if let Place::Balancer(index) = place {
+            self.after(ROUTER_TIME, Event::OutOfRotation(index, life));
+        }
+    }
+
+    fn stop_balancer(&mut self, index: usize) {
+        let place = Place::Balancer(index);
+        let standing = self.standing[&place];
+        let others = (0..BALANCERS).filter(|b| *b != index && b % DOMAINS == index % DOMAINS);
+        let covered = others.clone().any(|b| self.rotation[b] && self.standing[&Place::Balancer(b)].up);
+        if !standing.up || !covered {
+            return;
+        }
+        self.after(ROUTER_TIME, Event::OutOfRotation(index, standing.life));
+        // It goes on until the router has noticed, and then some.
+        self.member(place, MemberState::Left);
+        self.tell_all(Duration::from_millis(MAX_NEWS_MS));
+        let down = ROUTER_TIME * 2;
+        self.after(down, Event::Fault(Fault::KillBalancer(index)));
+    }
+
+    fn back(&mut self, place: Place) {
+        let now = self.now;
+        self.news.remove(&place);
+        if let Some(standing) = self.standing.get_mut(&place) {
+            standing.up = true;
+            standing.frozen = now;
+        }
+        match place {
+            Place::Balancer(index) => {
+                self.balancers[index] = self.balancer(index);
+                self.rotation[index] = true;
+                self.member(place, MemberState::Ready);
+            }
+            Place::Agent(index) => {
+                self.agents[index] = agent(index, now);
+                self.member(place, MemberState::Draining);
+            }
+        }
+        self.after(Duration::ZERO, Event::Tick(place));
+        self.tell_all(Duration::from_millis(MAX_NEWS_MS));
+        let view = Box::new(self.view.clone());
+        self.after(Duration::from_millis(50), Event::News(place, view));
+    }
+
+    fn crash_server(&mut self, index: usize, down_ms: u64) {
+        if !self.servers[index].alive {
+            return;
+        }
+        self.servers[index].crash();
+        self.after(Duration::from_millis(down_ms), Event::ServerBack(index));
+    }
+
+    fn drain_server(&mut self, index: usize) {
+        let ready = |server: &&Server| server.alive && !server.draining;
+        let first = if index < SERVERS - 3 { 0 } else { SERVERS - 3 };
+        let last = if index < SERVERS - 3 { SERVERS - 3 } else { SERVERS };
+        let enough = self.servers[first..last].iter().filter(ready).count() > 1;
+        let server = &mut self.servers[index];
+        if !server.alive || server.draining || !enough {
+            return;
+        }
+        server.draining = true;
+    }
+
+    fn server_back(&mut self, index: usize) {
+        self.servers[index].alive = true;
+        let life = self.servers[index].life;
+        self.after(Duration::from_millis(20), Event::Report(index, life));
+    }
+
+    fn broke(&mut self, what: &str) {
+        let line = format!("{} ms: {what}", self.now.as_millis());
+        self.figures.broken.push(line);
+    }
+}
