--- a/core/src/l4/agent/flows.rs
+++ b/core/src/l4/agent/flows.rs
@@ -273,11 +273,12 @@
         lasting
     }
 
-    /// Forgets all flows and returns those that had not ended.
+    /// Forgets all flows and returns those that were open here for certain: one that was only
+    /// offered may have opened at another backend server.
     pub fn drain(&mut self, load: &mut Workload) -> Vec<(FlowKey, Held)> {
         load.clear();
         let all = self.held.drain();
-        all.filter(|(_, held)| held.stage != Stage::Ended).collect()
+        all.filter(|(_, held)| held.stage == Stage::Open).collect()
     }
 }
 
