--- a/core/src/l4/agent.rs
+++ b/core/src/l4/agent.rs
@@ -21,7 +21,10 @@
     waiting::{Urgency, WaitingRoom},
     workload::Workload,
 };
-use crate::{clock::Time, member::View};
+use crate::{
+    clock::Time,
+    member::{KnownAgents, View},
+};
 
 /// Time in which a backend server answers an opening segment; it needs well under a millisecond.
 const OPENING_ANSWER: Duration = Duration::from_millis(40);
@@ -75,8 +78,8 @@
     /// Until when the backend server may hold flows that were not seen here.
     unsure: Option<Time>,
     waiting: WaitingRoom,
-    /// Digest of the agents that the membership shows.
-    agents: u64,
+    /// Agents that the membership shows.
+    agents: KnownAgents,
     homes: Homes,
     registry: Registry,
     /// Between which times flows began to last that were registered last.
@@ -109,7 +112,7 @@
             workload: Workload::default(),
             unsure: Some(now + options.max_life),
             waiting: WaitingRoom::default(),
-            agents: 0,
+            agents: KnownAgents::default(),
             homes: Homes::default(),
             registry: Registry::default(),
             registered: (now, now),
@@ -146,7 +149,7 @@
 
     /// Takes the members of the fleet.
     pub fn take_view(&mut self, view: &View) {
-        let agents = view.agent_digest();
+        let agents = view.known_agents();
         if agents == self.agents {
             return;
         }
--- a/core/src/l4/balancer.rs
+++ b/core/src/l4/balancer.rs
@@ -31,7 +31,10 @@
     routes::RouteTable,
     segment::{Codec, FlowKey, Segment},
 };
-use crate::{clock::Time, member::View};
+use crate::{
+    clock::Time,
+    member::{KnownAgents, View},
+};
 
 /// Time without a segment after which the owner of a flow is forgotten, if the routes name none.
 const IDLE_TIME: Duration = Duration::from_secs(15);
@@ -45,6 +48,10 @@
 /// Longest wait of a balancer that knows some agents for news of the others.
 const SETTLE_TIME: Duration = Duration::from_millis(300);
 
+/// Time without a new agent after which a balancer takes those that it knows for all: news of one
+/// reaches everybody within it.
+const QUIET_TIME: Duration = Duration::from_millis(900);
+
 /// Flows that are remembered at most; the largest fleet opens 72 a second in each balancer.
 const MAX_FLOWS: usize = 200_000;
 
@@ -74,6 +81,17 @@
 /// When something runs out, earliest first.
 type Timers = BinaryHeap<Reverse<(Time, FlowKey)>>;
 
+/// What a balancer is told at its start.
+#[derive(Clone, Debug)]
+pub struct BalancerOptions {
+    /// Address at which the other processes send frames.
+    pub own: SocketAddrV4,
+    /// Failure domain of the VM.
+    pub domain: String,
+    /// Bytes a second that the VM's link carries.
+    pub link: u64,
+}
+
 /// The state of a balancer.
 #[derive(Debug)]
 pub struct Balancer<C> {
@@ -84,8 +102,10 @@
     fleet: Fleet,
     routes: Arc<RouteTable>,
     view_version: u64,
-    /// Digest of the agents that the membership shows.
-    agents: u64,
+    /// Agents that the membership shows.
+    agents: KnownAgents,
+    /// From when on they count as all, unless another process knows more.
+    complete: Time,
     joined: bool,
     /// Until when a balancer that knows some agents waits for the others.
     settled: Option<Time>,
@@ -101,22 +121,23 @@
 }
 
 impl<C: Codec> Balancer<C> {
-    /// Returns a balancer that knows no routes and no agents; others send frames to `own`.
-    pub fn new(codec: C, own: SocketAddrV4, domain: &str, seed: u64) -> Self {
+    /// Returns a balancer that knows no routes and no agents.
+    pub fn new(codec: C, options: &BalancerOptions, seed: u64) -> Self {
         Self {
             codec,
-            own,
-            domain: domain.to_owned(),
+            own: options.own,
+            domain: options.domain.clone(),
             flows: HashMap::default(),
             fleet: Fleet::default(),
             routes: Arc::default(),
             view_version: 0,
-            agents: 0,
+            agents: KnownAgents::default(),
+            complete: Time::default(),
             joined: false,
             settled: None,
             openings: Timers::new(),
             searches: Timers::new(),
-            budget: SearchBudget::new(),
+            budget: SearchBudget::new(options.link),
             expire: Time::default(),
             rng: SmallRng::seed_from_u64(seed),
             buffer: Vec::new(),
@@ -152,7 +173,11 @@
     pub fn take_view(&mut self, view: &View, now: Time, out: &mut impl Outbox) {
         self.view_version = view.version;
         let started = self.is_ready();
-        self.agents = view.agent_digest();
+        let agents = view.known_agents();
+        if agents != self.agents {
+            self.agents = agents;
+            self.complete = now + QUIET_TIME;
+        }
         self.joined = view.joined;
         let gone = self.fleet.meet(view, &self.domain);
         if self.fleet.has_ready() {
--- a/core/src/l4/balancer/fleet.rs
+++ b/core/src/l4/balancer/fleet.rs
@@ -42,7 +42,6 @@
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
     agents: BTreeMap<SocketAddrV4, Peer>,
-    balancers: Vec<SocketAddrV4>,
     /// Balancers of this failure domain, which callers of the domain may have used before.
     near: Vec<SocketAddrV4>,
     homes: HashMap<ServiceTag, Homes>,
@@ -52,13 +51,10 @@
     /// Takes the members of a view; returns the agents that have just gone for good.
     pub fn meet(&mut self, view: &View, domain: &str) -> Vec<SocketAddrV4> {
         let mut gone = Vec::new();
-        self.balancers.clear();
         self.near.clear();
         self.take_homes(view);
         for (address, record) in &view.members {
             if record.role != Role::Agent {
-                let ready = record.state == MemberState::Ready;
-                self.balancers.extend(ready.then_some(*address));
                 let near = record.domain == domain && !is_gone(record.state);
                 self.near.extend(near.then_some(*address));
                 continue;
@@ -122,11 +118,6 @@
         likely
     }
 
-    /// Returns the balancers that serve callers, this one included.
-    pub fn balancers(&self) -> &[SocketAddrV4] {
-        &self.balancers
-    }
-
     /// Returns whether any agent of any service takes new flows.
     pub fn has_ready(&self) -> bool {
         self.agents
--- a/core/src/l4/balancer/search.rs
+++ b/core/src/l4/balancer/search.rs
@@ -16,6 +16,7 @@
         outbox::Outbox,
         segment::{Codec, FlowKey, Segment},
     },
+    member::KnownAgents,
 };
 
 /// Time in which those that probably know a flow answer; then all are asked.
@@ -27,12 +28,11 @@
 /// Bytes of a question or an answer on the wire, with all headers.
 const QUESTION_BYTES: u64 = 100;
 
-/// Bytes a second that questions to everybody may take in one direction: a tenth of the smallest
-/// link, 10 Mbit/s.
-const QUESTION_RATE: u64 = 125_000;
+/// Share of the link, as a divisor, that questions to everybody may take in one direction.
+const QUESTION_DIVISOR: u64 = 10;
 
-/// Bytes that questions to everybody may take at once.
-const QUESTION_BURST: u64 = 250_000;
+/// Time whose share of the link questions to everybody may take at once.
+const QUESTION_BURST: Duration = Duration::from_secs(2);
 
 /// Times that agents are asked.
 const ROUNDS: u8 = 4;
@@ -60,7 +60,7 @@
     /// Whether agents that can't tell have been sent a segment.
     testing: bool,
     due: Time,
-    /// Whether all who answered know the same agents as this balancer.
+    /// Whether nobody who answered knows agents that this balancer does not.
     agreed: bool,
     pub(super) expires: Time,
 }
@@ -141,14 +141,18 @@
             return;
         };
         let mut others: Vec<SocketAddrV4> = self.fleet.holders().collect();
-        others.extend(self.fleet.balancers());
-        let (own, known) = (self.own, &search.asked);
-        others.retain(|peer| *peer != own && known.iter().all(|(asked, _)| asked != peer));
+        let known = &search.asked;
+        others.retain(|peer| known.iter().all(|(asked, _)| asked != peer));
         if !self.budget.take(others.len() as u64 * QUESTION_BYTES, now) {
             tracing::info!(event = "flow_search_postponed", %flow, asked = others.len());
             self.flows.remove(flow);
             return;
         }
+        // Balancers only remember; a silent one says nothing about who holds the flow.
+        let fleet = &self.fleet;
+        search
+            .asked
+            .retain(|(peer, said)| said.is_some() || fleet.get(*peer).is_some());
         search.narrow = false;
         search.rounds += 1;
         search.due = now + ANSWER_TIME;
@@ -175,13 +179,12 @@
         }
     }
 
-    /// Takes the answer of an agent or a balancer about a flow, with the digest of the agents that
-    /// it knows.
+    /// Takes the answer of an agent or a balancer about a flow, with the agents that it knows.
     pub(super) fn found(
         &mut self,
         flow: &FlowKey,
         from: SocketAddrV4,
-        (standing, agents): (Standing, u64),
+        (standing, agents): (Standing, KnownAgents),
         now: Time,
         out: &mut impl Outbox,
     ) {
@@ -189,7 +192,7 @@
         let Some(Entry::Searching(search)) = self.flows.get_mut(flow) else {
             return;
         };
-        search.agreed &= agents == own_agents;
+        search.agreed &= own_agents.covers(&agents);
         match standing {
             Standing::Held => self.resolve(flow, from, now, out),
             Standing::At(agent) if search.can_be_at(agent) => self.resolve(flow, agent, now, out),
@@ -292,8 +295,8 @@
         }
     }
 
-    /// Notes that no agent holds a flow. Its caller is told if all know the same agents: else the
-    /// owner may be one that has just joined, and the caller's next copy starts a new search.
+    /// Notes that no agent holds a flow. Its caller is told if this balancer knows all agents: else
+    /// the owner may be one that has just joined, and the caller's next copy starts a new search.
     fn miss(
         &mut self,
         flow: &FlowKey,
@@ -302,7 +305,7 @@
         now: Time,
         out: &mut impl Outbox,
     ) {
-        if agreed && self.joined {
+        if agreed && self.joined && now >= self.complete {
             self.lose(flow, acknowledged, "not_held", now, out);
             return;
         }
@@ -327,8 +330,10 @@
             return;
         }
         if search.rounds >= ROUNDS {
-            let silent = search.asked.iter().filter(|(_, said)| said.is_none());
-            tracing::info!(event = "flow_search_ended", %flow, silent = silent.count());
+            let mut silent = search.asked.iter().filter(|(_, said)| said.is_none());
+            let first = silent.next().map_or(self.own, |(peer, _)| *peer);
+            let more = silent.count();
+            tracing::info!(event = "flow_search_ended", %flow, silent = %first, more);
             // Agents that can't tell may try, although others have not answered; but silence is no
             // proof that a flow is not held.
             search.agreed = false;
@@ -371,14 +376,18 @@
 pub(super) struct SearchBudget {
     bytes: u64,
     filled: Time,
+    /// Bytes a second.
+    rate: u64,
 }
 
 impl SearchBudget {
-    /// Returns a full bucket.
-    pub(super) fn new() -> Self {
+    /// Returns a full bucket for a link of so many bytes a second.
+    pub(super) fn new(link: u64) -> Self {
+        let rate = link / QUESTION_DIVISOR;
         Self {
-            bytes: QUESTION_BURST,
+            bytes: rate * QUESTION_BURST.as_secs(),
             filled: Time::default(),
+            rate,
         }
     }
 
@@ -386,8 +395,9 @@
     fn take(&mut self, bytes: u64, now: Time) -> bool {
         let millis = now.since(self.filled).as_millis() as u64;
         if millis > 0 {
-            let earned = millis.saturating_mul(QUESTION_RATE) / 1000;
-            self.bytes = QUESTION_BURST.min(self.bytes.saturating_add(earned));
+            let earned = millis.saturating_mul(self.rate) / 1000;
+            let limit = self.rate * QUESTION_BURST.as_secs();
+            self.bytes = limit.min(self.bytes.saturating_add(earned));
             self.filled = now;
         }
         let left = self.bytes.checked_sub(bytes);
--- a/core/src/l4/daemon.rs
+++ b/core/src/l4/daemon.rs
@@ -16,6 +16,7 @@
 pub use self::agent_loop::{ServerDesk, ServerNews};
 use super::{
     agent::AgentOptions,
+    balancer::BalancerOptions,
     segment::Codec,
     spread::service::{self as spread, RouteSource},
 };
@@ -78,13 +79,15 @@
     pub seeds: Vec<SocketAddrV4>,
     /// Prefix of the seeds in the store.
     pub seed_prefix: String,
+    /// Bytes a second that the VM's link carries.
+    pub link: u64,
     /// Fleet keys; the first one signs.
     pub keys: Vec<FleetKey>,
 }
 
 /// What only a balancer is told.
 #[derive(Clone, Copy, Debug)]
-pub struct BalancerOptions {
+pub struct BalancerSockets {
     /// Address at which the fabric delivers datagrams of callers.
     pub ingress: SocketAddrV4,
     /// Where routes stand in the store.
@@ -115,7 +118,7 @@
     pub async fn balancer<C: Codec>(
         codec: C,
         options: &DaemonOptions,
-        balancer: &BalancerOptions,
+        balancer: &BalancerSockets,
         store: Arc<dyn Store>,
     ) -> Result<Self, StartError> {
         let role = Role::Balancer;
@@ -131,7 +134,12 @@
             None,
             &kernel,
         );
-        balancer_loop::start(&kernel, codec, sockets, routes).context(KernelSnafu)?;
+        let decisions = BalancerOptions {
+            own: options.peers,
+            domain: options.domain.clone(),
+            link: options.link,
+        };
+        balancer_loop::start(&kernel, codec, &decisions, sockets, routes).context(KernelSnafu)?;
         log_start(options, role);
         Ok(Self { kernel, role })
     }
--- a/core/src/l4/daemon/balancer_loop.rs
+++ b/core/src/l4/daemon/balancer_loop.rs
@@ -10,7 +10,9 @@
     consts::DATAGRAM_BYTES,
     control::Control,
     kernel::{Kernel, KernelError},
-    l4::{balancer::Balancer, message, routes::RouteTable, segment::Codec},
+    l4::{
+        balancer::{Balancer, BalancerOptions},
+        message, routes::RouteTable, segment::Codec},
     member::{Directory, MemberState},
     membership::LocalRecord,
 };
@@ -23,17 +25,16 @@
 pub fn start<C: Codec>(
     kernel: &Kernel,
     codec: C,
+    options: &BalancerOptions,
     sockets: Sockets,
     routes: watch::Receiver<Arc<RouteTable>>,
 ) -> Result<(), KernelError> {
-    let local: Arc<LocalRecord> = kernel.find(LocalRecord::NAME)?;
-    let own = local.get();
     let run = Run {
-        balancer: Balancer::new(codec, own.address, &own.domain, rand::random()),
+        balancer: Balancer::new(codec, options, rand::random()),
         clock: kernel.clock(),
         control: kernel.find(Control::NAME)?,
         directory: kernel.find(Directory::NAME)?,
-        local,
+        local: kernel.find(LocalRecord::NAME)?,
         routes,
         serving: false,
         sockets,
--- a/core/src/l4/message.rs
+++ b/core/src/l4/message.rs
@@ -5,7 +5,10 @@
 use serde::{Deserialize, Serialize};
 
 use super::{routes::ServiceKey, segment::FlowKey, workload::Load};
-use crate::frame::{self, FrameError};
+use crate::{
+    frame::{self, FrameError},
+    member::KnownAgents,
+};
 
 /// Why an agent does not take a new flow.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
@@ -116,8 +119,8 @@
         flow: FlowKey,
         /// What the asked process knows.
         standing: Standing,
-        /// Digest of the agents that the asked process knows.
-        agents: u64,
+        /// Agents that the asked process knows.
+        agents: KnownAgents,
     },
     /// To a balancer: what the backend server carries now.
     Carries(Load),
--- a/core/src/member.rs
+++ b/core/src/member.rs
@@ -83,6 +83,22 @@
     }
 }
 
+/// Which agents a process knows, in a few bytes.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct KnownAgents {
+    /// Their number.
+    pub count: u32,
+    /// Equal where the same ones are known.
+    pub digest: u64,
+}
+
+impl KnownAgents {
+    /// Returns whether `other` gives no reason to think that it knows agents that are missing here.
+    pub fn covers(&self, other: &KnownAgents) -> bool {
+        self.digest == other.digest || other.count < self.count
+    }
+}
+
 /// An immutable snapshot of the fleet.
 #[derive(Clone, Debug, Default)]
 pub struct View {
@@ -136,15 +152,17 @@
         })
     }
 
-    /// Returns a digest of [`View::agents`]; equal where the same ones are known.
-    pub fn agent_digest(&self) -> u64 {
+    /// Returns a summary of [`View::agents`].
+    pub fn known_agents(&self) -> KnownAgents {
         let mut digest = 0;
+        let mut count = 0;
         for record in self.agents() {
             let ip = u64::from(record.address.ip().to_bits());
             let bytes = (ip << 16 | u64::from(record.address.port())).to_be_bytes();
             digest ^= xxh3_64(&bytes);
+            count += 1;
         }
-        digest
+        KnownAgents { count, digest }
     }
 }
 
--- a/core/src/membership/swim.rs
+++ b/core/src/membership/swim.rs
@@ -428,7 +428,7 @@
             _ => self.sync_answer(message),
         };
         let level = match reply.as_ref().map(|r| &r.body) {
-            Some(Body::Ack { .. }) => Level::Probe,
+            Some(Body::Ack { .. } | Body::Welcome { .. }) => Level::Probe,
             _ => Level::Verdict,
         };
         let asked =
--- a/src/trial/segments/world.rs
+++ b/src/trial/segments/world.rs
@@ -12,7 +12,7 @@
     clock::Time,
     l4::{
         agent::{Agent, AgentOptions},
-        balancer::Balancer,
+        balancer::{Balancer, BalancerOptions},
         message,
         outbox::Outbox,
         routes::{Route, RouteTable, ServiceKey, Target},
@@ -49,6 +49,9 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(700);
 const TARGET_MS: u32 = 150;
 
+/// Bytes a second that a balancer's link carries.
+const LINK: u64 = 1_250_000;
+
 /// One in so many datagrams between processes is lost.
 const LOSS: u32 = 200;
 
@@ -267,9 +270,13 @@
     }
 
     fn balancer(&mut self, index: usize) -> Balancer<ModelCodec> {
-        let own = address(Place::Balancer(index));
+        let options = BalancerOptions {
+            own: address(Place::Balancer(index)),
+            domain: domain(index),
+            link: LINK,
+        };
         let seed = self.rng.random();
-        let mut balancer = Balancer::new(ModelCodec, own, &domain(index), seed);
+        let mut balancer = Balancer::new(ModelCodec, &options, seed);
         balancer.take_routes(self.routes.clone());
         balancer
     }
