--- a/core/src/l4/balancer.rs
+++ b/core/src/l4/balancer.rs
@@ -241,6 +241,7 @@
         out: &mut impl Outbox,
     ) {
         let from = received.from;
+        self.fleet.heard(from);
         match received.message {
             Message::Opened {
                 flow,
--- a/core/src/l4/balancer/fleet.rs
+++ b/core/src/l4/balancer/fleet.rs
@@ -16,6 +16,10 @@
 /// Time for which an agent that did not answer gets new flows only where no other can take them.
 const AVOID_SILENT: Duration = Duration::from_secs(1);
 
+/// Silence from which an agent counts as gone: longer than a planned restart beside a server that
+/// goes on.
+const SILENT_END: Duration = Duration::from_millis(3500);
+
 /// Time for which an agent that refused gets no new flows, unless it reports.
 const AVOID_REFUSED: Duration = Duration::from_millis(300);
 
@@ -30,6 +34,8 @@
     load: Load,
     placed: u16,
     avoid: Time,
+    /// Since when it has left questions unanswered.
+    unanswered: Option<Time>,
 }
 
 impl Peer {
@@ -66,6 +72,7 @@
                 load: Load::default(),
                 placed: 0,
                 avoid: Time::default(),
+                unanswered: None,
             });
             let ended = is_gone(record.state) && !is_gone(peer.state);
             peer.state = record.state;
@@ -90,12 +97,30 @@
         self.agents.get(&address)
     }
 
-    /// Returns the agents that may hold flows.
-    pub fn holders(&self) -> impl Iterator<Item = SocketAddrV4> {
-        let live = self.agents.iter().filter(|(_, peer)| !is_gone(peer.state));
+    /// Returns the agents that may hold flows: not those that are gone, or have been silent for so
+    /// long that the membership has not caught up with their end.
+    pub fn holders(&self, now: Time) -> impl Iterator<Item = SocketAddrV4> {
+        let live = self.agents.iter().filter(move |(_, peer)| {
+            let silent = peer.unanswered.is_some_and(|since| now.since(since) >= SILENT_END);
+            !silent && !is_gone(peer.state)
+        });
         live.map(|(address, _)| *address)
     }
 
+    /// Notes a sign of life of an agent.
+    pub fn heard(&mut self, address: SocketAddrV4) {
+        if let Some(peer) = self.agents.get_mut(&address) {
+            peer.unanswered = None;
+        }
+    }
+
+    /// Notes that an agent has not answered a question that was repeated.
+    pub fn unanswered(&mut self, address: SocketAddrV4, now: Time) {
+        if let Some(peer) = self.agents.get_mut(&address) {
+            peer.unanswered.get_or_insert(now);
+        }
+    }
+
     fn take_homes(&mut self, view: &View) {
         let mut services: HashMap<ServiceTag, Vec<SocketAddrV4>> = HashMap::new();
         for record in view.agents() {
--- a/core/src/l4/balancer/search.rs
+++ b/core/src/l4/balancer/search.rs
@@ -140,7 +140,7 @@
         let Some(Entry::Searching(search)) = self.flows.get_mut(flow) else {
             return;
         };
-        let mut others: Vec<SocketAddrV4> = self.fleet.holders().collect();
+        let mut others: Vec<SocketAddrV4> = self.fleet.holders(now).collect();
         let known = &search.asked;
         others.retain(|peer| known.iter().all(|(asked, _)| asked != peer));
         if !self.budget.take(others.len() as u64 * QUESTION_BYTES, now) {
@@ -330,10 +330,12 @@
             return;
         }
         if search.rounds >= ROUNDS {
-            let mut silent = search.asked.iter().filter(|(_, said)| said.is_none());
-            let first = silent.next().map_or(self.own, |(peer, _)| *peer);
-            let more = silent.count();
-            tracing::info!(event = "flow_search_ended", %flow, silent = %first, more);
+            let silent = search.asked.iter().filter(|(_, said)| said.is_none());
+            let silent: Vec<SocketAddrV4> = silent.map(|(peer, _)| *peer).collect();
+            tracing::info!(event = "flow_search_ended", %flow, silent = ?silent);
+            for peer in &silent {
+                self.fleet.unanswered(*peer, now);
+            }
             // Agents that can't tell may try, although others have not answered; but silence is no
             // proof that a flow is not held.
             search.agreed = false;
