--- a/core/src/l4.rs
+++ b/core/src/l4.rs
@@ -14,6 +14,7 @@
 pub mod agent;
 pub mod balancer;
 pub mod choice;
+pub mod counts;
 pub mod daemon;
 pub mod homes;
 pub mod message;
--- a/core/src/l4/agent.rs
+++ b/core/src/l4/agent.rs
@@ -11,6 +11,7 @@
 
 use self::flows::{Flows, Held, Progress, Stage};
 use super::{
+    counts::AgentCounts,
     homes::{Homes, REGISTERED_TIME, Registry},
     message::{self, Message, Received, Refusal, Standing},
     outbox::Outbox,
@@ -87,6 +88,7 @@
     balancers: BTreeMap<SocketAddrV4, Time>,
     mute: Option<Time>,
     outlier: Outlier,
+    counts: AgentCounts,
     orphaned: Option<Time>,
     /// Opening segments that were delivered, with the time in which they should be answered.
     offers: VecDeque<(Time, FlowKey)>,
@@ -119,6 +121,7 @@
             balancers: BTreeMap::new(),
             mute: None,
             outlier: Outlier::default(),
+            counts: AgentCounts::default(),
             orphaned: None,
             offers: VecDeque::new(),
             due: Due {
@@ -142,6 +145,11 @@
         self.server.has_left()
     }
 
+    /// Returns what the agent counts.
+    pub fn counts(&self) -> &AgentCounts {
+        &self.counts
+    }
+
     /// Returns what the backend server carries.
     pub fn workload(&self) -> &Workload {
         &self.workload
@@ -426,6 +434,7 @@
         self.waiting
             .add(flow, from, received.datagram, urgency, now);
         self.workload.set_waiting(self.waiting.len());
+        self.counts.waited.inc();
         let load = self.workload.load();
         tracing::info!(event = "flow_waits", %flow, waiting = self.waiting.len(), busy = load.busy);
         self.tell(from, &Message::Waits { flow, load }, &[], out);
@@ -509,6 +518,7 @@
     }
 
     fn log_answer(&self, segment: &Segment, took: Duration) {
+        self.counts.answer_times.observe(took.as_secs_f64());
         tracing::debug!(
             event = "request_answered",
             flow = %segment.flow_of_server(),
@@ -518,6 +528,9 @@
 
     /// Notes whether the backend server failed a request.
     fn judge(&mut self, failed: bool, now: Time) {
+        if failed {
+            self.counts.failures.inc();
+        }
         if !failed {
             self.outlier.succeeded(now);
         } else if let Some(time) = self.outlier.failed(now) {
@@ -531,6 +544,7 @@
     }
 
     fn log_request(&self, segment: &Segment, datagram: &[u8]) {
+        self.counts.requests.inc();
         tracing::info!(
             event = "request",
             request = self.codec.request_id(datagram).unwrap_or("-"),
--- a/core/src/l4/agent/flows.rs
+++ b/core/src/l4/agent/flows.rs
@@ -300,7 +300,8 @@
     }
 
     fn settle(&mut self, reset: bool, load: &mut Workload, now: Time) {
-        if !reset && !(self.caller_done && self.server_done) {
+        let finished = self.caller_done && self.server_done;
+        if !reset && !finished {
             return;
         }
         self.leave(load);
--- a/core/src/l4/balancer.rs
+++ b/core/src/l4/balancer.rs
@@ -26,6 +26,7 @@
 };
 use super::{
     choice::Candidate,
+    counts::BalancerCounts,
     message::{self, Message, Received, Standing},
     outbox::Outbox,
     routes::RouteTable,
@@ -114,6 +115,7 @@
     /// When the steps of a search run out.
     searches: Timers,
     budget: SearchBudget,
+    counts: BalancerCounts,
     expire: Time,
     rng: SmallRng,
     buffer: Vec<u8>,
@@ -138,6 +140,7 @@
             openings: Timers::new(),
             searches: Timers::new(),
             budget: SearchBudget::new(options.link),
+            counts: BalancerCounts::default(),
             expire: Time::default(),
             rng: SmallRng::seed_from_u64(seed),
             buffer: Vec::new(),
@@ -157,6 +160,11 @@
         self.is_ready() && (self.joined || waited)
     }
 
+    /// Returns what the balancer counts.
+    pub fn counts(&self) -> &BalancerCounts {
+        &self.counts
+    }
+
     /// Returns the number of flows that are remembered.
     pub fn flows(&self) -> usize {
         self.flows.len()
@@ -357,6 +365,7 @@
             routes = self.routes.version,
             view = self.view_version,
         );
+        self.counts.reset.get_or_create(&[("reason", reason)]).inc();
         let expires = now + LOST_TIME;
         self.insert(flow, Entry::Lost { expires });
         self.reset(flow, acknowledged, out);
--- a/core/src/l4/balancer/fleet.rs
+++ b/core/src/l4/balancer/fleet.rs
@@ -101,7 +101,9 @@
     /// long that the membership has not caught up with their end.
     pub fn holders(&self, now: Time) -> impl Iterator<Item = SocketAddrV4> {
         let live = self.agents.iter().filter(move |(_, peer)| {
-            let silent = peer.unanswered.is_some_and(|since| now.since(since) >= SILENT_END);
+            let silent = peer
+                .unanswered
+                .is_some_and(|since| now.since(since) >= SILENT_END);
             !silent && !is_gone(peer.state)
         });
         live.map(|(address, _)| *address)
--- a/core/src/l4/balancer/opening.rs
+++ b/core/src/l4/balancer/opening.rs
@@ -174,6 +174,7 @@
             routes = self.routes.version,
             view = self.view_version,
         );
+        self.counts.placed.inc();
         self.fleet.placed(candidate.address);
         self.openings.push(Reverse((due, *flow)));
         if let Some(message) = self.open_message(flow, forced) {
@@ -239,7 +240,12 @@
         let Some(Entry::Opening(opening)) = self.flows.get_mut(flow) else {
             return;
         };
-        tracing::info!(event = "agent_refused", %flow, %agent, reason = refusal.as_str());
+        let reason = refusal.as_str();
+        tracing::info!(event = "agent_refused", %flow, %agent, reason);
+        self.counts
+            .refused
+            .get_or_create(&[("reason", reason)])
+            .inc();
         opening.silent.retain(|silent| *silent != agent);
         match refusal {
             Refusal::Busy => opening.busy.push(agent),
@@ -267,6 +273,7 @@
         opening.excluded.push(agent);
         opening.silent.push(agent);
         tracing::info!(event = "agent_silent", %flow, %agent, tries = opening.tries);
+        self.counts.silent.inc();
         self.fleet.silent(agent, now);
         self.try_next(flow, now, out);
     }
@@ -315,7 +322,9 @@
 ) -> Option<(Candidate, bool)> {
     let service = opening.service.tag();
     fleet.candidates(service, &opening.excluded, now, candidates);
-    let sound = candidates.iter().any(|c| !opening.failing.contains(&c.address));
+    let sound = candidates
+        .iter()
+        .any(|c| !opening.failing.contains(&c.address));
     if sound {
         candidates.retain(|c| !opening.failing.contains(&c.address));
     }
--- /dev/null
+++ b/core/src/l4/counts.rs
@@ -0,0 +1,84 @@
+//! What balancers and agents count.
+
+use prometheus_client::metrics::{
+    counter::Counter,
+    histogram::{Histogram, exponential_buckets},
+};
+
+use crate::metrics::{Cases, Metrics};
+
+/// Shortest answer time that has a bucket of its own, in seconds.
+const FIRST_BUCKET: f64 = 0.002;
+
+/// Buckets of answer times, each twice as long as the one before: up to 4 s, the longest deadline.
+const BUCKETS: u16 = 12;
+
+/// Counts of a balancer.
+#[derive(Clone, Debug, Default)]
+pub struct BalancerCounts {
+    /// Opening segments sent to agents.
+    pub placed: Counter,
+    /// Agents that did not answer an opening in time.
+    pub silent: Counter,
+    /// Agents that refused an opening, by reason.
+    pub refused: Cases,
+    /// Searches for the owner of a flow, by how they ended.
+    pub searched: Cases,
+    /// Flows whose callers were sent a reset, by reason.
+    pub reset: Cases,
+}
+
+impl BalancerCounts {
+    /// Shows the counts.
+    pub fn register(&self, metrics: &Metrics) {
+        let help = "Opening segments sent to agents";
+        metrics.register("flows_placed", help, self.placed.clone());
+        let help = "Agents that did not answer an opening in time";
+        metrics.register("agents_silent", help, self.silent.clone());
+        let help = "Agents that refused an opening";
+        metrics.register("agents_refused", help, self.refused.clone());
+        let help = "Searches for the owner of a flow, by their end";
+        metrics.register("flow_searches", help, self.searched.clone());
+        let help = "Flows whose callers were sent a reset";
+        metrics.register("flows_reset", help, self.reset.clone());
+    }
+}
+
+/// Counts of an agent.
+#[derive(Clone, Debug)]
+pub struct AgentCounts {
+    /// Requests that reached the backend server.
+    pub requests: Counter,
+    /// Answers that report a failure, and flows broken off by the backend server.
+    pub failures: Counter,
+    /// New flows that had to wait for a slot.
+    pub waited: Counter,
+    /// Times from a request to the first byte of its answer, in seconds.
+    pub answer_times: Histogram,
+}
+
+impl Default for AgentCounts {
+    fn default() -> Self {
+        let buckets = exponential_buckets(FIRST_BUCKET, 2.0, BUCKETS);
+        Self {
+            requests: Counter::default(),
+            failures: Counter::default(),
+            waited: Counter::default(),
+            answer_times: Histogram::new(buckets),
+        }
+    }
+}
+
+impl AgentCounts {
+    /// Shows the counts.
+    pub fn register(&self, metrics: &Metrics) {
+        let help = "Requests that reached the backend server";
+        metrics.register("server_requests", help, self.requests.clone());
+        let help = "Failures of the backend server";
+        metrics.register("server_failures", help, self.failures.clone());
+        let help = "New flows that had to wait for a slot";
+        metrics.register("flows_waited", help, self.waited.clone());
+        let help = "Time from a request to the first byte of its answer";
+        metrics.register("answer_seconds", help, self.answer_times.clone());
+    }
+}
--- a/core/src/l4/daemon/agent_loop.rs
+++ b/core/src/l4/daemon/agent_loop.rs
@@ -21,6 +21,7 @@
     },
     member::{Directory, MemberState},
     membership::LocalRecord,
+    metrics::Metrics,
 };
 
 /// Reports that wait for the loop, at most.
@@ -97,6 +98,8 @@
         sockets,
         state: None,
     };
+    let metrics: Arc<Metrics> = kernel.find(Metrics::NAME)?;
+    run.agent.counts().register(&metrics);
     kernel.spawn(run.run(calls));
     Ok(desk)
 }
--- a/core/src/l4/daemon/balancer_loop.rs
+++ b/core/src/l4/daemon/balancer_loop.rs
@@ -12,9 +12,13 @@
     kernel::{Kernel, KernelError},
     l4::{
         balancer::{Balancer, BalancerOptions},
-        message, routes::RouteTable, segment::Codec},
+        message,
+        routes::RouteTable,
+        segment::Codec,
+    },
     member::{Directory, MemberState},
     membership::LocalRecord,
+    metrics::Metrics,
 };
 
 /// Starts the loop.
@@ -39,6 +43,8 @@
         serving: false,
         sockets,
     };
+    let metrics: Arc<Metrics> = kernel.find(Metrics::NAME)?;
+    run.balancer.counts().register(&metrics);
     kernel.spawn(run.run());
     Ok(())
 }
--- /dev/null
+++ b/core/tests/l4_choice.rs
@@ -0,0 +1,79 @@
+//! Where new flows go.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use berylvalve_core::l4::{
+    choice::{Candidate, Typical, best, expected_us},
+    workload::Load,
+};
+
+const SLOTS: u16 = 2;
+
+fn candidate(index: u8, near: bool, busy: u16, work_us: u32) -> Candidate {
+    Candidate {
+        address: SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, index), 7001),
+        near,
+        load: Load {
+            slots: SLOTS,
+            busy,
+            flows: 0,
+            work_us,
+            failing: false,
+        },
+        placed: 0,
+    }
+}
+
+fn chosen(candidates: &[Candidate]) -> u8 {
+    let typical = Typical::of(candidates);
+    let best = best(candidates, &typical, 0).unwrap();
+    best.address.ip().octets()[3]
+}
+
+#[test]
+fn idle_server_goes_before_a_busy_one_of_the_same_speed() {
+    let candidates = [candidate(1, true, 2, 15_000), candidate(2, true, 0, 15_000)];
+    assert_eq!(chosen(&candidates), 2);
+}
+
+#[test]
+fn near_server_keeps_its_flows_until_it_is_pressed() {
+    let calm = [
+        candidate(1, true, 1, 15_000),
+        candidate(2, false, 0, 15_000),
+    ];
+    assert_eq!(chosen(&calm), 1);
+    let pressed = [
+        candidate(1, true, 4, 15_000),
+        candidate(2, false, 0, 15_000),
+    ];
+    assert_eq!(chosen(&pressed), 2);
+}
+
+#[test]
+fn slow_server_gets_fewer_flows_than_a_fast_one() {
+    let mut candidates = [candidate(1, true, 0, 30_000), candidate(2, true, 0, 10_000)];
+    let mut placed = [0; 2];
+    for _ in 0..100 {
+        let index = usize::from(chosen(&candidates)) - 1;
+        candidates[index].placed += 1;
+        placed[index] += 1;
+    }
+    // Three times as fast: three times the flows, within a tenth.
+    assert!((70..=80).contains(&placed[1]), "{placed:?}");
+}
+
+#[test]
+fn own_placements_since_the_last_report_count() {
+    let mut candidates = vec![candidate(1, true, 0, 15_000), candidate(2, true, 0, 15_000)];
+    candidates[0].placed = 3;
+    assert_eq!(chosen(&candidates), 2);
+}
+
+#[test]
+fn server_without_an_answer_yet_is_taken_for_a_typical_one() {
+    let candidates = [candidate(1, true, 0, 0), candidate(2, true, 0, 20_000)];
+    let typical = Typical::of(&candidates);
+    let [unknown, known] = candidates.map(|c| expected_us(&c, &typical));
+    assert_eq!(unknown, known);
+}
--- /dev/null
+++ b/core/tests/l4_homes.rs
@@ -0,0 +1,68 @@
+//! Where the owners of flows are remembered.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use berylvalve_core::{
+    clock::Time,
+    l4::{
+        homes::{Homes, REGISTERED_TIME, Registry},
+        segment::FlowKey,
+    },
+};
+
+const AGENTS: u32 = 50;
+const FLOWS: u16 = 2_000;
+
+fn agent(index: u32) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::from(0x0A00_0100 + index), 7001)
+}
+
+fn flow(port: u16) -> FlowKey {
+    FlowKey {
+        caller: SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, 1), port),
+        address: SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443),
+    }
+}
+
+#[test]
+fn flow_has_two_homes_that_are_evenly_chosen() {
+    let homes = Homes::new((0..AGENTS).map(agent));
+    let mut first = vec![0_u32; AGENTS as usize];
+    for port in 0..FLOWS {
+        let [Some(a), Some(b)] = homes.of(&flow(port)) else {
+            panic!("two homes");
+        };
+        assert_ne!(a, b);
+        first[(a.ip().to_bits() - 0x0A00_0100) as usize] += 1;
+    }
+    // 40 on average; five standard deviations of a fair choice.
+    assert!(
+        first.iter().all(|count| (10..=72).contains(count)),
+        "{first:?}"
+    );
+}
+
+#[test]
+fn one_home_of_a_flow_stays_when_an_agent_leaves() {
+    let all = Homes::new((0..AGENTS).map(agent));
+    let fewer = Homes::new((1..AGENTS).map(agent));
+    for port in 0..FLOWS {
+        let (before, after) = (all.of(&flow(port)), fewer.of(&flow(port)));
+        assert!(
+            before.iter().any(|home| after.contains(home)),
+            "port {port}"
+        );
+    }
+}
+
+#[test]
+fn owner_that_does_not_register_again_is_forgotten() {
+    let mut registry = Registry::default();
+    let now = Time::from_millis(1);
+    registry.register(flow(1), agent(3), now);
+    assert_eq!(registry.owner(&flow(1)), Some(agent(3)));
+    registry.expire(now + REGISTERED_TIME / 2);
+    assert_eq!(registry.owner(&flow(1)), Some(agent(3)));
+    registry.expire(now + REGISTERED_TIME);
+    assert_eq!(registry.owner(&flow(1)), None);
+}
--- a/src/trial/segments.rs
+++ b/src/trial/segments.rs
@@ -45,7 +45,10 @@
 /// Returns the value below which a share of sorted values lies.
 pub fn percentile(sorted: &[u64], share: f64) -> u64 {
     let index = (sorted.len() as f64 * share) as usize;
-    sorted.get(index.min(sorted.len().saturating_sub(1))).copied().unwrap_or(0)
+    sorted
+        .get(index.min(sorted.len().saturating_sub(1)))
+        .copied()
+        .unwrap_or(0)
 }
 
 /// Runs all plans with a seed.
--- a/src/trial/segments/caller.rs
+++ b/src/trial/segments/caller.rs
@@ -176,7 +176,9 @@
                 let request = self.request(now);
                 (Seen::Opened(now.since(since)), Some(request))
             }
-            Stage::Waiting { .. } if segment.length > 0 && segment.sequence == self.acknowledged => {
+            Stage::Waiting { .. }
+                if segment.length > 0 && segment.sequence == self.acknowledged =>
+            {
                 self.acknowledged = segment.end();
                 self.sequence += REQUEST.len() as u32;
                 self.answered += 1;
--- a/src/trial/segments/faults.rs
+++ b/src/trial/segments/faults.rs
@@ -55,7 +55,10 @@
             Plan::PowerLost => faults.push((middle, Fault::PowerAll)),
             Plan::Failing => {
                 for at in [4_000, 9_000, 14_000] {
-                    faults.push((Time::from_millis(at), Fault::Fail(rng.random_range(0..1_000))));
+                    faults.push((
+                        Time::from_millis(at),
+                        Fault::Fail(rng.random_range(0..1_000)),
+                    ));
                 }
             }
             Plan::Planned | Plan::Disturbed => {
--- a/src/trial/segments/world.rs
+++ b/src/trial/segments/world.rs
@@ -131,7 +131,7 @@
         self.callers.push(datagram.to_vec());
     }
 
-    fn to_server(&mut self, datagram: &[u8]) {
+    fn reach_server(&mut self, datagram: &[u8]) {
         self.server.push(datagram.to_vec());
     }
 }
@@ -387,8 +387,8 @@
                 self.agents[index].receive_from_server(&datagram, self.now, &mut sent);
                 self.send(Place::Agent(index), sent);
             }
-            Event::ToServer(index, datagram) => self.to_server(index, &datagram),
-            Event::ToCaller(datagram, own) => self.to_caller(&datagram, own),
+            Event::ToServer(index, datagram) => self.reach_server(index, &datagram),
+            Event::ToCaller(datagram, own) => self.reach_caller(&datagram, own),
             Event::Done(index, life, flow) => {
                 if self.servers[index].life == life {
                     let reaction = self.servers[index].done(&flow, &mut self.rng);
@@ -483,7 +483,7 @@
         }
     }
 
-    fn to_server(&mut self, index: usize, datagram: &[u8]) {
+    fn reach_server(&mut self, index: usize, datagram: &[u8]) {
         let Some(segment) = ModelCodec.read(datagram) else {
             self.broke("a server got bytes that are no segment");
             return;
@@ -546,7 +546,7 @@
         }
     }
 
-    fn to_caller(&mut self, datagram: &[u8], own_reset: bool) {
+    fn reach_caller(&mut self, datagram: &[u8], own_reset: bool) {
         let Some(segment) = ModelCodec.read(datagram) else {
             return;
         };
@@ -573,7 +573,7 @@
             Seen::Nothing => {}
         }
         if let Some(answer) = answer {
-            self.from_caller(index, answer);
+            self.route(index, answer);
         }
     }
 
@@ -597,7 +597,7 @@
         self.figures.answers_ms.push(took.as_millis() as u64);
         if self.callers[index].answered >= self.callers[index].requests_per_flow {
             let last = self.callers[index].finish();
-            self.from_caller(index, last);
+            self.route(index, last);
         }
         self.pause(index);
     }
@@ -621,7 +621,7 @@
             Some(datagram) => {
                 let due = self.callers[index].due;
                 self.at(due, Event::CallerDue(index));
-                self.from_caller(index, datagram);
+                self.route(index, datagram);
             }
             None => {
                 self.callers[index].flow = None;
@@ -644,11 +644,11 @@
         let datagram = caller.open(self.now);
         let due = caller.due;
         self.at(due, Event::CallerDue(index));
-        self.from_caller(index, datagram);
+        self.route(index, datagram);
     }
 
     /// Sends a caller's datagram through the router of its domain.
-    fn from_caller(&mut self, index: usize, datagram: Vec<u8>) {
+    fn route(&mut self, index: usize, datagram: Vec<u8>) {
         self.written.insert(codec::fixed(&datagram), ());
         let Some(segment) = ModelCodec.read(&datagram) else {
             return;
@@ -813,7 +813,9 @@
         let place = Place::Balancer(index);
         let standing = self.standing[&place];
         let others = (0..BALANCERS).filter(|b| *b != index && b % DOMAINS == index % DOMAINS);
-        let covered = others.clone().any(|b| self.rotation[b] && self.standing[&Place::Balancer(b)].up);
+        let covered = others
+            .clone()
+            .any(|b| self.rotation[b] && self.standing[&Place::Balancer(b)].up);
         if !standing.up || !covered {
             return;
         }
@@ -860,7 +862,11 @@
     fn drain_server(&mut self, index: usize) {
         let ready = |server: &&Server| server.alive && !server.draining;
         let first = if index < SERVERS - 3 { 0 } else { SERVERS - 3 };
-        let last = if index < SERVERS - 3 { SERVERS - 3 } else { SERVERS };
+        let last = if index < SERVERS - 3 {
+            SERVERS - 3
+        } else {
+            SERVERS
+        };
         let enough = self.servers[first..last].iter().filter(ready).count() > 1;
         let server = &mut self.servers[index];
         if !server.alive || server.draining || !enough {
