--- a/src/trial/segments/world.rs
+++ b/src/trial/segments/world.rs
@@ -131,7 +131,7 @@
         self.callers.push(datagram.to_vec());
     }
 
-    fn reach_server(&mut self, datagram: &[u8]) {
+    fn to_server(&mut self, datagram: &[u8]) {
         self.server.push(datagram.to_vec());
     }
 }
