--- a/src/cli.rs
+++ b/src/cli.rs
@@ -183,6 +183,13 @@
     },
     /// Read, change or explain settings.
     Settings(settings::Options),
+    /// Find all decisions about a request or a flow in log files.
+    ExplainLogs {
+        /// Id of a request, a flow, or the address of a caller.
+        subject: String,
+        /// Files with the logs of processes.
+        logs: Vec<PathBuf>,
+    },
     /// Show where a flow or a request went.
     Explain {
         /// File with the fleet's keys and peers.
@@ -217,6 +224,7 @@
         "check" => parse_check(&mut args)?,
         "status" => parse_status(&mut args)?,
         "drain" => parse_drain(&mut args)?,
+        "explain" => parse_explain_logs(&mut args)?,
         "explain-flow" => parse_explain(&mut args)?,
         "settings" => Command::Settings(settings::parse(&mut args)?),
         "trial" => parse_trial(&mut args)?,
@@ -304,6 +312,15 @@
     })
 }
 
+fn parse_explain_logs(args: &mut Arguments) -> Result<Command, UsageError> {
+    let subject = args.free_from_str()?;
+    let mut logs = vec![args.free_from_str()?];
+    while let Some(log) = args.opt_free_from_str()? {
+        logs.push(log);
+    }
+    Ok(Command::ExplainLogs { subject, logs })
+}
+
 /// Reads a time in seconds.
 fn seconds(text: &str) -> Result<Duration, String> {
     let number = factor(text)?;
--- a/src/cli/help.rs
+++ b/src/cli/help.rs
@@ -45,6 +45,11 @@
         about: "stop one daemon gracefully",
         help: HELP_DRAIN,
     },
+    Entry {
+        name: "explain",
+        about: "find all decisions about a request or a flow in log files",
+        help: HELP_EXPLAIN_LOGS,
+    },
     Entry {
         name: "explain-flow",
         about: "show where a flow or a request went, and why",
@@ -242,6 +247,19 @@
   berylvalve drain --fleet fleet.json 10.0.3.7:7000
 ";
 
+const HELP_EXPLAIN_LOGS: &str = "\
+berylvalve explain: find all decisions about a request or a flow in log files
+
+USAGE:
+  berylvalve explain SUBJECT FILE...
+
+SUBJECT is the id of a request, or a flow as logs show it (caller>address). The lines of all files
+about it, and about the flow that carried the request, are printed in the order of time.
+
+EXAMPLE:
+  berylvalve explain 2249f706c360af19 logs/*
+";
+
 const HELP_EXPLAIN: &str = "\
 berylvalve explain-flow: show where a flow or a request went, and why
 
--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -3,7 +3,7 @@
 use std::{
     fs::File,
     io::{BufReader, IsTerminal, stderr},
-    path::Path,
+    path::{Path, PathBuf},
     process::ExitCode,
     sync::Arc,
     time::Duration,
@@ -23,6 +23,7 @@
     caller::{Call, Caller},
     config::{self, daemon::DaemonSettings, site::Site, tree::Region},
     dev::{self, DevError, RunOptions},
+    explain,
     load::{self, LoadReport},
     trial,
 };
@@ -45,6 +46,7 @@
             subject,
             json,
         } => finish(fleet::explain(&fleet, &subject, json).await),
+        Command::ExplainLogs { subject, logs } => run_explain(&subject, &logs),
         Command::Settings(options) => run_settings(&options).await,
         Command::Load(options) => match run_load(&options).await {
             Ok(code) => code,
@@ -135,6 +137,25 @@
     }
 }
 
+fn run_explain(subject: &str, files: &[PathBuf]) -> ExitCode {
+    let mut logs = Vec::with_capacity(files.len());
+    for file in files {
+        match std::fs::read_to_string(file) {
+            Ok(log) => logs.push(log),
+            Err(error) => return failure(&format!("{}: {error}", file.display())),
+        }
+    }
+    let logs: Vec<&str> = logs.iter().map(String::as_str).collect();
+    let lines = explain::explain(&logs, subject);
+    for line in &lines {
+        println!("{line}");
+    }
+    match lines.is_empty() {
+        true => failure(&format!("no line about {subject}")),
+        false => ExitCode::SUCCESS,
+    }
+}
+
 fn run_trial(name: Option<&str>, seed: u64) -> ExitCode {
     let Some(name) = name else {
         for trial in trial::TRIALS {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod datagram;
 pub mod decision;
 pub mod dev;
+pub mod explain;
 pub mod flow;
 pub mod load;
 pub mod observe;
