Join as ready, force no agent while few are known, and test the balancer by itself

Cause: after a loss of power each process announced itself twice, and the news of 100 processes took 12 s at 8 KB/s each; new balancers that knew two agents sent them everything. Change: an agent joins with its server's first report or after 0.7 s; a starting balancer forces nobody for 3 s at most.

--- a/core/src/l4/balancer.rs
+++ b/core/src/l4/balancer.rs
@@ -49,6 +49,10 @@
 /// Longest wait of a balancer that knows some agents for news of the others.
 const SETTLE_TIME: Duration = Duration::from_millis(300);
 
+/// Time after which a balancer that has just started refuses what it can't place, also if it has met
+/// nobody.
+const START_LIMIT: Duration = Duration::from_secs(3);
+
 /// Time without a new agent after which a balancer takes those that it knows for all: news of one
 /// reaches everybody within it.
 const QUIET_TIME: Duration = Duration::from_millis(900);
@@ -110,6 +114,10 @@
     joined: bool,
     /// Until when a balancer that knows some agents waits for the others.
     settled: Option<Time>,
+    /// Whether it was not settled at the last look; openings may wait for agents that are not known.
+    starting: bool,
+    /// When it looked first at what is due.
+    began: Option<Time>,
     /// When the attempts to place a flow run out.
     openings: Timers,
     /// When the steps of a search run out.
@@ -137,6 +145,8 @@
             complete: Time::default(),
             joined: false,
             settled: None,
+            starting: true,
+            began: None,
             openings: Timers::new(),
             searches: Timers::new(),
             budget: SearchBudget::new(options.link),
@@ -180,7 +190,6 @@
     /// Takes the members of the fleet, and resets the flows of agents that are gone.
     pub fn take_view(&mut self, view: &View, now: Time, out: &mut impl Outbox) {
         self.view_version = view.version;
-        let started = self.is_ready();
         let agents = view.known_agents();
         if agents != self.agents {
             self.agents = agents;
@@ -191,7 +200,8 @@
         if self.fleet.has_ready() {
             self.settled.get_or_insert(now + SETTLE_TIME);
         }
-        if !started {
+        if self.starting {
+            self.starting = !self.is_settled(now);
             self.retry_openings(now, out);
         }
         if gone.is_empty() {
@@ -295,6 +305,12 @@
         while let Some(flow) = pop_due(&mut self.searches, now) {
             self.search_overdue(&flow, now, out);
         }
+        let began = *self.began.get_or_insert(now);
+        let late = now.since(began) >= START_LIMIT;
+        if self.starting && (late || self.is_settled(now)) {
+            self.starting = false;
+            self.retry_openings(now, out);
+        }
         if now >= self.expire {
             self.expire = now + EXPIRE_INTERVAL;
             self.flows.retain(|_, entry| now < entry.expires());
--- a/core/src/l4/balancer/opening.rs
+++ b/core/src/l4/balancer/opening.rs
@@ -142,12 +142,13 @@
             true => choose(opening, &self.fleet, &mut self.candidates, salt, now),
             false => None,
         };
+        // A balancer that has just started knows few agents; it forces none, and tries again when it
+        // knows more.
+        let chosen = chosen.filter(|(_, forced)| !(*forced && self.starting));
         let Some((candidate, forced)) = chosen else {
             opening.asked = None;
             let may_open = !opening.accepted.is_empty() || !opening.silent.is_empty();
-            // A balancer that has just started knows no agents yet; it tries again when it does.
-            let starts = !self.routes.routes.is_empty() && !self.fleet.has_ready() && !self.joined;
-            if !may_open && opening.waits.is_none() && !starts {
+            if !may_open && opening.waits.is_none() && !self.starting {
                 let refused = opening.excluded.len();
                 tracing::warn!(event = "flow_refused", %flow, refused, view = self.view_version);
                 self.lose(flow, 0, "no_agent", now, out);
--- a/core/src/l4/daemon.rs
+++ b/core/src/l4/daemon.rs
@@ -36,6 +36,10 @@
 /// second and takes two looks to notice.
 const BALANCER_LINGER: Duration = Duration::from_millis(2500);
 
+/// Time for which an agent that starts waits for its server's first report before it joins: a server
+/// that runs reports about once a second.
+const REPORT_PATIENCE: Duration = Duration::from_millis(700);
+
 /// Time in which the news of a stop reaches the others.
 const FAREWELL_TIME: Duration = Duration::from_millis(300);
 
@@ -230,7 +234,10 @@
         domain: options.domain.clone(),
         role,
         service,
-        state: MemberState::Draining,
+        state: match role {
+            Role::Balancer => MemberState::Ready,
+            Role::Agent => MemberState::Draining,
+        },
         weight: 100,
         version: 0,
         revision: 0,
@@ -241,7 +248,9 @@
     let signer = Signer::new(&options.keys);
     control::start(&kernel, listener, signer.clone()).context(KernelSnafu)?;
     let seeds = options.seeds.clone();
-    let found = membership::start(&kernel, socket, signer.clone(), seeds).context(KernelSnafu)?;
+    let found =
+        membership::start_when_ready(&kernel, socket, signer.clone(), seeds, REPORT_PATIENCE);
+    let found = found.context(KernelSnafu)?;
     let prefix = options.seed_prefix.clone();
     let directory: Arc<Directory> = kernel.find(Directory::NAME).context(KernelSnafu)?;
     kernel.spawn(look_for_seeds(store.clone(), prefix, directory, found));
--- a/core/src/l4/daemon/balancer_loop.rs
+++ b/core/src/l4/daemon/balancer_loop.rs
@@ -16,8 +16,7 @@
         routes::RouteTable,
         segment::Codec,
     },
-    member::{Directory, MemberState},
-    membership::LocalRecord,
+    member::Directory,
     metrics::Metrics,
 };
 
@@ -38,7 +37,6 @@
         clock: kernel.clock(),
         control: kernel.find(Control::NAME)?,
         directory: kernel.find(Directory::NAME)?,
-        local: kernel.find(LocalRecord::NAME)?,
         routes,
         serving: false,
         sockets,
@@ -54,7 +52,6 @@
     clock: Clock,
     control: Arc<Control>,
     directory: Arc<Directory>,
-    local: Arc<LocalRecord>,
     routes: watch::Receiver<Arc<RouteTable>>,
     serving: bool,
     sockets: Sockets,
@@ -124,8 +121,6 @@
         }
         self.serving = true;
         self.control.start_serving();
-        self.local
-            .update(|record| record.state = MemberState::Ready);
         tracing::info!(event = "serving");
     }
 }
--- a/core/src/membership.rs
+++ b/core/src/membership.rs
@@ -17,7 +17,7 @@
 pub mod swim;
 pub mod sync;
 
-pub use service::start;
+pub use service::{start, start_when_ready};
 pub use signer::{MessageError, Signer};
 
 use crate::member::Record;
--- a/core/src/membership/service.rs
+++ b/core/src/membership/service.rs
@@ -1,6 +1,6 @@
 //! The UDP loop that drives the membership of a process.
 
-use std::{net::SocketAddrV4, sync::Arc};
+use std::{net::SocketAddrV4, sync::Arc, time::Duration};
 
 use tokio::{net::UdpSocket, sync::mpsc, time::MissedTickBehavior};
 
@@ -13,12 +13,15 @@
 use crate::{
     clock::Clock,
     kernel::{Kernel, KernelError},
-    member::{Directory, Record},
+    member::{Directory, MemberState, Record},
 };
 
 /// Lists of found seeds that wait for the task.
 const FOUND_SEEDS: usize = 4;
 
+/// Interval between two looks at whether a process that starts is ready.
+const READY_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Starts the membership of a process; seeds that are found later go into the returned channel.
 ///
 /// # Errors
@@ -29,21 +32,45 @@
     socket: UdpSocket,
     signer: Signer,
     seeds: Vec<SocketAddrV4>,
+) -> Result<mpsc::Sender<Vec<SocketAddrV4>>, KernelError> {
+    start_when_ready(kernel, socket, signer, seeds, Duration::ZERO)
+}
+
+/// Starts the membership once the local record is ready, or after `patience` at the latest.
+///
+/// Where a whole fleet starts at once, each change of a record is passed on by everybody: a process
+/// that joins as ready costs half of what one costs that is ready a moment later.
+///
+/// # Errors
+///
+/// As [`start`].
+pub fn start_when_ready(
+    kernel: &Kernel,
+    socket: UdpSocket,
+    signer: Signer,
+    seeds: Vec<SocketAddrV4>,
+    patience: Duration,
 ) -> Result<mpsc::Sender<Vec<SocketAddrV4>>, KernelError> {
     let (sender, found) = mpsc::channel(FOUND_SEEDS);
     let clock = kernel.clock();
     let local: Arc<LocalRecord> = kernel.find(LocalRecord::NAME)?;
-    let swim = Swim::new(local.get(), seeds, clock.now(), rand::random());
-    let service = Service {
-        clock,
-        directory: kernel.find(Directory::NAME)?,
-        joined: false,
-        local,
-        signer,
-        socket,
-        swim,
-    };
-    kernel.spawn(service.run(found));
+    let directory: Arc<Directory> = kernel.find(Directory::NAME)?;
+    let latest = clock.now() + patience;
+    kernel.spawn(async move {
+        while clock.now() < latest && local.get().state != MemberState::Ready {
+            tokio::time::sleep(READY_INTERVAL).await;
+        }
+        let service = Service {
+            swim: Swim::new(local.get(), seeds, clock.now(), rand::random()),
+            clock,
+            directory,
+            joined: false,
+            local,
+            signer,
+            socket,
+        };
+        service.run(found).await;
+    });
     Ok(sender)
 }
 
--- /dev/null
+++ b/core/tests/l4_balancer.rs
@@ -0,0 +1,385 @@
+//! A balancer by itself: what it sends for what it gets.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::{Ipv4Addr, SocketAddrV4},
+    sync::Arc,
+};
+
+use berylvalve_core::{
+    clock::Time,
+    l4::{
+        balancer::{Balancer, BalancerOptions},
+        message::{self, Message, Received, Refusal, Standing},
+        outbox::Outbox,
+        routes::{Route, RouteTable, ServiceKey, Target},
+        segment::{Codec, Flags, FlowKey, Segment},
+        workload::Load,
+    },
+    member::{KnownAgents, MemberState, Record, Role, View},
+    owner_id::Incarnation,
+};
+
+const LINK: u64 = 1_250_000;
+
+/// A codec whose datagrams are one byte of kind and one of the caller's port.
+#[derive(Clone, Debug)]
+struct Bytes;
+
+const OPENING: u8 = b'S';
+const DATA: u8 = b'D';
+const RESET: u8 = b'R';
+
+fn flow(port: u8) -> FlowKey {
+    FlowKey {
+        caller: SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, 1), port.into()),
+        address: SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443),
+    }
+}
+
+impl Codec for Bytes {
+    fn read(&self, datagram: &[u8]) -> Option<Segment> {
+        let [kind, port] = *datagram else {
+            return None;
+        };
+        Some(Segment {
+            source: flow(port).caller,
+            destination: flow(port).address,
+            sequence: 1,
+            acknowledged: 101,
+            length: u16::from(kind == DATA),
+            flags: Flags {
+                syn: kind == OPENING,
+                ..Flags::default()
+            },
+            mark: 0,
+        })
+    }
+
+    fn mark(&self, _: &mut [u8], _: u32) {}
+
+    fn reset(&self, flow: &FlowKey, _: u32, buffer: &mut Vec<u8>) {
+        *buffer = vec![RESET, flow.caller.port() as u8];
+    }
+
+    fn reports_failure(&self, _: &[u8]) -> Option<bool> {
+        None
+    }
+
+    fn request_id<'a>(&self, _: &'a [u8]) -> Option<&'a str> {
+        None
+    }
+}
+
+#[derive(Default)]
+struct Sent {
+    peers: Vec<(SocketAddrV4, Message)>,
+    resets: usize,
+}
+
+impl Outbox for Sent {
+    fn to_peer(&mut self, peer: SocketAddrV4, frame: &[u8]) {
+        let received = message::decode(peer, frame).unwrap();
+        self.peers.push((peer, received.message));
+    }
+
+    fn to_caller(&mut self, _: SocketAddrV4, datagram: &[u8]) {
+        self.resets += usize::from(datagram[0] == RESET);
+    }
+
+    fn to_server(&mut self, _: &[u8]) {}
+}
+
+fn agent(index: u8) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 0, 1, index), 7001)
+}
+
+fn view(agents: &[(u8, MemberState)]) -> View {
+    let mut members = BTreeMap::new();
+    for (index, state) in agents {
+        let record = Record {
+            address: agent(*index),
+            control: agent(*index),
+            incarnation: Incarnation(1),
+            domain: "a".into(),
+            role: Role::Agent,
+            service: ServiceKey::of("desk").tag(),
+            state: *state,
+            weight: 100,
+            version: 0,
+            revision: 0,
+        };
+        members.insert(record.address, record);
+    }
+    let base = View {
+        joined: true,
+        ..View::default()
+    };
+    base.next(members)
+}
+
+struct World {
+    balancer: Balancer<Bytes>,
+    sent: Sent,
+    now: Time,
+}
+
+impl World {
+    fn new(agents: u8) -> Self {
+        let options = BalancerOptions {
+            own: SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 1), 7001),
+            domain: "a".into(),
+            link: LINK,
+        };
+        let route = Route {
+            name: "r".into(),
+            idempotent: true,
+            priority: 1,
+            target_ms: 100,
+            targets: vec![Target {
+                service: ServiceKey::of("desk"),
+                weight: 1,
+            }],
+        };
+        let mut balancer = Balancer::new(Bytes, &options, 1);
+        balancer.take_routes(Arc::new(RouteTable {
+            version: 1,
+            idle_ms: 15_000,
+            routes: HashMap::from([(flow(0).address, route)]),
+        }));
+        let mut world = Self {
+            balancer,
+            sent: Sent::default(),
+            now: Time::from_millis(10_000),
+        };
+        let ready: Vec<_> = (1..=agents).map(|i| (i, MemberState::Ready)).collect();
+        world.view(&ready);
+        world.wait(1_000);
+        world
+    }
+
+    fn view(&mut self, agents: &[(u8, MemberState)]) {
+        let view = view(agents);
+        self.balancer.take_view(&view, self.now, &mut self.sent);
+    }
+
+    fn caller(&mut self, kind: u8, port: u8) {
+        self.balancer
+            .receive(&[kind, port], self.now, &mut self.sent);
+    }
+
+    fn agent(&mut self, from: SocketAddrV4, message: Message, datagram: &[u8]) {
+        let received = Received {
+            from,
+            message,
+            datagram,
+        };
+        self.balancer
+            .receive_from_agent(&received, self.now, &mut self.sent);
+    }
+
+    fn wait(&mut self, millis: u64) {
+        let end = self.now + std::time::Duration::from_millis(millis);
+        while self.now < end {
+            self.now = self.now + std::time::Duration::from_millis(1);
+            self.balancer.tick(self.now, &mut self.sent);
+        }
+    }
+
+    /// Returns the agents that openings went to since the last call.
+    fn opened(&mut self) -> Vec<SocketAddrV4> {
+        let sent = std::mem::take(&mut self.sent.peers);
+        let openings = sent
+            .into_iter()
+            .filter(|(_, message)| matches!(message, Message::Open { .. }));
+        openings.map(|(peer, _)| peer).collect()
+    }
+
+    fn refuse(&mut self, from: SocketAddrV4, refusal: Refusal, port: u8) {
+        let load = Load::default();
+        self.agent(from, Message::Refused { refusal, load }, &[OPENING, port]);
+    }
+
+    fn find_answers(&mut self, standing: Standing, agents: KnownAgents) {
+        let sent = std::mem::take(&mut self.sent.peers);
+        for (peer, message) in sent {
+            if let Message::Find { flow, .. } = message {
+                let found = Message::Found {
+                    flow,
+                    standing,
+                    agents,
+                };
+                self.agent(peer, found, &[]);
+            }
+        }
+    }
+}
+
+#[test]
+fn refused_opening_goes_to_another_agent_at_once() {
+    let mut world = World::new(3);
+    world.caller(OPENING, 1);
+    let first = world.opened();
+    world.refuse(first[0], Refusal::Draining, 1);
+    let second = world.opened();
+    assert_eq!((first.len(), second.len()), (1, 1));
+    assert_ne!(first, second);
+}
+
+#[test]
+fn silent_agent_is_passed_over_in_well_under_the_targets() {
+    let mut world = World::new(3);
+    world.caller(OPENING, 1);
+    let first = world.opened();
+    world.wait(31);
+    let second = world.opened();
+    assert_eq!(second.len(), 1);
+    assert_ne!(first, second);
+    // The next flow does not try the silent one again.
+    world.caller(OPENING, 2);
+    assert_ne!(world.opened(), first);
+}
+
+#[test]
+fn caller_is_told_at_once_when_all_agents_refuse() {
+    let mut world = World::new(2);
+    world.caller(OPENING, 1);
+    for _ in 0..2 {
+        let asked = world.opened();
+        assert_eq!(world.sent.resets, 0);
+        world.refuse(asked[0], Refusal::Draining, 1);
+    }
+    assert_eq!(world.sent.resets, 1);
+}
+
+#[test]
+fn opening_waits_while_a_new_balancer_knows_no_agent() {
+    let mut world = World::new(0);
+    world.caller(OPENING, 1);
+    assert_eq!((world.opened().len(), world.sent.resets), (0, 0));
+    world.view(&[(1, MemberState::Ready)]);
+    assert_eq!(world.opened(), [agent(1)]);
+}
+
+#[test]
+fn first_segment_names_the_server_that_the_caller_took() {
+    let mut world = World::new(3);
+    world.caller(OPENING, 1);
+    let first = world.opened()[0];
+    world.wait(31);
+    let second = world.opened()[0];
+    for (from, initial) in [(first, 5_000_000), (second, 100)] {
+        let load = Load::default();
+        let flow = flow(1);
+        world.agent(
+            from,
+            Message::Opened {
+                flow,
+                initial,
+                load,
+            },
+            &[],
+        );
+    }
+    // It acknowledges 101: the start of the second one.
+    world.caller(DATA, 1);
+    assert_eq!(world.sent.peers, [(second, Message::Carry)]);
+}
+
+#[test]
+fn unknown_flow_is_found_and_its_segments_follow() {
+    let mut world = World::new(3);
+    world.caller(DATA, 1);
+    world.caller(DATA, 1);
+    let flow = flow(1);
+    let found = Message::Found {
+        flow,
+        standing: Standing::Held,
+        agents: KnownAgents::default(),
+    };
+    world.sent.peers.clear();
+    world.agent(agent(2), found, &[]);
+    assert_eq!(world.sent.peers, [(agent(2), Message::Carry); 2]);
+}
+
+#[test]
+fn flow_that_nobody_holds_is_reset_only_if_nobody_knows_more_agents() {
+    let known = view(&[(1, MemberState::Ready), (2, MemberState::Ready)]).known_agents();
+    let more = KnownAgents {
+        count: 3,
+        digest: 7,
+    };
+    for (agents, resets) in [(known, 1), (more, 0)] {
+        let mut world = World::new(2);
+        world.caller(DATA, 1);
+        for _ in 0..3 {
+            world.find_answers(Standing::NotHeld, agents);
+            world.wait(10);
+        }
+        assert_eq!(world.sent.resets, resets, "{agents:?}");
+    }
+}
+
+#[test]
+fn silence_of_one_agent_is_no_proof_that_a_flow_is_lost() {
+    let mut world = World::new(3);
+    let known = world_agents(3);
+    world.caller(DATA, 1);
+    for _ in 0..30 {
+        let sent = std::mem::take(&mut world.sent.peers);
+        for (peer, message) in sent {
+            if let Message::Find { flow, .. } = message
+                && peer != agent(3)
+            {
+                let found = Message::Found {
+                    flow,
+                    standing: Standing::NotHeld,
+                    agents: known,
+                };
+                world.agent(peer, found, &[]);
+            }
+        }
+        world.wait(10);
+    }
+    assert_eq!(world.sent.resets, 0);
+}
+
+fn world_agents(count: u8) -> KnownAgents {
+    let ready: Vec<_> = (1..=count).map(|i| (i, MemberState::Ready)).collect();
+    view(&ready).known_agents()
+}
+
+#[test]
+fn flows_of_an_agent_that_left_are_reset() {
+    let mut world = World::new(2);
+    world.caller(OPENING, 1);
+    let owner = world.opened()[0];
+    let (flow, load) = (flow(1), Load::default());
+    let initial = 100;
+    world.agent(
+        owner,
+        Message::Opened {
+            flow,
+            initial,
+            load,
+        },
+        &[],
+    );
+    world.caller(DATA, 1);
+    let left = owner.ip().octets()[3];
+    world.view(&[(left, MemberState::Left), (3 - left, MemberState::Ready)]);
+    assert_eq!(world.sent.resets, 1);
+}
+
+#[test]
+fn opening_without_a_route_is_refused_and_an_unknown_flow_without_one_is_left_alone() {
+    let mut world = World::new(2);
+    world.balancer.take_routes(Arc::new(RouteTable {
+        version: 2,
+        ..RouteTable::default()
+    }));
+    world.caller(DATA, 1);
+    assert_eq!(world.sent.resets, 0);
+    world.caller(OPENING, 2);
+    assert_eq!(world.sent.resets, 1);
+}
