--- a/core/src/l4/balancer/search.rs
+++ b/core/src/l4/balancer/search.rs
@@ -315,7 +315,15 @@
             self.lose(flow, acknowledged, "not_held", now, out);
             return;
         }
-        tracing::info!(event = "flow_not_found", %flow, view = self.view_version);
+        tracing::info!(
+            event = "flow_not_found",
+            %flow,
+            agreed,
+            joined = self.joined,
+            quiet = now >= self.complete,
+            agents = self.agents.count,
+            view = self.view_version,
+        );
         self.count_search("not_found");
         self.flows.remove(flow);
     }
--- a/core/src/membership/budget.rs
+++ b/core/src/membership/budget.rs
@@ -8,6 +8,11 @@
 /// Bytes that may be sent at once after a quiet time.
 pub const BURST: u64 = 16_000;
 
+/// Bytes that a process may send at its start, once: it has to learn a fleet and to be learnt, and where
+/// a whole fleet starts together everybody passes on everybody's news. At less than one start a day it
+/// is a byte a second.
+pub const START: u64 = 64_000;
+
 /// How much a message matters; each level leaves a reserve for those above.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Level {
@@ -41,10 +46,10 @@
 }
 
 impl Budget {
-    /// Returns a full bucket.
+    /// Returns the bucket of a process that starts.
     pub fn new(now: Time) -> Self {
         Self {
-            micro_bytes: BURST * 1_000_000,
+            micro_bytes: START * 1_000_000,
             updated: now,
         }
     }
@@ -54,7 +59,9 @@
         let micros = now.since(self.updated).as_micros() as u64;
         let limit = BURST * 1_000_000;
         let accrued = micros.saturating_mul(RATE);
-        self.micro_bytes = self.micro_bytes.saturating_add(accrued).min(limit);
+        // What is left of the start is kept; nothing accrues beyond the burst.
+        let full = self.micro_bytes.max(limit);
+        self.micro_bytes = self.micro_bytes.saturating_add(accrued).min(full);
         self.updated = self.updated.max(now);
     }
 
--- a/core/src/membership/sync.rs
+++ b/core/src/membership/sync.rs
@@ -51,8 +51,6 @@
     shards: u16,
     pending: Vec<Pending>,
     welcomed: bool,
-    /// Whether a seed has been asked.
-    asked: bool,
 }
 
 impl Sync {
@@ -66,7 +64,6 @@
             shards: 1,
             pending: Vec::new(),
             welcomed: false,
-            asked: false,
         }
     }
 }
@@ -142,14 +139,9 @@
     fn next_seeds(&mut self) -> Vec<SocketAddrV4> {
         let others = self.other_seeds();
         let start = self.sync.next_seed;
-        // One at first, so that the seeds of a fleet that starts as a whole share the joins.
-        let count = match std::mem::replace(&mut self.sync.asked, true) {
-            true => JOIN_SEEDS.min(others.len()),
-            false => 1.min(others.len()),
-        };
-        self.sync.next_seed = start.wrapping_add(count);
+        self.sync.next_seed = start.wrapping_add(JOIN_SEEDS);
         let turn = others.iter().cycle().skip(start % others.len().max(1));
-        turn.take(count).copied().collect()
+        turn.take(JOIN_SEEDS.min(others.len())).copied().collect()
     }
 
     fn join(&mut self) {
