--- a/core/src/l4/balancer.rs
+++ b/core/src/l4/balancer.rs
@@ -22,7 +22,7 @@
 use self::{
     fleet::Fleet,
     opening::Opening,
-    search::{Search, SearchBudget},
+    search::{Search, budget::SearchBudget},
 };
 use super::{
     choice::Candidate,
