--- a/core/src/l4/balancer/fleet.rs
+++ b/core/src/l4/balancer/fleet.rs
@@ -51,6 +51,8 @@
     /// Balancers of this failure domain, which callers of the domain may have used before.
     near: Vec<SocketAddrV4>,
     homes: HashMap<ServiceTag, Homes>,
+    /// Agents of each service, in order.
+    services: HashMap<ServiceTag, Vec<SocketAddrV4>>,
 }
 
 impl Fleet {
@@ -130,9 +132,11 @@
             agents.push(record.address);
         }
         self.homes.clear();
-        for (service, agents) in services {
-            self.homes.insert(service, Homes::new(agents.into_iter()));
+        for (service, agents) in &services {
+            let homes = Homes::new(agents.iter().copied());
+            self.homes.insert(*service, homes);
         }
+        self.services = services;
     }
 
     /// Returns who probably knows the owner of a flow: the balancers of this failure domain and the
@@ -162,14 +166,20 @@
         candidates: &mut Vec<Candidate>,
     ) {
         candidates.clear();
+        let Some(agents) = self.services.get(&service) else {
+            return;
+        };
         for avoided in [false, true] {
-            for (address, peer) in &self.agents {
+            for address in agents {
+                let Some(peer) = self.agents.get(address) else {
+                    continue;
+                };
                 let takes = match peer.state {
                     MemberState::Ready => avoided == peer.is_avoided(now),
                     MemberState::Suspect => avoided,
                     _ => false,
                 };
-                if peer.service != service || !takes || excluded.contains(address) {
+                if !takes || excluded.contains(address) {
                     continue;
                 }
                 candidates.push(Candidate {
