--- a/core/src/control.rs
+++ b/core/src/control.rs
@@ -78,6 +78,8 @@
     Starting,
     /// The process takes datagrams.
     Ready,
+    /// The process can't pass datagrams on for the moment.
+    Paused,
     /// The process stops.
     Stopping,
 }
@@ -117,6 +119,16 @@
         }
     }
 
+    /// Asks the fabric to send datagrams elsewhere for the moment, or here again.
+    pub fn pause_serving(&self, paused: bool) {
+        let mut readiness = self.readiness.lock().expect("readiness lock");
+        *readiness = match (*readiness, paused) {
+            (Readiness::Ready, true) => Readiness::Paused,
+            (Readiness::Paused, false) => Readiness::Ready,
+            (other, _) => other,
+        };
+    }
+
     /// Asks the fabric to send no more datagrams here; there is no way back.
     pub fn stop_serving(&self) {
         *self.readiness.lock().expect("readiness lock") = Readiness::Stopping;
--- a/core/src/l4/balancer.rs
+++ b/core/src/l4/balancer.rs
@@ -4,6 +4,7 @@
 //! What it remembers is a shortcut. A flow that it does not know is looked for at the agents, which
 //! see every segment of their backend servers; so any balancer can take over any flow.
 
+mod contact;
 pub mod fleet;
 mod opening;
 mod search;
@@ -20,6 +21,7 @@
 use rustc_hash::FxBuildHasher;
 
 use self::{
+    contact::Contact,
     fleet::Fleet,
     opening::Opening,
     search::{Search, budget::SearchBudget},
@@ -124,6 +126,7 @@
     searches: Timers,
     budget: SearchBudget,
     counts: BalancerCounts,
+    contact: Contact,
     expire: Time,
     rng: SmallRng,
     buffer: Vec<u8>,
@@ -151,6 +154,7 @@
             searches: Timers::new(),
             budget: SearchBudget::new(options.link),
             counts: BalancerCounts::default(),
+            contact: Contact::default(),
             expire: Time::default(),
             rng: SmallRng::seed_from_u64(seed),
             buffer: Vec::new(),
@@ -260,6 +264,9 @@
     ) {
         let from = received.from;
         self.fleet.heard(from);
+        if self.fleet.get(from).is_some() {
+            self.contact.heard();
+        }
         match received.message {
             Message::Opened {
                 flow,
@@ -311,6 +318,7 @@
             self.starting = false;
             self.retry_openings(now, out);
         }
+        self.seek_contact(now, out);
         if now >= self.expire {
             self.expire = now + EXPIRE_INTERVAL;
             self.flows.retain(|_, entry| now < entry.expires());
--- a/core/src/l4/balancer/opening.rs
+++ b/core/src/l4/balancer/opening.rs
@@ -176,6 +176,7 @@
             view = self.view_version,
         );
         self.counts.placed.inc();
+        self.contact.asked(now);
         self.fleet.placed(candidate.address);
         self.openings.push(Reverse((due, *flow)));
         if let Some(message) = self.open_message(flow, forced) {
--- a/core/src/l4/daemon/balancer_loop.rs
+++ b/core/src/l4/daemon/balancer_loop.rs
@@ -39,6 +39,7 @@
         directory: kernel.find(Directory::NAME)?,
         routes,
         serving: false,
+        paused: false,
         sockets,
     };
     let metrics: Arc<Metrics> = kernel.find(Metrics::NAME)?;
@@ -54,6 +55,7 @@
     directory: Arc<Directory>,
     routes: watch::Receiver<Arc<RouteTable>>,
     serving: bool,
+    paused: bool,
     sockets: Sockets,
 }
 
@@ -78,6 +80,7 @@
                 self.balancer.tick(now, &mut &self.sockets);
             }
             self.serve_when_ready(now);
+            self.pause_while_cut_off(now);
         }
     }
 
@@ -115,6 +118,19 @@
         self.balancer.take_routes(routes);
     }
 
+    fn pause_while_cut_off(&mut self, now: Time) {
+        let cut_off = self.balancer.is_cut_off(now);
+        if self.paused == cut_off {
+            return;
+        }
+        self.paused = cut_off;
+        self.control.pause_serving(cut_off);
+        match cut_off {
+            true => tracing::warn!(event = "agents_lost"),
+            false => tracing::info!(event = "agents_regained"),
+        }
+    }
+
     fn serve_when_ready(&mut self, now: Time) {
         if self.serving || !self.balancer.is_settled(now) {
             return;
--- a/core/tests/l4_balancer.rs
+++ b/core/tests/l4_balancer.rs
@@ -383,3 +383,26 @@
     world.caller(OPENING, 2);
     assert_eq!(world.sent.resets, 1);
 }
+
+#[test]
+fn balancer_that_no_agent_answers_is_cut_off_until_one_does() {
+    let mut world = World::new(3);
+    world.caller(OPENING, 1);
+    world.wait(500);
+    assert!(!world.balancer.is_cut_off(world.now));
+    world.wait(200);
+    assert!(world.balancer.is_cut_off(world.now));
+    world.sent.peers.clear();
+    world.wait(300);
+    let asked = |(_, message): &&(_, Message)| matches!(message, Message::Find { .. });
+    assert!(world.sent.peers.iter().filter(asked).count() >= 3);
+    world.agent(agent(2), Message::Carries(Load::default()), &[]);
+    assert!(!world.balancer.is_cut_off(world.now));
+}
+
+#[test]
+fn quiet_balancer_is_not_cut_off() {
+    let mut world = World::new(3);
+    world.wait(10_000);
+    assert!(!world.balancer.is_cut_off(world.now));
+}
