--- a/core/src/l4/balancer/contact.rs
+++ b/core/src/l4/balancer/contact.rs
@@ -69,14 +69,13 @@
             return;
         }
         self.contact.question = now + QUESTION_INTERVAL;
-        let mut agents: Vec<SocketAddrV4> = self.fleet.holders(now).collect();
-        let start = self.salt() as usize % agents.len().max(1);
-        agents.rotate_left(start);
+        let salt = self.salt();
+        let agents: Vec<SocketAddrV4> = self.fleet.some(ASKED_AGENTS, salt).collect();
         let find = Message::Find {
             flow: NO_FLOW,
             acknowledged: 0,
         };
-        for agent in agents.into_iter().take(ASKED_AGENTS) {
+        for agent in agents {
             self.send(agent, &find, &[], out);
         }
     }
--- a/core/src/l4/balancer/fleet.rs
+++ b/core/src/l4/balancer/fleet.rs
@@ -16,6 +16,9 @@
 /// Time for which an agent that did not answer gets new flows only where no other can take them.
 const AVOID_SILENT: Duration = Duration::from_secs(1);
 
+/// Agents up to which all of them are asked for a flow; more would take too many messages.
+const SMALL_FLEET: usize = 128;
+
 /// Silence from which an agent counts as gone: longer than a planned restart beside a server that
 /// goes on.
 const SILENT_END: Duration = Duration::from_millis(3500);
@@ -99,16 +102,32 @@
         self.agents.get(&address)
     }
 
-    /// Returns the agents that may hold flows: not those that are gone, or have been silent for so
-    /// long that the membership has not caught up with their end.
-    pub fn holders(&self, now: Time) -> impl Iterator<Item = SocketAddrV4> {
-        let live = self.agents.iter().filter(move |(_, peer)| {
-            let silent = peer
-                .unanswered
-                .is_some_and(|since| now.since(since) >= SILENT_END);
+    /// Returns the agents that may hold flows of a service: not those that are gone, or have been
+    /// silent for so long that the membership has not caught up with their end.
+    ///
+    /// In a small fleet these are the agents of all services, since an earlier config may have sent
+    /// the flow to another one.
+    pub fn holders(&self, service: ServiceTag, now: Time) -> Vec<SocketAddrV4> {
+        let may_hold = |peer: &Peer| {
+            let unanswered = peer.unanswered;
+            let silent = unanswered.is_some_and(|since| now.since(since) >= SILENT_END);
             !silent && !is_gone(peer.state)
-        });
-        live.map(|(address, _)| *address)
+        };
+        if self.agents.len() <= SMALL_FLEET {
+            let live = self.agents.iter().filter(|(_, peer)| may_hold(peer));
+            return live.map(|(address, _)| *address).collect();
+        }
+        let mut holders = self.services.get(&service).cloned().unwrap_or_default();
+        holders.retain(|address| self.agents.get(address).is_some_and(may_hold));
+        holders
+    }
+
+    /// Returns some agents of any service, from a random place on.
+    pub fn some(&self, count: usize, salt: u64) -> impl Iterator<Item = SocketAddrV4> {
+        let start = salt as usize % self.agents.len().max(1);
+        let agents = self.agents.iter().cycle().skip(start);
+        let agents = agents.take(count.min(self.agents.len()));
+        agents.map(|(address, _)| *address)
     }
 
     /// Notes a sign of life of an agent.
--- a/core/src/l4/balancer/search.rs
+++ b/core/src/l4/balancer/search.rs
@@ -133,10 +133,11 @@
 
     /// Asks all that have not been asked.
     fn widen(&mut self, flow: &FlowKey, now: Time, out: &mut impl Outbox) {
+        let service = self.service_of(flow).unwrap_or_default();
         let Some(Entry::Searching(search)) = self.flows.get_mut(flow) else {
             return;
         };
-        let mut others: Vec<SocketAddrV4> = self.fleet.holders(now).collect();
+        let mut others = self.fleet.holders(service.tag(), now);
         let known = &search.asked;
         others.retain(|peer| known.iter().all(|(asked, _)| asked != peer));
         if !self.budget.take(others.len() as u64 * QUESTION_BYTES, now) {
