--- a/src/trial/segments/server.rs
+++ b/src/trial/segments/server.rs
@@ -161,53 +161,43 @@
 
     fn answer(&mut self, flow: &FlowKey, data: &[u8]) -> Option<Vec<u8>> {
         let open = self.flows.get_mut(flow)?;
-        let segment = Segment {
-            source: flow.address,
-            destination: flow.caller,
-            sequence: open.next,
-            acknowledged: open.received,
-            length: data.len() as u16,
-            flags: Flags {
-                ack: true,
-                ..Flags::default()
-            },
-            mark: 0,
+        let flags = Flags {
+            ack: true,
+            ..Flags::default()
         };
+        let answer = write(flow, open, open.next, flags, data);
         open.next = open.next.wrapping_add(data.len() as u32);
-        Some(codec::write(&segment, data))
+        Some(answer)
     }
 }
 
 fn accept(flow: &FlowKey, open: &Open) -> Vec<u8> {
-    let segment = Segment {
-        source: flow.address,
-        destination: flow.caller,
-        sequence: open.initial,
-        acknowledged: open.received,
-        length: 0,
-        flags: Flags {
-            ack: true,
-            syn: true,
-            ..Flags::default()
-        },
-        mark: 0,
+    let flags = Flags {
+        ack: true,
+        syn: true,
+        ..Flags::default()
     };
-    codec::write(&segment, &[])
+    write(flow, open, open.initial, flags, &[])
 }
 
 fn finish(flow: &FlowKey, open: &Open) -> Vec<u8> {
+    let flags = Flags {
+        ack: true,
+        fin: true,
+        ..Flags::default()
+    };
+    write(flow, open, open.next, flags, &[])
+}
+
+fn write(flow: &FlowKey, open: &Open, sequence: u32, flags: Flags, data: &[u8]) -> Vec<u8> {
     let segment = Segment {
         source: flow.address,
         destination: flow.caller,
-        sequence: open.next,
+        sequence,
         acknowledged: open.received,
-        length: 0,
-        flags: Flags {
-            ack: true,
-            fin: true,
-            ..Flags::default()
-        },
+        length: data.len() as u16,
+        flags,
         mark: 0,
     };
-    codec::write(&segment, &[])
+    codec::write(&segment, data)
 }
