Read once more: split the model's world, share the tests' codec, drop what nothing calls

A flow's service is read from the routes at each try instead of being kept beside them, so that an opening that outlives a config names one service throughout; a search counts its end in one place; unused accessors go. The tests keep their assertions.

--- a/core/src/l4/agent.rs
+++ b/core/src/l4/agent.rs
@@ -141,21 +141,11 @@
         self.server.state(now)
     }
 
-    /// Returns whether the backend server has left.
-    pub fn server_has_left(&self) -> bool {
-        self.server.has_left()
-    }
-
     /// Returns what the agent counts.
     pub fn counts(&self) -> &AgentCounts {
         &self.counts
     }
 
-    /// Returns what the backend server carries.
-    pub fn workload(&self) -> &Workload {
-        &self.workload
-    }
-
     /// Takes the members of the fleet.
     pub fn take_view(&mut self, view: &View) {
         let agents = view.known_agents();
@@ -420,20 +410,25 @@
     /// Notes whether the backend server failed a request.
     fn judge(&mut self, failed: bool, now: Time) {
         if failed {
-            self.counts.failures.inc();
-        }
-        if !failed {
+            self.count_failure(now);
+        } else {
             self.outlier.succeeded(now);
-        } else if let Some(time) = self.outlier.failed(now) {
-            tracing::warn!(
-                event = "server_failing",
-                server = self.server.id().unwrap_or("-"),
-                avoided_ms = time.as_millis() as u64,
-            );
         }
         self.workload.set_failing(self.outlier.is_ejected(now));
     }
 
+    fn count_failure(&mut self, now: Time) {
+        self.counts.failures.inc();
+        let Some(time) = self.outlier.failed(now) else {
+            return;
+        };
+        tracing::warn!(
+            event = "server_failing",
+            server = self.server.id().unwrap_or("-"),
+            avoided_ms = time.as_millis() as u64,
+        );
+    }
+
     fn log_request(&self, segment: &Segment, datagram: &[u8]) {
         self.counts.requests.inc();
         tracing::info!(
--- a/core/src/l4/agent/flows.rs
+++ b/core/src/l4/agent/flows.rs
@@ -114,16 +114,6 @@
         self.held.get(flow)
     }
 
-    /// Returns the number of flows, ended ones included.
-    pub fn len(&self) -> usize {
-        self.held.len()
-    }
-
-    /// Returns whether there is no flow.
-    pub fn is_empty(&self) -> bool {
-        self.held.is_empty()
-    }
-
     /// Notes that an opening segment goes to the backend server.
     pub fn offer(&mut self, flow: FlowKey, balancer: SocketAddrV4, load: &mut Workload, now: Time) {
         let known = self.held.get_mut(&flow);
--- a/core/src/l4/balancer.rs
+++ b/core/src/l4/balancer.rs
@@ -179,11 +179,6 @@
         &self.counts
     }
 
-    /// Returns the number of flows that are remembered.
-    pub fn flows(&self) -> usize {
-        self.flows.len()
-    }
-
     /// Takes newer routes.
     pub fn take_routes(&mut self, routes: Arc<RouteTable>) {
         if routes.version > self.routes.version {
--- a/core/src/l4/balancer/opening.rs
+++ b/core/src/l4/balancer/opening.rs
@@ -30,7 +30,6 @@
 /// A flow that is being placed.
 #[derive(Clone, Debug)]
 pub(super) struct Opening {
-    service: ServiceKey,
     datagram: Box<[u8]>,
     /// Agents that do not take it or do not answer.
     excluded: Vec<SocketAddrV4>,
@@ -111,12 +110,11 @@
     }
 
     fn start_opening(&mut self, flow: &FlowKey, datagram: &[u8], now: Time, out: &mut impl Outbox) {
-        let Some(service) = self.service_of(flow) else {
+        if self.service_of(flow).is_none() {
             self.lose(flow, 0, "no_target", now, out);
             return;
-        };
+        }
         let opening = Opening {
-            service,
             datagram: datagram.into(),
             excluded: Vec::new(),
             busy: Vec::new(),
@@ -135,13 +133,18 @@
     /// Sends the opening segment to the best agent that has not refused it.
     fn try_next(&mut self, flow: &FlowKey, now: Time, out: &mut impl Outbox) {
         let salt = self.salt();
+        let service = self.service_of(flow).unwrap_or_default();
         let Some(Entry::Opening(opening)) = self.flows.get_mut(flow) else {
             return;
         };
-        let chosen = match opening.tries < MAX_TRIES {
-            true => choose(opening, &self.fleet, &mut self.candidates, salt, now),
-            false => None,
-        };
+        if opening.tries < MAX_TRIES {
+            let excluded = &opening.excluded;
+            self.fleet
+                .candidates(service.tag(), excluded, now, &mut self.candidates);
+        } else {
+            self.candidates.clear();
+        }
+        let chosen = choose(opening, &mut self.candidates, salt);
         // A balancer that has just started knows few agents; it forces none, and tries again when it
         // knows more.
         let chosen = chosen.filter(|(_, forced)| !(*forced && self.starting));
@@ -317,28 +320,18 @@
 /// Returns the agent to try next, and whether it has to take the flow.
 fn choose(
     opening: &Opening,
-    fleet: &super::Fleet,
     candidates: &mut Vec<Candidate>,
     salt: u64,
-    now: Time,
 ) -> Option<(Candidate, bool)> {
-    let service = opening.service.tag();
-    fleet.candidates(service, &opening.excluded, now, candidates);
-    let sound = candidates
-        .iter()
-        .any(|c| !opening.failing.contains(&c.address));
+    let fails = |candidate: &Candidate| opening.failing.contains(&candidate.address);
+    let sound = candidates.iter().any(|candidate| !fails(candidate));
     if sound {
-        candidates.retain(|c| !opening.failing.contains(&c.address));
+        candidates.retain(|candidate| !fails(candidate));
     }
     let typical = Typical::of(candidates);
     if sound && opening.busy.len() < BUSY_TRIES {
-        let all = candidates.len();
-        let mut free: Vec<Candidate> = Vec::with_capacity(all);
-        free.extend(
-            candidates
-                .iter()
-                .filter(|c| !opening.busy.contains(&c.address)),
-        );
+        let is_free = |candidate: &&Candidate| !opening.busy.contains(&candidate.address);
+        let free: Vec<Candidate> = candidates.iter().filter(is_free).copied().collect();
         if let Some(best) = choice::best(&free, &typical, salt) {
             return Some((best, false));
         }
--- a/core/src/l4/balancer/search.rs
+++ b/core/src/l4/balancer/search.rs
@@ -142,7 +142,7 @@
         others.retain(|peer| known.iter().all(|(asked, _)| asked != peer));
         if !self.budget.take(others.len() as u64 * QUESTION_BYTES, now) {
             tracing::info!(event = "flow_search_postponed", %flow, asked = others.len());
-            self.count_search("postponed");
+            self.counts.count_search("postponed");
             self.flows.remove(flow);
             return;
         }
@@ -161,10 +161,6 @@
         self.conclude(flow, now, out);
     }
 
-    fn count_search(&self, end: &'static str) {
-        self.counts.searched.get_or_create(&[("end", end)]).inc();
-    }
-
     fn ask(
         &mut self,
         flow: &FlowKey,
@@ -251,7 +247,7 @@
             return;
         };
         tracing::info!(event = "flow_found", %flow, %agent, rounds = search.rounds);
-        self.count_search("found");
+        self.counts.count_search("found");
         self.own(flow, agent, search.acknowledged, now);
         // A test has brought the first segment to the agent.
         let delivered = usize::from(search.testing);
@@ -321,7 +317,7 @@
             agents = self.agents.count,
             view = self.view_version,
         );
-        self.count_search("not_found");
+        self.counts.count_search("not_found");
         self.flows.remove(flow);
     }
 
@@ -345,9 +341,7 @@
             let silent = search.asked.iter().filter(|(_, said)| said.is_none());
             let silent: Vec<SocketAddrV4> = silent.map(|(peer, _)| *peer).collect();
             tracing::info!(event = "flow_search_ended", %flow, silent = ?silent);
-            let ended = self.counts.searched.get_or_create(&[("end", "silence")]);
-            ended.inc();
-            drop(ended);
+            self.counts.count_search("silence");
             for peer in &silent {
                 self.fleet.unanswered(*peer, now);
             }
--- a/core/src/l4/counts.rs
+++ b/core/src/l4/counts.rs
@@ -29,6 +29,11 @@
 }
 
 impl BalancerCounts {
+    /// Counts a search by how it ended.
+    pub fn count_search(&self, end: &'static str) {
+        self.searched.get_or_create(&[("end", end)]).inc();
+    }
+
     /// Shows the counts.
     pub fn register(&self, metrics: &Metrics) {
         let help = "Opening segments sent to agents";
--- a/core/src/l4/homes.rs
+++ b/core/src/l4/homes.rs
@@ -68,14 +68,4 @@
     pub fn expire(&mut self, now: Time) {
         self.owners.retain(|_, (_, expires)| now < *expires);
     }
-
-    /// Returns the number of flows.
-    pub fn len(&self) -> usize {
-        self.owners.len()
-    }
-
-    /// Returns whether nothing is remembered.
-    pub fn is_empty(&self) -> bool {
-        self.owners.is_empty()
-    }
 }
--- a/core/src/l4/workload.rs
+++ b/core/src/l4/workload.rs
@@ -46,13 +46,6 @@
     queued: bool,
 }
 
-impl Running {
-    /// Returns when the request reached the backend server.
-    pub fn started(&self) -> Time {
-        self.started
-    }
-}
-
 impl Workload {
     /// Takes the number of slots that the backend server reports.
     pub fn set_slots(&mut self, slots: u16) {
--- a/core/tests/l4_agent.rs
+++ b/core/tests/l4/agent.rs
@@ -12,72 +12,15 @@
         message::{self, Message, Received, Refusal, Standing},
         outbox::Outbox,
         routes::ServiceKey,
-        segment::{Codec, Flags, FlowKey, Segment},
         server::{ServerReport, ServerState},
     },
 };
 
+use crate::codec::{self, ACCEPT, ANSWER, BOUNCED, Bytes, DATA, FINISH, OPENING, RESET, flow};
+
 const SLOTS: u16 = 2;
 const SERVER: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(10, 0, 1, 1), 8080);
-const BALANCER: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 1), 7001);
-
-/// A codec whose datagrams are kind, port of the caller, and acknowledgement in tens.
-#[derive(Clone, Debug)]
-struct Bytes;
-
-const OPENING: u8 = b'S';
-const DATA: u8 = b'D';
-const FINISH: u8 = b'F';
-const ACCEPT: u8 = b'A';
-const ANSWER: u8 = b'W';
-const BOUNCED: u8 = b'B';
-const RESET: u8 = b'R';
-
-fn flow(port: u8) -> FlowKey {
-    FlowKey {
-        caller: SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, 1), port.into()),
-        address: SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443),
-    }
-}
-
-impl Codec for Bytes {
-    fn read(&self, datagram: &[u8]) -> Option<Segment> {
-        let [kind, port, tens] = *datagram else {
-            return None;
-        };
-        let from_server = matches!(kind, ACCEPT | ANSWER);
-        let (caller, address) = (flow(port).caller, flow(port).address);
-        Some(Segment {
-            source: if from_server { address } else { caller },
-            destination: if from_server { caller } else { address },
-            sequence: u32::from(tens) * 10,
-            acknowledged: u32::from(tens) * 10,
-            length: u16::from(matches!(kind, DATA | ANSWER | BOUNCED)),
-            flags: Flags {
-                ack: kind == ACCEPT,
-                bounced: kind == BOUNCED,
-                fin: kind == FINISH,
-                syn: matches!(kind, OPENING | ACCEPT),
-                ..Flags::default()
-            },
-            mark: u32::from(*BALANCER.ip()),
-        })
-    }
-
-    fn mark(&self, _: &mut [u8], _: u32) {}
-
-    fn reset(&self, flow: &FlowKey, _: u32, buffer: &mut Vec<u8>) {
-        *buffer = vec![RESET, flow.caller.port() as u8, 0];
-    }
-
-    fn reports_failure(&self, _: &[u8]) -> Option<bool> {
-        Some(false)
-    }
-
-    fn request_id<'a>(&self, _: &'a [u8]) -> Option<&'a str> {
-        None
-    }
-}
+const BALANCER: SocketAddrV4 = SocketAddrV4::new(codec::BALANCER, 7001);
 
 #[derive(Default)]
 struct Sent {
--- a/core/tests/l4_balancer.rs
+++ b/core/tests/l4/balancer.rs
@@ -13,63 +13,18 @@
         message::{self, Message, Received, Refusal, Standing},
         outbox::Outbox,
         routes::{Route, RouteTable, ServiceKey, Target},
-        segment::{Codec, Flags, FlowKey, Segment},
         workload::Load,
     },
     member::{KnownAgents, MemberState, Record, Role, View},
     owner_id::Incarnation,
 };
 
-const LINK: u64 = 1_250_000;
-
-/// A codec whose datagrams are one byte of kind and one of the caller's port.
-#[derive(Clone, Debug)]
-struct Bytes;
-
-const OPENING: u8 = b'S';
-const DATA: u8 = b'D';
-const RESET: u8 = b'R';
-
-fn flow(port: u8) -> FlowKey {
-    FlowKey {
-        caller: SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, 1), port.into()),
-        address: SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443),
-    }
-}
-
-impl Codec for Bytes {
-    fn read(&self, datagram: &[u8]) -> Option<Segment> {
-        let [kind, port] = *datagram else {
-            return None;
-        };
-        Some(Segment {
-            source: flow(port).caller,
-            destination: flow(port).address,
-            sequence: 1,
-            acknowledged: 101,
-            length: u16::from(kind == DATA),
-            flags: Flags {
-                syn: kind == OPENING,
-                ..Flags::default()
-            },
-            mark: 0,
-        })
-    }
+use crate::codec::{Bytes, DATA, OPENING, RESET, flow};
 
-    fn mark(&self, _: &mut [u8], _: u32) {}
+/// What callers acknowledge, in tens.
+const TENS: u8 = 10;
 
-    fn reset(&self, flow: &FlowKey, _: u32, buffer: &mut Vec<u8>) {
-        *buffer = vec![RESET, flow.caller.port() as u8];
-    }
-
-    fn reports_failure(&self, _: &[u8]) -> Option<bool> {
-        None
-    }
-
-    fn request_id<'a>(&self, _: &'a [u8]) -> Option<&'a str> {
-        None
-    }
-}
+const LINK: u64 = 1_250_000;
 
 #[derive(Default)]
 struct Sent {
@@ -165,7 +120,7 @@
 
     fn caller(&mut self, kind: u8, port: u8) {
         self.balancer
-            .receive(&[kind, port], self.now, &mut self.sent);
+            .receive(&[kind, port, TENS], self.now, &mut self.sent);
     }
 
     fn agent(&mut self, from: SocketAddrV4, message: Message, datagram: &[u8]) {
@@ -197,7 +152,11 @@
 
     fn refuse(&mut self, from: SocketAddrV4, refusal: Refusal, port: u8) {
         let load = Load::default();
-        self.agent(from, Message::Refused { refusal, load }, &[OPENING, port]);
+        self.agent(
+            from,
+            Message::Refused { refusal, load },
+            &[OPENING, port, TENS],
+        );
     }
 
     fn find_answers(&mut self, standing: Standing, agents: KnownAgents) {
@@ -281,7 +240,7 @@
             &[],
         );
     }
-    // It acknowledges 101: the start of the second one.
+    // It acknowledges 100: the start of the second one.
     world.caller(DATA, 1);
     assert_eq!(world.sent.peers, [(second, Message::Carry)]);
 }
--- a/src/trial/segments/world.rs
+++ b/src/trial/segments/world.rs
@@ -1,5 +1,9 @@
 //! The events of the model and what is checked at each.
 
+mod checks;
+mod disturbances;
+mod members;
+
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BinaryHeap, HashMap},
@@ -17,10 +21,8 @@
         outbox::Outbox,
         routes::{Route, RouteTable, ServiceKey, Target},
         segment::{Codec, FlowKey},
-        server::{ServerReport, ServerState},
     },
-    member::{MemberState, Record, Role, View},
-    owner_id::Incarnation,
+    member::{MemberState, Record, View},
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
@@ -510,31 +512,6 @@
         self.react(index, reaction);
     }
 
-    /// Counts segments of an open flow that reach other servers and not its own.
-    fn check_stray(&mut self, index: usize, flow: &FlowKey) {
-        let Some(truth) = self.truths.get_mut(flow) else {
-            return;
-        };
-        let owner = truth.server;
-        let lives = self.servers[owner].life == truth.life && self.servers[owner].holds(flow);
-        if owner == index || !lives {
-            truth.stray = 0;
-            return;
-        }
-        truth.stray += 1;
-        let stray = truth.stray;
-        if stray >= STRAY_SEGMENTS && self.is_calm(Place::Agent(owner)) {
-            self.broke(&format!(
-                "the segments of {flow} reach server {index} and not {owner}"
-            ));
-        }
-    }
-
-    fn is_calm(&self, place: Place) -> bool {
-        let standing = self.standing[&place];
-        standing.up && self.now.since(standing.disturbed) >= CALM_TIME
-    }
-
     fn react(&mut self, index: usize, reaction: Reaction) {
         let life = self.servers[index].life;
         for datagram in reaction.sent {
@@ -577,21 +554,6 @@
         }
     }
 
-    /// A reset must not reach an open flow whose server lives and was not disturbed.
-    fn check_reset(&mut self, index: usize, flow: &FlowKey) {
-        let current = self.callers[index].flow == Some(*flow);
-        let Some(truth) = self.truths.get(flow).filter(|_| current) else {
-            return;
-        };
-        let server = &self.servers[truth.server];
-        if server.life == truth.life && server.holds(flow) {
-            let owner = truth.server;
-            self.broke(&format!(
-                "the open flow {flow} was reset while its server {owner} lives"
-            ));
-        }
-    }
-
     fn answered(&mut self, index: usize, took: Duration) {
         self.figures.answered += 1;
         self.figures.answers_ms.push(took.as_millis() as u64);
@@ -664,225 +626,4 @@
         let delay = Duration::from_micros(self.rng.random_range(1000..1500));
         self.after(delay, Event::FromCaller(chosen, datagram));
     }
-
-    fn report(&mut self, index: usize, life: u64) {
-        let server = &mut self.servers[index];
-        if !server.alive || server.life != life {
-            return;
-        }
-        server.sequence += 1;
-        let report = ServerReport {
-            id: format!("server-{index}-{life}"),
-            service: service(index),
-            address: SocketAddrV4::new(*address(Place::Agent(index)).ip(), SERVER_PORT),
-            born_ms: life,
-            sequence: server.sequence,
-            state: match server.draining {
-                true => ServerState::Draining,
-                false => ServerState::Ready,
-            },
-            slots: server.slots as u16,
-        };
-        self.after(REPORT_INTERVAL, Event::Report(index, life));
-        let standing = self.standing[&Place::Agent(index)];
-        if !standing.up || self.now < standing.frozen {
-            return;
-        }
-        let mut sent = Sent::default();
-        let taken = self.agents[index].report(&report, self.now, &mut sent);
-        if taken.is_err() {
-            self.broke("a report of a live server was refused");
-        }
-        self.send(Place::Agent(index), sent);
-        let state = match report.state {
-            ServerState::Ready => MemberState::Ready,
-            ServerState::Draining => MemberState::Draining,
-        };
-        let known = self.members.get(&address(Place::Agent(index)));
-        if known.is_none_or(|record| record.state != state) {
-            self.member(Place::Agent(index), state);
-            self.tell_all(Duration::from_millis(MAX_NEWS_MS));
-        }
-    }
-
-    fn member(&mut self, place: Place, state: MemberState) {
-        let (role, tag, index) = match place {
-            Place::Balancer(index) => (Role::Balancer, ServiceKey::default().tag(), index),
-            Place::Agent(index) => (Role::Agent, service(index).tag(), index),
-        };
-        let record = Record {
-            address: address(place),
-            control: address(place),
-            incarnation: Incarnation(1),
-            domain: domain(index),
-            role,
-            service: tag,
-            state,
-            weight: 100,
-            version: 0,
-            revision: 1,
-        };
-        self.members.insert(address(place), record);
-        self.view = self.view.next(self.members.clone());
-    }
-
-    /// Lets each process learn the members after a time of its own.
-    fn tell_all(&mut self, longest: Duration) {
-        let places: Vec<Place> = self.standing.keys().copied().collect();
-        for place in places {
-            let delay = longest.mul_f64(self.rng.random());
-            let view = Box::new(self.view.clone());
-            self.after(delay, Event::News(place, view));
-        }
-    }
-
-    fn news(&mut self, place: Place, view: &View) {
-        if self.deferred(place, || Event::News(place, Box::new(view.clone()))) {
-            return;
-        }
-        // News of the same members can't overtake each other: later lives and versions win.
-        let last = self.news.insert(place, view.version);
-        if let Some(last) = last.filter(|last| *last > view.version) {
-            self.news.insert(place, last);
-            return;
-        }
-        let mut sent = Sent::default();
-        match place {
-            Place::Balancer(index) => self.balancers[index].take_view(view, self.now, &mut sent),
-            Place::Agent(index) => self.agents[index].take_view(view),
-        }
-        self.send(place, sent);
-    }
-
-    fn strike(&mut self, fault: Fault) {
-        match fault {
-            Fault::StopBalancer(n) => self.stop_balancer(n % BALANCERS),
-            Fault::KillBalancer(n) => self.kill(Place::Balancer(n % BALANCERS), 900),
-            Fault::RestartAgent(n) => self.kill(Place::Agent(n % SERVERS), 400),
-            Fault::DrainServer(n) => self.drain_server(n % SERVERS),
-            Fault::CrashServer(n) => self.crash_server(n % SERVERS, 1_500),
-            Fault::PowerServer(n) => {
-                self.crash_server(n % SERVERS, 3_500);
-                self.kill(Place::Agent(n % SERVERS), 3_500);
-            }
-            Fault::Freeze(n) => {
-                let frozen = self.now + Duration::from_millis(2_000);
-                let place = Place::Agent(n % SERVERS);
-                if let Some(standing) = self.standing.get_mut(&place) {
-                    standing.frozen = frozen;
-                    standing.disturbed = frozen;
-                }
-            }
-            Fault::KillAll => self.kill_all(),
-            Fault::PowerAll => {
-                self.kill_all();
-                for index in 0..SERVERS {
-                    self.crash_server(index, 800);
-                }
-            }
-            Fault::Fail(n) => self.servers[n % (SERVERS - 3)].failing = 50,
-        }
-    }
-
-    fn kill_all(&mut self) {
-        let places: Vec<Place> = self.standing.keys().copied().collect();
-        for place in places {
-            let down = self.rng.random_range(700..1_000);
-            self.kill(place, down);
-        }
-    }
-
-    fn kill(&mut self, place: Place, down_ms: u64) {
-        let now = self.now;
-        let Some(standing) = self.standing.get_mut(&place).filter(|s| s.up) else {
-            return;
-        };
-        let back = now + Duration::from_millis(down_ms);
-        standing.up = false;
-        standing.life += 1;
-        standing.disturbed = back;
-        let life = standing.life;
-        self.at(back, Event::Back(place));
-        self.after(GIVE_UP, Event::Gone(place, life));
-        if let Place::Balancer(index) = place {
-            self.after(ROUTER_TIME, Event::OutOfRotation(index, life));
-        }
-    }
-
-    fn stop_balancer(&mut self, index: usize) {
-        let place = Place::Balancer(index);
-        let standing = self.standing[&place];
-        let others = (0..BALANCERS).filter(|b| *b != index && b % DOMAINS == index % DOMAINS);
-        let covered = others
-            .clone()
-            .any(|b| self.rotation[b] && self.standing[&Place::Balancer(b)].up);
-        if !standing.up || !covered {
-            return;
-        }
-        self.after(ROUTER_TIME, Event::OutOfRotation(index, standing.life));
-        // It goes on until the router has noticed, and then some.
-        self.member(place, MemberState::Left);
-        self.tell_all(Duration::from_millis(MAX_NEWS_MS));
-        let down = ROUTER_TIME * 2;
-        self.after(down, Event::Fault(Fault::KillBalancer(index)));
-    }
-
-    fn back(&mut self, place: Place) {
-        let now = self.now;
-        self.news.remove(&place);
-        if let Some(standing) = self.standing.get_mut(&place) {
-            standing.up = true;
-            standing.frozen = now;
-        }
-        match place {
-            Place::Balancer(index) => {
-                self.balancers[index] = self.balancer(index);
-                self.rotation[index] = true;
-                self.member(place, MemberState::Ready);
-            }
-            Place::Agent(index) => {
-                self.agents[index] = agent(index, now);
-                self.member(place, MemberState::Draining);
-            }
-        }
-        self.after(Duration::ZERO, Event::Tick(place));
-        self.tell_all(Duration::from_millis(MAX_NEWS_MS));
-        let view = Box::new(self.view.clone());
-        self.after(Duration::from_millis(50), Event::News(place, view));
-    }
-
-    fn crash_server(&mut self, index: usize, down_ms: u64) {
-        if !self.servers[index].alive {
-            return;
-        }
-        self.servers[index].crash();
-        self.after(Duration::from_millis(down_ms), Event::ServerBack(index));
-    }
-
-    fn drain_server(&mut self, index: usize) {
-        let ready = |server: &&Server| server.alive && !server.draining;
-        let first = if index < SERVERS - 3 { 0 } else { SERVERS - 3 };
-        let last = if index < SERVERS - 3 {
-            SERVERS - 3
-        } else {
-            SERVERS
-        };
-        let enough = self.servers[first..last].iter().filter(ready).count() > 1;
-        let server = &mut self.servers[index];
-        if !server.alive || server.draining || !enough {
-            return;
-        }
-        server.draining = true;
-    }
-
-    fn server_back(&mut self, index: usize) {
-        self.servers[index].alive = true;
-        let life = self.servers[index].life;
-        self.after(Duration::from_millis(20), Event::Report(index, life));
-    }
-
-    fn broke(&mut self, what: &str) {
-        let line = format!("{} ms: {what}", self.now.as_millis());
-        self.figures.broken.push(line);
-    }
 }
