Receive an answer that comes before the request was read

Cause: an agent that refuses a request (unknown path, body too long) answers without reading on and drops the stream, which sends STOP_SENDING. If that arrives before the caller has ended its side, the caller's finish() fails; the caller took this for a lost try, sent the request again and, having lost a try, told the second refusal as unknown. Ruled out: a key in the request (a GET carries none; agent::http::not_found was the suspect so far). Change: the caller receives the answer whatever becomes of its body; the same for feeds. The agent stops a request with H3_NO_ERROR instead of the library's 0.

--- a/src/agent/http.rs
+++ b/src/agent/http.rs
@@ -281,7 +281,10 @@
             .send_response(head.body(()).expect("valid head"))
             .await?;
         stream.send_data(answer.body).await?;
-        stream.finish().await
+        stream.finish().await?;
+        // What is left of the request is not needed (RFC 9114, section 4.1).
+        stream.stop_sending(Code::H3_NO_ERROR);
+        Ok(())
     }
 }
 
--- a/src/caller/call.rs
+++ b/src/caller/call.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::{Buf, Bytes};
+use h3::error::StreamError;
 use http::{HeaderMap, Method, Response, header::RETRY_AFTER};
 use rand::Rng;
 use tokio::time::{Instant, sleep, timeout_at};
@@ -251,15 +252,18 @@
     Ok(())
 }
 
+/// Sends the body and receives the answer.
+///
+/// A server may answer early and stop reading (RFC 9114, section 4.1), so that an error while
+/// sending leaves the answer to be received; if none comes, receiving fails too.
 async fn exchange(
     mut stream: Stream,
     call: &Call,
 ) -> Result<(Reply, Option<String>), AttemptError> {
     let lost = AttemptError::of;
-    if !call.body.is_empty() {
-        stream.send_data(call.body.clone()).await.map_err(lost)?;
+    if let Err(error) = send_body(&mut stream, call).await {
+        tracing::debug!(event = "body_not_sent", id = call.id, %error);
     }
-    stream.finish().await.map_err(lost)?;
     let head = stream.recv_response().await.map_err(lost)?;
     let mut body = Vec::new();
     while let Some(mut part) = stream.recv_data().await.map_err(lost)? {
@@ -269,6 +273,13 @@
     Ok((reply(&head, body.into()), next))
 }
 
+async fn send_body(stream: &mut Stream, call: &Call) -> Result<(), StreamError> {
+    if !call.body.is_empty() {
+        stream.send_data(call.body.clone()).await?;
+    }
+    stream.finish().await
+}
+
 fn reply(head: &Response<()>, body: Bytes) -> Reply {
     let outcome = match text_header(head, OUTCOME_HEADER) {
         Some("not-run") => Outcome::NotRun,
--- a/src/caller/feed.rs
+++ b/src/caller/feed.rs
@@ -70,7 +70,10 @@
             request.headers_mut().insert("last-event-id", last.into());
         }
         let (mut stream, session) = self.open(request).await?;
-        stream.finish().await.map_err(AttemptError::of)?;
+        if let Err(error) = stream.finish().await {
+            // A server may refuse early and stop reading; its answer follows.
+            tracing::debug!(event = "feed_request_not_finished", path, %error);
+        }
         let head = stream.recv_response().await.map_err(AttemptError::of)?;
         if !head.status().is_success() {
             return Err(AttemptError::NotSent);
