Answer an old accusation again, and join through those who are known

Cause 1: a process that hears and is not heard refutes its suspicion into the void. Once it is heard again, the others go on with the old suspicion: it answers every probe, and as its own record is newer it said nothing of itself, until a comparison every 10 s. It was removed while it answered. Cause 2: a process without other seeds in its settings counted as joined at once, also after a restart in a running fleet; its balancer then took the agents that it knew (none) for all. Change: a process answers an accusation that is older than its record by its record. A process without seeds asks those who have found it, and counts as joined alone only after 10 s.

--- a/core/src/membership/swim/learning.rs
+++ b/core/src/membership/swim/learning.rs
@@ -136,6 +136,11 @@
         let theirs = (update.incarnation, update.version);
         let ours = (self.own.incarnation, self.own.version);
         let accused = update.condition.verdict != Verdict::Alive;
+        if theirs < ours && accused {
+            // The answer to an earlier accusation was lost, or has not arrived yet.
+            self.news.push(self.own.address, Class::Verdict);
+            return;
+        }
         if theirs < ours || (theirs == ours && !accused) {
             return;
         }
--- a/core/src/membership/sync.rs
+++ b/core/src/membership/sync.rs
@@ -18,6 +18,10 @@
 /// Interval between two attempts to reach seeds.
 const JOIN_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Time after which a process that has found nobody to ask counts as joined: it is the first of its
+/// fleet, as seeds in the store last for 10 s.
+const LONE_TIME: Duration = Duration::from_secs(10);
+
 /// Seeds that are tried at once, since some of them may be gone.
 const JOIN_SEEDS: usize = 3;
 
@@ -51,6 +55,8 @@
     shards: u16,
     pending: Vec<Pending>,
     welcomed: bool,
+    /// When the process counts as joined although it has found nobody to ask.
+    lone: Time,
 }
 
 impl Sync {
@@ -64,6 +70,7 @@
             shards: 1,
             pending: Vec::new(),
             welcomed: false,
+            lone: now + LONE_TIME,
         }
     }
 }
@@ -79,7 +86,7 @@
         let alone = self.roster.live() <= 1;
         if (alone || !self.sync.welcomed) && now >= self.sync.join {
             self.sync.join = now + JOIN_INTERVAL;
-            self.join();
+            self.join(now);
         }
         self.pull(now);
         if now < self.sync.due {
@@ -144,9 +151,14 @@
         turn.take(JOIN_SEEDS.min(others.len())).copied().collect()
     }
 
-    fn join(&mut self) {
-        let seeds = self.next_seeds();
-        self.sync.welcomed |= seeds.is_empty();
+    fn join(&mut self, now: Time) {
+        let mut seeds = self.next_seeds();
+        if seeds.is_empty() {
+            // Those who have found this process know others.
+            let peers = self.peers(JOIN_SEEDS);
+            seeds.extend(peers.into_iter().filter_map(|peer| self.control(peer)));
+        }
+        self.sync.welcomed |= seeds.is_empty() && now >= self.sync.lone;
         for seed in seeds {
             let mut message = self.message(Body::Join);
             message.add(Update::full(&self.own, Verdict::Alive));
--- a/src/trial/membership/network.rs
+++ b/src/trial/membership/network.rs
@@ -55,6 +55,8 @@
     pub running: bool,
     /// Whether it stands still.
     pub frozen: bool,
+    /// Whether all that it sends is lost.
+    pub mute: bool,
     /// Side of a cut on which it is.
     pub side: u8,
     /// Bytes sent, with IP and UDP headers.
@@ -132,6 +134,7 @@
             local: record,
             running: true,
             frozen: false,
+            mute: false,
             side: 0,
             bytes: 0,
             messages: 0,
@@ -286,7 +289,7 @@
         node.bytes += (bytes.len() + PACKET_OVERHEAD) as u64;
         node.messages += 1;
         node.longest = node.longest.max(bytes.len());
-        if self.rng.random_bool(self.conditions.loss) {
+        if node.mute || self.rng.random_bool(self.conditions.loss) {
             return;
         }
         let copies = 1 + usize::from(self.rng.random_bool(self.conditions.repeat));
--- a/tests/membership/faults.rs
+++ b/tests/membership/faults.rs
@@ -70,6 +70,23 @@
     assert_eq!(seen(&network, 4, MemberState::Ready), 29);
 }
 
+/// A process that hears and is not heard refutes into the void. Once it is heard again it must say so
+/// again, or the old suspicion removes it while it answers every probe.
+#[test]
+fn process_that_was_not_heard_for_a_while_is_not_removed_afterwards() {
+    for seed in 1..=10 {
+        let mut network = fleet(80, seed);
+        network.logging = true;
+        network.nodes[4].mute = true;
+        network.run(seconds(3));
+        assert_eq!(removals(&network), 0, "seed {seed}: removed too early");
+        network.nodes[4].mute = false;
+        network.run(seconds(15));
+        assert_eq!(removals(&network), 0, "seed {seed}");
+        assert_eq!(seen(&network, 4, MemberState::Ready), 79, "seed {seed}");
+    }
+}
+
 #[test]
 fn short_pause_keeps_the_incarnation() {
     let mut network = fleet(30, 24);
--- a/tests/membership/spread.rs
+++ b/tests/membership/spread.rs
@@ -56,6 +56,30 @@
     assert!(network.nodes[newcomer].swim.is_joined());
 }
 
+/// The first of a fleet has no seeds; after a restart it has to learn from those who find it.
+#[test]
+fn process_without_seeds_has_joined_once_it_has_asked_somebody() {
+    let mut network = Network::new(5);
+    let first = network.start(record(0, DOMAINS), Vec::new());
+    network.run(seconds(2));
+    assert!(!network.nodes[first].swim.is_joined());
+    let seed = network.nodes[first].local.control;
+    for number in 1..4 {
+        network.start(record(number, DOMAINS), vec![seed]);
+    }
+    network.run(seconds(2));
+    assert!(network.nodes[first].swim.is_joined());
+    assert_eq!(network.nodes[first].swim.roster().live(), 4);
+}
+
+#[test]
+fn process_without_seeds_joins_alone_after_a_while() {
+    let mut network = Network::new(6);
+    let first = network.start(record(0, DOMAINS), Vec::new());
+    network.run(seconds(11));
+    assert!(network.nodes[first].swim.is_joined());
+}
+
 #[test]
 fn weight_change_reaches_all() {
     let mut network = fleet(100, 5);
