Add a fault soak: the daemons as processes, with faults from outside

What: berylvalve soak starts berylvalve-node processes on loopback addresses, with a stand-in of the platform's store written from its protocol (platform/standin), routers, callers and backend servers; a proxy delays, resets, cuts one way and silences the ways to the store; routers lose and delay datagrams; processes are stopped twice, reloaded, paused, killed and restarted by signals; leases end, history is forgotten, answers are lost; addresses come and go; servers crash, leave and turn slow. A seed gives the schedule. Judged while it runs: delivered bytes, services, at most once, answers of the right request, resets and strays of open flows (with the exemptions of the platform's rules: 4 s after an unplanned disturbance), dropped addresses, ends of processes, and service at the end. The model's callers and servers are used, now without a wire format of their own, so that the model also judges at most once and mixed answers.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -14,6 +14,7 @@
 use crate::{
     dev::{Faults, Load},
     load::LoadOptions,
+    soak::{self, Size},
 };
 
 pub mod fleet;
@@ -74,6 +75,19 @@
     pub json: bool,
 }
 
+/// Options of `soak`.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SoakOptions {
+    /// Options of the first run; each further one has the next seed and a folder of its own.
+    pub first: soak::Options,
+    /// Number of runs.
+    pub runs: u64,
+    /// Whether the seeds that have failed once are run instead.
+    pub failed: bool,
+    /// Whether the reports are JSON.
+    pub json: bool,
+}
+
 /// Options of `call`.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct CallOptions {
@@ -161,6 +175,8 @@
     Load(LoadCommand),
     /// Check a settings file.
     Check(FileKind, PathBuf),
+    /// Run the daemons of the users' platform under faults.
+    Soak(SoakOptions),
     /// List the trials, or run one with a seed.
     Trial(Option<String>, u64),
     /// Run a stand-in.
@@ -227,6 +243,7 @@
         "explain" => parse_explain_logs(&mut args)?,
         "explain-flow" => parse_explain(&mut args)?,
         "settings" => Command::Settings(settings::parse(&mut args)?),
+        "soak" => Command::Soak(parse_soak(&mut args)?),
         "trial" => parse_trial(&mut args)?,
         "stand-in" => Command::StandIn(parse_stand_in(&mut args)?),
         "completions" => Command::Completions(args.free_from_str()?),
@@ -253,6 +270,50 @@
     })
 }
 
+fn parse_soak(args: &mut Arguments) -> Result<SoakOptions, UsageError> {
+    let time = args.opt_value_from_fn("--seconds", soak_time)?;
+    let folder: Option<PathBuf> = args.opt_value_from_str("--folder")?;
+    let program: Option<PathBuf> = args.opt_value_from_str("--node")?;
+    let mut count = |name, usual| -> Result<usize, UsageError> {
+        let counted = args.opt_value_from_fn(name, soak_count)?;
+        Ok(counted.unwrap_or(usual))
+    };
+    Ok(SoakOptions {
+        first: soak::Options {
+            size: Size {
+                balancers: count("--balancers", 6)?,
+                agents: count("--agents", 9)?,
+                callers: count("--callers", 60)?,
+            },
+            seed: args.opt_value_from_str("--seed")?.unwrap_or(1),
+            time: time.unwrap_or(soak::USUAL_TIME),
+            program: program.unwrap_or_else(soak::program_beside_this),
+            folder: folder.unwrap_or_else(|| std::env::temp_dir().join("berylvalve-soak")),
+        },
+        runs: args.opt_value_from_str("--runs")?.unwrap_or(1),
+        failed: args.contains("--failed-seeds"),
+        json: args.contains("--json"),
+    })
+}
+
+fn soak_time(text: &str) -> Result<Duration, String> {
+    let time = seconds(text)?;
+    match time >= soak::MIN_TIME {
+        true => Ok(time),
+        false => Err(format!("below {} s", soak::MIN_TIME.as_secs())),
+    }
+}
+
+/// Reads a number of processes or callers: one or more for each failure domain.
+fn soak_count(text: &str) -> Result<usize, String> {
+    let counts = soak::place::DOMAINS..=soak::MAX_COUNT;
+    let count: usize = text.parse().map_err(|_| "not a number".to_owned())?;
+    match counts.contains(&count) {
+        true => Ok(count),
+        false => Err(format!("not from {} to {}", counts.start(), counts.end())),
+    }
+}
+
 fn parse_call(args: &mut Arguments) -> Result<CallOptions, UsageError> {
     let timeout_ms: Option<u64> = args.opt_value_from_str("--timeout-ms")?;
     Ok(CallOptions {
--- a/src/cli/help.rs
+++ b/src/cli/help.rs
@@ -60,6 +60,11 @@
         about: "read, change and explain the settings in the store",
         help: super::settings::HELP,
     },
+    Entry {
+        name: "soak",
+        about: "run the daemons of the users' platform as processes under faults",
+        help: HELP_SOAK,
+    },
     Entry {
         name: "trial",
         about: "measure a decision on its state machine",
@@ -278,6 +283,34 @@
   berylvalve explain-flow --fleet fleet.json 203.0.113.9:51820
 ";
 
+const HELP_SOAK: &str = "\
+berylvalve soak: run the daemons of the users' platform as processes under faults
+
+Starts berylvalve-node processes on loopback addresses with stand-ins for the platform's store, its
+routers, callers and backend servers, disturbs them as the seed says, and checks the promises from
+what callers and backend servers see. Ends with status 1 if a promise was broken. Settings, logs,
+report.json and report.svg (what callers saw over time, with the faults) stay in the folder.
+
+USAGE:
+  berylvalve soak [OPTIONS]
+
+OPTIONS:
+  --seed S         seed of the first run (default: 1)
+  --runs N         number of runs, each with the next seed (default: 1)
+  --failed-seeds   run the seeds that have failed once
+  --seconds N      length of a run, 30 or more; the last 18 have no new faults (default: 60)
+  --balancers N    balancers, 3 to 250 (default: 6)
+  --agents N       agents, each beside a backend server, 3 to 250 (default: 9)
+  --callers N      callers, 3 to 250 (default: 60)
+  --node PROGRAM   the daemons' program (default: berylvalve-node beside this program)
+  --folder DIR     folder for what a run leaves (default: berylvalve-soak in the temporary folder)
+  --json           print the reports as JSON, one a line
+
+EXAMPLE:
+  cargo build --release --workspace
+  target/release/berylvalve soak --runs 5 --folder /tmp/soak
+";
+
 const HELP_TRIAL: &str = "\
 berylvalve trial: measure a decision on its state machine
 
--- a/src/cli/print.rs
+++ b/src/cli/print.rs
@@ -1,8 +1,13 @@
 //! What the tool prints.
 
+use std::path::Path;
+
 use serde::Serialize;
 
-use crate::{caller::Reply, dev::fleet::Fleet, load::LoadReport};
+use crate::{caller::Reply, dev::fleet::Fleet, load::LoadReport, soak};
+
+/// Broken promises that are printed; the report has all.
+const SHOWN_BROKEN: usize = 10;
 
 /// Returns the fields of a report as aligned lines.
 pub fn lines<T: Serialize>(report: &T) -> String {
@@ -27,6 +32,18 @@
     )
 }
 
+/// Returns the result of a run of the soak, and what was broken first.
+pub fn soak_report(report: &soak::Report, folder: &Path) -> String {
+    let mut text = format!("{}\n", report.line());
+    for broken in report.broken.iter().take(SHOWN_BROKEN) {
+        text.push_str(&format!("  {} ms: {}\n", broken.at_ms, broken.what));
+    }
+    if !report.broken.is_empty() {
+        text.push_str(&format!("  logs and plot: {}\n", folder.display()));
+    }
+    text
+}
+
 /// Returns where a site can be reached and how.
 pub fn fleet_text(fleet: &Fleet) -> String {
     let mut text = String::new();
--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -14,7 +14,7 @@
 use tokio::time::Instant;
 
 use super::{
-    CallOptions, Command, DevOptions, EXIT_FAILURE, EXIT_USAGE, FileKind, LoadCommand,
+    CallOptions, Command, DevOptions, EXIT_FAILURE, EXIT_USAGE, FileKind, LoadCommand, SoakOptions,
     fleet::{self, FleetError},
     help, print, settings, stand_in,
 };
@@ -25,6 +25,7 @@
     dev::{self, DevError, RunOptions},
     explain,
     load::{self, LoadReport},
+    soak::{self, seeds::FAILED_SEEDS},
     trial,
 };
 
@@ -57,6 +58,10 @@
             Ok(()) => ExitCode::SUCCESS,
             Err(message) => failure(&message),
         },
+        Command::Soak(options) => match run_soak(options).await {
+            Ok(code) => code,
+            Err(message) => failure(&message),
+        },
         Command::Trial(name, seed) => run_trial(name.as_deref(), seed),
         Command::Call(options) => match run_call(options).await {
             Ok(code) => code,
@@ -292,6 +297,41 @@
     })
 }
 
+async fn run_soak(options: SoakOptions) -> Result<ExitCode, String> {
+    let shows = !options.json && stderr().is_terminal();
+    let mut whole = true;
+    let first = options.first.seed;
+    let seeds: Vec<u64> = match options.failed {
+        true => FAILED_SEEDS.iter().map(|failed| failed.seed).collect(),
+        false => (first..first + options.runs).collect(),
+    };
+    for seed in seeds {
+        let mut next = options.first.clone();
+        next.seed = seed;
+        next.folder = next.folder.join(format!("seed-{}", next.seed));
+        let progress = |report: &soak::Report| {
+            if shows {
+                eprint!("\r{}", report.line());
+            }
+        };
+        let report = soak::run(&next, progress).await;
+        let report = report.map_err(|error| error.to_string())?;
+        if shows {
+            eprintln!();
+        }
+        whole &= report.broken.is_empty();
+        match options.json {
+            true => println!("{}", print::json_line(&report)),
+            false => print!("{}", print::soak_report(&report, &next.folder)),
+        }
+    }
+    Ok(if whole {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::from(EXIT_FAILURE)
+    })
+}
+
 fn random_id() -> String {
     format!("call-{:08x}", rand::random::<u32>())
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod proxy_header;
 pub mod retry;
 pub mod settings;
+pub mod soak;
 pub mod standin;
 pub mod steering;
 pub mod store;
--- /dev/null
+++ b/src/soak/fault.rs
@@ -0,0 +1,145 @@
+//! What goes wrong in a run of the soak, and when.
+
+use std::time::Duration;
+
+use berylvalve_core::clock::Time;
+use rand::{Rng, rngs::SmallRng};
+use serde::Serialize;
+
+use super::{
+    place::{Place, Size},
+    proxy::LinkFault,
+};
+
+/// Shortest and longest pause between the starts of two faults, in milliseconds; most last longer, so
+/// that they overlap.
+const GAP_MS: std::ops::Range<u64> = 200..1_600;
+
+/// Shortest and longest time for which a process is paused or a link is disturbed, in milliseconds.
+const LASTS_MS: std::ops::Range<u64> = 300..4_000;
+
+/// Shortest and longest delay of a disturbed link, in milliseconds.
+const DELAY_MS: std::ops::Range<u64> = 20..600;
+
+/// One fault or planned change.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub enum Fault {
+    /// A process is stopped as planned, and started again; with a second SIGTERM on its way.
+    Restart(Place),
+    /// All processes of a role are stopped and started in turn.
+    Roll {
+        /// Whether balancers are.
+        balancers: bool,
+    },
+    /// A process is told that its settings may have changed.
+    Reload(Place),
+    /// A process is killed.
+    Kill(Place),
+    /// All processes are killed.
+    KillAll,
+    /// A process stands still.
+    Pause(Place, Duration),
+    /// The way from a process to the store is disturbed.
+    StoreLink(Place, Link, Duration),
+    /// The ways from all processes to the store are disturbed.
+    AllStoreLinks(Link, Duration),
+    /// The store refuses all calls.
+    StoreBusy(Duration),
+    /// The store does what it is asked without an answer.
+    StoreMute(Duration),
+    /// The store forgets the history of its changes.
+    StoreForgets,
+    /// All leases end, unseen by their holders.
+    LeasesEnd,
+    /// Datagrams of callers to a balancer are lost or late.
+    CallerLink(usize, Link, Duration),
+    /// A backend server ends without a word, and starts again.
+    ServerCrash(usize, Duration),
+    /// A backend server leaves as planned, and starts again.
+    ServerDrain(usize),
+    /// A backend server works slowly from now on.
+    ServerSlow(usize),
+    /// The config gets another address.
+    AddRoute,
+    /// The config loses the address that was added last.
+    DropRoute,
+}
+
+/// What happens on a link.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+pub enum Link {
+    /// All is late.
+    Delayed(Duration),
+    /// Connections are closed, datagrams lost.
+    Reset,
+    /// Only one direction works.
+    OneWay,
+    /// Nothing passes.
+    Silent,
+}
+
+impl From<Link> for LinkFault {
+    fn from(link: Link) -> Self {
+        match link {
+            Link::Delayed(time) => LinkFault::Delay(time),
+            Link::Reset => LinkFault::Reset,
+            Link::OneWay => LinkFault::OneWay,
+            Link::Silent => LinkFault::Silent,
+        }
+    }
+}
+
+/// Draws the faults between two points in time, in the order of time.
+pub fn schedule(rng: &mut SmallRng, size: Size, from: Time, to: Time) -> Vec<(Time, Fault)> {
+    let mut faults = Vec::new();
+    let mut at = from;
+    while at < to {
+        faults.push((at, draw(rng, size)));
+        at = at + Duration::from_millis(rng.random_range(GAP_MS));
+    }
+    faults
+}
+
+fn draw(rng: &mut SmallRng, size: Size) -> Fault {
+    let lasts = Duration::from_millis(rng.random_range(LASTS_MS));
+    let server = rng.random_range(0..size.agents);
+    match rng.random_range(0..20) {
+        0 | 1 => Fault::Restart(place(rng, size)),
+        2 => Fault::Roll {
+            balancers: rng.random(),
+        },
+        3 => Fault::Reload(place(rng, size)),
+        4 | 5 => Fault::Kill(place(rng, size)),
+        6 => Fault::KillAll,
+        7 | 8 => Fault::Pause(place(rng, size), lasts),
+        9 => Fault::StoreLink(place(rng, size), link(rng), lasts),
+        10 => Fault::AllStoreLinks(link(rng), lasts),
+        11 => Fault::StoreBusy(lasts),
+        12 => Fault::StoreMute(lasts),
+        13 => Fault::StoreForgets,
+        14 => Fault::LeasesEnd,
+        15 => Fault::CallerLink(rng.random_range(0..size.balancers), link(rng), lasts),
+        16 => Fault::ServerCrash(server, lasts),
+        17 => Fault::ServerDrain(server),
+        18 => Fault::ServerSlow(server),
+        _ if rng.random() => Fault::AddRoute,
+        _ => Fault::DropRoute,
+    }
+}
+
+fn place(rng: &mut SmallRng, size: Size) -> Place {
+    let index = rng.random_range(0..size.balancers + size.agents);
+    match index.checked_sub(size.balancers) {
+        None => Place::Balancer(index),
+        Some(index) => Place::Agent(index),
+    }
+}
+
+fn link(rng: &mut SmallRng) -> Link {
+    match rng.random_range(0..4) {
+        0 => Link::Delayed(Duration::from_millis(rng.random_range(DELAY_MS))),
+        1 => Link::Reset,
+        2 => Link::OneWay,
+        _ => Link::Silent,
+    }
+}
--- /dev/null
+++ b/src/soak/world/faults.rs
@@ -0,0 +1,158 @@
+//! What faults do.
+
+use std::{
+    net::{Ipv4Addr, SocketAddrV4},
+    time::Duration,
+};
+
+use super::{Due, Extra, Fault, Place, World};
+use crate::soak::{fault::Link, proxy::LinkFault};
+
+/// Time from one process to the next of a role that is restarted in turn: longer than a process needs
+/// to stop and to be ready again.
+const ROLL_GAP: Duration = Duration::from_millis(2_500);
+
+/// Work of a slow server, in multiples of the usual.
+const SLOW_FACTOR: f64 = 4.0;
+
+impl World {
+    pub(super) fn strike(&mut self, fault: Fault) {
+        let happened = match &fault {
+            Fault::Restart(place) => self.stop(*place),
+            Fault::Roll { balancers } => self.roll(*balancers),
+            Fault::Reload(place) => self.reload(*place),
+            Fault::Kill(place) => self.kill(*place),
+            Fault::KillAll => self.kill_all(),
+            Fault::Pause(place, time) => self.pause_process(*place, *time),
+            Fault::StoreLink(place, link, time) => self.disturb_store_link(*place, *link, *time),
+            Fault::AllStoreLinks(link, time) => {
+                let places: Vec<Place> = self.nodes.keys().copied().collect();
+                for place in places {
+                    self.disturb_store_link(place, *link, *time);
+                }
+                true
+            }
+            Fault::StoreBusy(time) => {
+                self.store.fail(|failures| failures.busy = true);
+                self.disturb_store(*time)
+            }
+            Fault::StoreMute(time) => {
+                self.store.fail(|failures| failures.lose_answers = true);
+                self.disturb_store(*time)
+            }
+            Fault::StoreForgets => {
+                self.store.forget_history();
+                self.disturb_store(Duration::ZERO)
+            }
+            Fault::LeasesEnd => {
+                self.store.end_leases();
+                self.disturb_store(Duration::ZERO)
+            }
+            Fault::CallerLink(balancer, link, time) => {
+                self.rotation[*balancer].link = Some(*link);
+                self.disturb(Place::Balancer(*balancer), *time);
+                self.after(*time, Due::CallerLinkBack(*balancer));
+                true
+            }
+            Fault::ServerCrash(server, down) => self.crash_server(*server, *down),
+            Fault::ServerDrain(server) => self.drain_server(*server),
+            Fault::ServerSlow(server) => {
+                let server = &mut self.servers[*server];
+                server.work = server.work.mul_f64(SLOW_FACTOR);
+                true
+            }
+            Fault::AddRoute => self.add_route(),
+            Fault::DropRoute => self.drop_route(),
+        };
+        if happened {
+            self.struck(fault);
+        }
+    }
+
+    fn disturb(&mut self, place: Place, time: Duration) {
+        let until = self.now + time;
+        if let Some(node) = self.nodes.get_mut(&place) {
+            node.disturbed = node.disturbed.max(until);
+        }
+    }
+
+    fn disturb_store(&mut self, time: Duration) -> bool {
+        self.store_disturbed = self.store_disturbed.max(self.now + time);
+        self.after(time, Due::StoreBack);
+        true
+    }
+
+    pub(super) fn store_back(&mut self) {
+        if self.now < self.store_disturbed {
+            return;
+        }
+        self.store.fail(|failures| *failures = Default::default());
+    }
+
+    fn disturb_store_link(&mut self, place: Place, link: Link, time: Duration) -> bool {
+        self.disturb(place, time);
+        let Some(node) = self.nodes.get(&place) else {
+            return false;
+        };
+        node.link.set(link.into());
+        self.after(time, Due::StoreLinkBack(place));
+        true
+    }
+
+    pub(super) fn store_link_back(&mut self, place: Place) {
+        if let Some(node) = self.nodes.get(&place) {
+            node.link.set(LinkFault::None);
+        }
+    }
+
+    fn kill_all(&mut self) -> bool {
+        let places: Vec<Place> = self.nodes.keys().copied().collect();
+        for place in places {
+            self.kill(place);
+        }
+        true
+    }
+
+    /// Plans the restarts of all processes of a role, one after the other.
+    fn roll(&mut self, balancers: bool) -> bool {
+        let size = self.options.size;
+        let count = if balancers {
+            size.balancers
+        } else {
+            size.agents
+        };
+        for index in 0..count {
+            let place = match balancers {
+                true => Place::Balancer(index),
+                false => Place::Agent(index),
+            };
+            let at = self.now + ROLL_GAP * index as u32;
+            if at < self.end - super::super::SETTLE_TIME {
+                self.at(at, Due::Fault(Fault::Restart(place)));
+            }
+        }
+        true
+    }
+
+    fn add_route(&mut self) -> bool {
+        let number = self.extras.len() as u8 + 1;
+        self.extras.push(Extra {
+            address: SocketAddrV4::new(Ipv4Addr::new(198, 18, 1, number), 443),
+            added: self.now,
+            dropped: None,
+        });
+        self.write_config();
+        true
+    }
+
+    fn drop_route(&mut self) -> bool {
+        let now = self.now;
+        let used = |extra: &&mut Extra| extra.dropped.is_none();
+        let Some(extra) = self.extras.iter_mut().rev().find(used) else {
+            return false;
+        };
+        extra.dropped = Some(now);
+        self.write_config();
+        true
+    }
+}
--- a/src/trial/segments.rs
+++ b/src/trial/segments.rs
@@ -12,6 +12,8 @@
 pub mod codec;
 pub mod faults;
 pub mod server;
+pub mod wire;
+pub mod witness;
 pub mod world;
 
 pub use faults::Plan;
--- a/src/trial/segments/caller.rs
+++ b/src/trial/segments/caller.rs
@@ -1,4 +1,4 @@
-//! A caller of the model: opens a flow, sends requests on it, and tries again after a failure.
+//! A caller: opens a flow, sends requests on it, and tries again after a failure.
 
 use std::{net::SocketAddrV4, time::Duration};
 
@@ -7,7 +7,7 @@
     l4::segment::{Flags, FlowKey, Segment},
 };
 
-use super::codec;
+use super::wire::{Content, DATA_BYTES, Outgoing};
 
 /// Times after the first opening segment at which copies follow.
 const COPIES: [Duration; 2] = [Duration::from_millis(200), Duration::from_millis(600)];
@@ -24,8 +24,6 @@
 /// Time in which a request has to be answered.
 pub const DEADLINE: Duration = Duration::from_millis(4000);
 
-const REQUEST: &[u8] = b"request";
-
 /// How far a caller has come.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Stage {
@@ -60,6 +58,10 @@
     pub flow: Option<FlowKey>,
     /// When the request in progress began.
     pub began: Time,
+    /// The request in progress; no two requests of any caller have the same id.
+    pub request: u64,
+    /// Whether requests may run twice without harm.
+    pub idempotent: bool,
     /// Requests that it sends on one flow.
     pub requests_per_flow: u32,
     /// Requests that were answered on the flow in use.
@@ -80,6 +82,8 @@
     Answered(Duration),
     /// The flow was reset.
     Reset,
+    /// What came is no answer to the request in progress.
+    Mixed,
     /// Nothing that matters.
     Nothing,
 }
@@ -100,6 +104,8 @@
             stage: Stage::Idle,
             flow: None,
             began: Time::default(),
+            request: u64::from(ip.to_bits()) << 32,
+            idempotent: true,
             requests_per_flow,
             answered: 0,
             due,
@@ -110,8 +116,9 @@
     }
 
     /// Begins a request: on the open flow, or on a new one.
-    pub fn begin(&mut self, now: Time) -> Vec<u8> {
+    pub fn begin(&mut self, now: Time) -> Outgoing {
         self.began = now;
+        self.request += 1;
         match self.flow {
             Some(_) => self.request(now),
             None => self.open(now),
@@ -119,7 +126,7 @@
     }
 
     /// Opens a flow from a new port.
-    pub fn open(&mut self, now: Time) -> Vec<u8> {
+    pub fn open(&mut self, now: Time) -> Outgoing {
         self.port += 1;
         self.flow = Some(FlowKey {
             caller: SocketAddrV4::new(self.ip, self.port),
@@ -133,11 +140,16 @@
             since: now,
         };
         self.due = now + COPIES[0];
-        self.segment(true, &[])
+        self.segment(true, None)
+    }
+
+    /// Returns whether the request in progress may be sent again on another flow.
+    pub fn may_repeat(&self) -> bool {
+        self.idempotent || matches!(self.stage, Stage::Opening { .. })
     }
 
     /// Does what is due; `None` if the attempt has ended.
-    pub fn act(&mut self, now: Time) -> Option<Vec<u8>> {
+    pub fn act(&mut self, now: Time) -> Option<Outgoing> {
         match self.stage {
             Stage::Idle => Some(self.begin(now)),
             Stage::Opening { copies, since } if copies < COPIES.len() => {
@@ -147,7 +159,7 @@
                 };
                 let next = COPIES.get(copies + 1).copied().unwrap_or(OPENING_TIME);
                 self.due = since + next;
-                Some(self.segment(true, &[]))
+                Some(self.segment(true, None))
             }
             Stage::Opening { .. } => None,
             Stage::Waiting { .. } if now >= self.began + DEADLINE => None,
@@ -155,13 +167,18 @@
                 let resend = MAX_RESEND.min(resend * 2);
                 self.stage = Stage::Waiting { resend };
                 self.due = (now + resend).min(self.began + DEADLINE);
-                Some(self.segment(false, REQUEST))
+                Some(self.segment(false, Some(Content::Request(self.request))))
             }
         }
     }
 
     /// Takes a datagram, and returns what it meant with what the caller sends.
-    pub fn receive(&mut self, segment: &Segment, now: Time) -> (Seen, Option<Vec<u8>>) {
+    pub fn receive(
+        &mut self,
+        segment: &Segment,
+        content: Option<Content>,
+        now: Time,
+    ) -> (Seen, Option<Outgoing>) {
         if self.flow != Some(segment.flow_of_server()) {
             return (Seen::Nothing, None);
         }
@@ -180,37 +197,45 @@
                 if segment.length > 0 && segment.sequence == self.acknowledged =>
             {
                 self.acknowledged = segment.end();
-                self.sequence += REQUEST.len() as u32;
+                self.sequence += u32::from(DATA_BYTES);
                 self.answered += 1;
                 self.stage = Stage::Idle;
-                (Seen::Answered(now.since(self.began)), None)
+                match content {
+                    Some(Content::Answer { request, .. }) if request == self.request => {
+                        (Seen::Answered(now.since(self.began)), None)
+                    }
+                    _ => (Seen::Mixed, None),
+                }
             }
             _ => (Seen::Nothing, None),
         }
     }
 
     /// Ends the flow in use and returns the segment that says so.
-    pub fn finish(&mut self) -> Vec<u8> {
+    pub fn finish(&mut self) -> Outgoing {
         let mut segment = self.head();
         segment.flags.fin = true;
         self.flow = None;
-        codec::write(&segment, &[])
+        Outgoing {
+            segment,
+            content: None,
+        }
     }
 
-    fn request(&mut self, now: Time) -> Vec<u8> {
+    fn request(&mut self, now: Time) -> Outgoing {
         self.stage = Stage::Waiting {
             resend: RESEND_TIME,
         };
         self.due = now + RESEND_TIME;
-        self.segment(false, REQUEST)
+        self.segment(false, Some(Content::Request(self.request)))
     }
 
-    fn segment(&self, syn: bool, data: &[u8]) -> Vec<u8> {
+    fn segment(&self, syn: bool, content: Option<Content>) -> Outgoing {
         let mut segment = self.head();
         segment.flags.syn = syn;
         segment.flags.ack = !syn;
-        segment.length = data.len() as u16;
-        codec::write(&segment, data)
+        segment.length = content.map_or(0, |_| DATA_BYTES);
+        Outgoing { segment, content }
     }
 
     fn head(&self) -> Segment {
--- a/src/trial/segments/codec.rs
+++ b/src/trial/segments/codec.rs
@@ -4,6 +4,8 @@
 
 use berylvalve_core::l4::segment::{Codec, Flags, FlowKey, Segment};
 
+use super::wire::{Content, DATA_BYTES, Outgoing, Wire};
+
 const HEAD_BYTES: usize = 27;
 const FLAGS: usize = 22;
 const MARK: usize = 23;
@@ -14,15 +16,66 @@
 const RST: u8 = 8;
 const SYN: u8 = 16;
 
-/// Data that begins an answer of a failing server.
-pub const FAILURE: &[u8] = b"failure";
+/// First byte of what a segment carries.
+const REQUEST: u8 = b'r';
+const SERVED: u8 = b's';
+const FAILED: u8 = b'f';
 
 /// Reads and writes segments of the model.
 #[derive(Clone, Copy, Debug)]
 pub struct ModelCodec;
 
-/// Writes a segment with its data.
-pub fn write(segment: &Segment, data: &[u8]) -> Vec<u8> {
+impl Wire for ModelCodec {
+    fn write(&self, outgoing: &Outgoing) -> Vec<u8> {
+        let data = outgoing.content.map(data);
+        write(&outgoing.segment, data.as_ref().map_or(&[], |d| &d[..]))
+    }
+
+    fn content(&self, datagram: &[u8]) -> Option<Content> {
+        let data = datagram.get(HEAD_BYTES..)?;
+        let id = data.get(1..9)?.try_into().ok().map(u64::from_be_bytes)?;
+        let answer = |served| Content::Answer {
+            request: id,
+            served,
+        };
+        match data[0] {
+            REQUEST => Some(Content::Request(id)),
+            SERVED => Some(answer(true)),
+            FAILED => Some(answer(false)),
+            _ => None,
+        }
+    }
+
+    fn bounce(&self, datagram: &[u8]) -> Vec<u8> {
+        let mut bytes = datagram.to_vec();
+        bytes[FLAGS] |= BOUNCED;
+        bytes
+    }
+
+    fn fixed(&self, datagram: &[u8]) -> Vec<u8> {
+        let mut bytes = datagram.to_vec();
+        bytes[FLAGS] &= !BOUNCED;
+        bytes[MARK..HEAD_BYTES].fill(0);
+        bytes
+    }
+}
+
+fn data(content: Content) -> [u8; DATA_BYTES as usize] {
+    let (kind, id) = match content {
+        Content::Request(id) => (REQUEST, id),
+        Content::Answer {
+            request,
+            served: true,
+        } => (SERVED, request),
+        Content::Answer { request, .. } => (FAILED, request),
+    };
+    let mut data = [0; DATA_BYTES as usize];
+    data[0] = kind;
+    data[1..9].copy_from_slice(&id.to_be_bytes());
+    data
+}
+
+fn write(segment: &Segment, data: &[u8]) -> Vec<u8> {
     let mut bytes = Vec::with_capacity(HEAD_BYTES + data.len());
     for end in [segment.source, segment.destination] {
         bytes.extend(end.ip().octets());
@@ -37,21 +90,6 @@
     bytes
 }
 
-/// Returns a datagram as a backend server sends it back.
-pub fn bounce(datagram: &[u8]) -> Vec<u8> {
-    let mut bytes = datagram.to_vec();
-    bytes[FLAGS] |= BOUNCED;
-    bytes
-}
-
-/// Returns the bytes of a datagram that the system must not change.
-pub fn fixed(datagram: &[u8]) -> Vec<u8> {
-    let mut bytes = datagram.to_vec();
-    bytes[FLAGS] &= !BOUNCED;
-    bytes[MARK..HEAD_BYTES].fill(0);
-    bytes
-}
-
 fn bits(flags: Flags) -> u8 {
     let all = [
         (flags.ack, ACK),
@@ -115,7 +153,10 @@
     }
 
     fn reports_failure(&self, datagram: &[u8]) -> Option<bool> {
-        Some(datagram.get(HEAD_BYTES..)? == FAILURE)
+        match self.content(datagram) {
+            Some(Content::Answer { served, .. }) => Some(!served),
+            _ => None,
+        }
     }
 
     fn request_id<'a>(&self, _: &'a [u8]) -> Option<&'a str> {
--- a/src/trial/segments/server.rs
+++ b/src/trial/segments/server.rs
@@ -1,14 +1,17 @@
-//! A backend server of the model: slots, a queue, and flows that end with it.
+//! A backend server: slots, a queue, and flows that end with it.
 
 use std::{
     collections::{HashMap, VecDeque},
     time::Duration,
 };
 
-use berylvalve_core::l4::segment::{Flags, FlowKey, Segment};
+use berylvalve_core::{
+    clock::Time,
+    l4::segment::{Flags, FlowKey, Segment},
+};
 use rand::{Rng, rngs::SmallRng};
 
-use super::codec::{self, FAILURE};
+use super::wire::{Content, DATA_BYTES, Outgoing};
 
 /// Requests that wait for each slot; more are answered as failures.
 const QUEUE_FACTOR: usize = 4;
@@ -22,6 +25,8 @@
     /// Sequence number behind the caller's data.
     received: u32,
     established: bool,
+    /// The answer that was sent last; a copy of its request brings it again.
+    last: Option<Outgoing>,
 }
 
 /// A backend server.
@@ -35,6 +40,8 @@
     pub sequence: u64,
     /// Whether it leaves.
     pub draining: bool,
+    /// When its agent acknowledged that it leaves.
+    pub left: Option<Time>,
     /// Share of its requests that it fails, in percent.
     pub failing: u32,
     /// Mean work time.
@@ -42,17 +49,30 @@
     /// Requests that it works on at once.
     pub slots: usize,
     running: usize,
-    queue: VecDeque<FlowKey>,
+    queue: VecDeque<(FlowKey, u64)>,
     flows: HashMap<FlowKey, Open>,
 }
 
 /// What a server does with a datagram.
 #[derive(Clone, Debug, Default)]
 pub struct Reaction {
-    /// Datagrams that it sends.
-    pub sent: Vec<Vec<u8>>,
-    /// Requests that it starts to work on, with the time that each takes.
-    pub started: Vec<(FlowKey, Duration)>,
+    /// Segments that it sends.
+    pub sent: Vec<Outgoing>,
+    /// Whether it sends the datagram back, as it does not hold the flow.
+    pub bounced: bool,
+    /// Requests that it starts to work on.
+    pub started: Vec<Work>,
+}
+
+/// A request that a server works on.
+#[derive(Clone, Copy, Debug)]
+pub struct Work {
+    /// The flow on which it came.
+    pub flow: FlowKey,
+    /// Its id.
+    pub request: u64,
+    /// Time that it takes.
+    pub time: Duration,
 }
 
 impl Server {
@@ -63,6 +83,7 @@
             life: 1,
             sequence: 0,
             draining: false,
+            left: None,
             failing: 0,
             work,
             slots,
@@ -78,6 +99,7 @@
         self.life += 1;
         self.sequence = 0;
         self.draining = false;
+        self.left = None;
         self.running = 0;
         self.queue.clear();
         self.flows.clear();
@@ -89,7 +111,12 @@
     }
 
     /// Takes a datagram of a caller.
-    pub fn receive(&mut self, segment: &Segment, datagram: &[u8], rng: &mut SmallRng) -> Reaction {
+    pub fn receive(
+        &mut self,
+        segment: &Segment,
+        content: Option<Content>,
+        rng: &mut SmallRng,
+    ) -> Reaction {
         let mut reaction = Reaction::default();
         if !self.alive {
             return reaction;
@@ -103,13 +130,14 @@
                     next: initial.wrapping_add(1),
                     received: segment.sequence.wrapping_add(1),
                     established: false,
+                    last: None,
                 }
             });
             reaction.sent.push(accept(&flow, &open));
             return reaction;
         }
         let Some(open) = self.flows.get_mut(&flow) else {
-            reaction.sent.push(codec::bounce(datagram));
+            reaction.bounced = true;
             return reaction;
         };
         // A segment that does not acknowledge this server's start belongs to another one.
@@ -123,81 +151,99 @@
             }
             return reaction;
         }
-        let fresh = segment.length > 0 && segment.sequence == open.received;
-        if !fresh {
+        let Some(Content::Request(request)) = content else {
+            return reaction;
+        };
+        if segment.sequence != open.received {
+            let repeated = segment.end() == open.received;
+            reaction.sent.extend(open.last.filter(|_| repeated));
             return reaction;
         }
         open.received = segment.end();
-        self.queue.push_back(flow);
+        open.last = None;
+        self.queue.push_back((flow, request));
         if self.queue.len() > QUEUE_FACTOR * self.slots {
             self.queue.pop_back();
-            reaction.sent.extend(self.answer(&flow, FAILURE));
+            reaction.sent.extend(self.answer(&flow, request, false));
         }
         self.start(rng, &mut reaction);
         reaction
     }
 
     /// Ends the work on a request.
-    pub fn done(&mut self, flow: &FlowKey, rng: &mut SmallRng) -> Reaction {
+    pub fn done(&mut self, work: &Work, rng: &mut SmallRng) -> Reaction {
         let mut reaction = Reaction::default();
         self.running = self.running.saturating_sub(1);
         let fails = rng.random_range(0..100) < self.failing;
-        let data: &[u8] = if fails { FAILURE } else { b"answer" };
-        reaction.sent.extend(self.answer(flow, data));
+        reaction
+            .sent
+            .extend(self.answer(&work.flow, work.request, !fails));
         self.start(rng, &mut reaction);
         reaction
     }
 
     fn start(&mut self, rng: &mut SmallRng, reaction: &mut Reaction) {
         while self.running < self.slots {
-            let Some(flow) = self.queue.pop_front() else {
+            let Some((flow, request)) = self.queue.pop_front() else {
                 return;
             };
             self.running += 1;
             let time = self.work.mul_f64(rng.random_range(0.5..1.5));
-            reaction.started.push((flow, time));
+            reaction.started.push(Work {
+                flow,
+                request,
+                time,
+            });
         }
     }
 
-    fn answer(&mut self, flow: &FlowKey, data: &[u8]) -> Option<Vec<u8>> {
+    fn answer(&mut self, flow: &FlowKey, request: u64, served: bool) -> Option<Outgoing> {
         let open = self.flows.get_mut(flow)?;
         let flags = Flags {
             ack: true,
             ..Flags::default()
         };
-        let answer = write(flow, open, open.next, flags, data);
-        open.next = open.next.wrapping_add(data.len() as u32);
+        let content = Content::Answer { request, served };
+        let answer = write(flow, open, open.next, flags, Some(content));
+        open.next = open.next.wrapping_add(u32::from(DATA_BYTES));
+        open.last = Some(answer);
         Some(answer)
     }
 }
 
-fn accept(flow: &FlowKey, open: &Open) -> Vec<u8> {
+fn accept(flow: &FlowKey, open: &Open) -> Outgoing {
     let flags = Flags {
         ack: true,
         syn: true,
         ..Flags::default()
     };
-    write(flow, open, open.initial, flags, &[])
+    write(flow, open, open.initial, flags, None)
 }
 
-fn finish(flow: &FlowKey, open: &Open) -> Vec<u8> {
+fn finish(flow: &FlowKey, open: &Open) -> Outgoing {
     let flags = Flags {
         ack: true,
         fin: true,
         ..Flags::default()
     };
-    write(flow, open, open.next, flags, &[])
+    write(flow, open, open.next, flags, None)
 }
 
-fn write(flow: &FlowKey, open: &Open, sequence: u32, flags: Flags, data: &[u8]) -> Vec<u8> {
+fn write(
+    flow: &FlowKey,
+    open: &Open,
+    sequence: u32,
+    flags: Flags,
+    content: Option<Content>,
+) -> Outgoing {
     let segment = Segment {
         source: flow.address,
         destination: flow.caller,
         sequence,
         acknowledged: open.received,
-        length: data.len() as u16,
+        length: content.map_or(0, |_| DATA_BYTES),
         flags,
         mark: 0,
     };
-    codec::write(&segment, data)
+    Outgoing { segment, content }
 }
--- a/src/trial/segments/world.rs
+++ b/src/trial/segments/world.rs
@@ -20,7 +20,7 @@
         message,
         outbox::Outbox,
         routes::{Route, RouteTable, ServiceKey, Target},
-        segment::{Codec, FlowKey},
+        segment::Codec,
     },
     member::{MemberState, Record, View},
 };
@@ -29,9 +29,11 @@
 use super::{
     Figures, Plan,
     caller::{Caller, DEADLINE, Seen, Stage},
-    codec::{self, ModelCodec},
+    codec::ModelCodec,
     faults::Fault,
-    server::{Reaction, Server},
+    server::{Reaction, Server, Work},
+    wire::{Outgoing, Wire},
+    witness::{Home, Witness},
 };
 
 /// Length of a run.
@@ -46,6 +48,7 @@
 const CALLERS: usize = 60;
 const PEER_PORT: u16 = 7001;
 const SERVER_PORT: u16 = 8000;
+const SERVER_DELAY: Duration = Duration::from_micros(300);
 const SERVER_SLOTS: usize = 3;
 const SERVER_WORK: Duration = Duration::from_millis(20);
 const REPORT_INTERVAL: Duration = Duration::from_millis(700);
@@ -69,9 +72,6 @@
 /// Time after a server's or agent's last disturbance from which its flows must not be broken.
 const CALM_TIME: Duration = Duration::from_millis(4_000);
 
-/// Segments of a flow at other servers, with none at its own, that count as a broken flow.
-const STRAY_SEGMENTS: u32 = 3;
-
 /// What is delivered to a process of the system.
 #[derive(Clone, Debug)]
 enum Event {
@@ -81,7 +81,7 @@
     FromServer(usize, u64, Vec<u8>),
     ToServer(usize, Vec<u8>),
     ToCaller(Vec<u8>, bool),
-    Done(usize, u64, FlowKey),
+    Done(usize, u64, Work),
     CallerDue(usize),
     Tick(Place),
     Report(usize, u64),
@@ -109,14 +109,6 @@
     disturbed: Time,
 }
 
-/// What is known of an open flow, to check what happens to it.
-#[derive(Clone, Copy, Debug)]
-struct Truth {
-    server: usize,
-    life: u64,
-    stray: u32,
-}
-
 #[derive(Default)]
 struct Sent {
     peers: Vec<(SocketAddrV4, Vec<u8>)>,
@@ -156,8 +148,7 @@
     /// Version of the view that each process has learnt last.
     news: BTreeMap<Place, u64>,
     rotation: Vec<bool>,
-    truths: HashMap<FlowKey, Truth>,
-    written: HashMap<Vec<u8>, ()>,
+    witness: Witness,
     routes: Arc<RouteTable>,
 }
 
@@ -251,8 +242,7 @@
             },
             news: BTreeMap::new(),
             rotation: vec![true; BALANCERS],
-            truths: HashMap::new(),
-            written: HashMap::new(),
+            witness: Witness::new(Duration::ZERO),
             routes: Arc::new(route_table()),
             rng,
         };
@@ -307,7 +297,8 @@
             let due = LEAD_TIME + Duration::from_millis(self.rng.random_range(0..1000));
             let requests = if lasting { 1000 } else { 1 };
             let target = service_address(index % 5 != 0);
-            let caller = Caller::new(ip, target, index % DOMAINS, requests, due);
+            let mut caller = Caller::new(ip, target, index % DOMAINS, requests, due);
+            caller.idempotent = index % 2 == 0;
             self.callers.push(caller);
             self.at(due, Event::CallerDue(index));
         }
@@ -391,9 +382,9 @@
             }
             Event::ToServer(index, datagram) => self.reach_server(index, &datagram),
             Event::ToCaller(datagram, own) => self.reach_caller(&datagram, own),
-            Event::Done(index, life, flow) => {
+            Event::Done(index, life, work) => {
                 if self.servers[index].life == life {
-                    let reaction = self.servers[index].done(&flow, &mut self.rng);
+                    let reaction = self.servers[index].done(&work, &mut self.rng);
                     self.react(index, reaction);
                 }
             }
@@ -490,7 +481,7 @@
             self.broke("a server got bytes that are no segment");
             return;
         };
-        if !self.written.contains_key(&codec::fixed(datagram)) {
+        if !self.witness.was_written(&ModelCodec.fixed(datagram)) {
             self.broke("a server got a segment that no caller wrote");
         }
         let flow = segment.flow_of_caller();
@@ -500,26 +491,33 @@
         }
         self.check_stray(index, &flow);
         let before = self.servers[index].holds(&flow);
-        let reaction = self.servers[index].receive(&segment, datagram, &mut self.rng);
+        let content = ModelCodec.content(datagram);
+        let reaction = self.servers[index].receive(&segment, content, &mut self.rng);
         if !before && self.servers[index].holds(&flow) {
-            let truth = Truth {
+            let life = self.servers[index].life;
+            let home = Home {
                 server: index,
-                life: self.servers[index].life,
-                stray: 0,
+                life,
             };
-            self.truths.insert(flow, truth);
+            self.witness.opened(flow, home);
+        }
+        if reaction.bounced {
+            let event =
+                Event::FromServer(index, self.servers[index].life, ModelCodec.bounce(datagram));
+            self.after(SERVER_DELAY, event);
         }
         self.react(index, reaction);
     }
 
     fn react(&mut self, index: usize, reaction: Reaction) {
         let life = self.servers[index].life;
-        for datagram in reaction.sent {
-            let delay = Duration::from_micros(300);
-            self.after(delay, Event::FromServer(index, life, datagram));
+        for outgoing in reaction.sent {
+            let datagram = ModelCodec.write(&outgoing);
+            self.after(SERVER_DELAY, Event::FromServer(index, life, datagram));
         }
-        for (flow, time) in reaction.started {
-            self.after(time, Event::Done(index, life, flow));
+        for work in reaction.started {
+            self.check_run(work.request);
+            self.after(work.time, Event::Done(index, life, work));
         }
     }
 
@@ -534,7 +532,8 @@
         }
         let now = self.now;
         let caller = &mut self.callers[index];
-        let (seen, answer) = caller.receive(&segment, now);
+        let content = ModelCodec.content(datagram);
+        let (seen, answer) = caller.receive(&segment, content, now);
         match seen {
             Seen::Opened(took) => {
                 self.figures.flows += 1;
@@ -547,10 +546,11 @@
                 self.figures.resets += 1;
                 self.try_again(index);
             }
+            Seen::Mixed => self.broke("a caller got the answer to another request"),
             Seen::Nothing => {}
         }
         if let Some(answer) = answer {
-            self.route(index, answer);
+            self.route(index, &answer);
         }
     }
 
@@ -559,7 +559,7 @@
         self.figures.answers_ms.push(took.as_millis() as u64);
         if self.callers[index].answered >= self.callers[index].requests_per_flow {
             let last = self.callers[index].finish();
-            self.route(index, last);
+            self.route(index, &last);
         }
         self.pause(index);
     }
@@ -580,10 +580,10 @@
             self.figures.requests += 1;
         }
         match self.callers[index].act(self.now) {
-            Some(datagram) => {
+            Some(outgoing) => {
                 let due = self.callers[index].due;
                 self.at(due, Event::CallerDue(index));
-                self.route(index, datagram);
+                self.route(index, &outgoing);
             }
             None => {
                 self.callers[index].flow = None;
@@ -598,30 +598,28 @@
         if caller.stage == Stage::Idle {
             return;
         }
-        if self.now >= caller.began + DEADLINE {
+        if self.now >= caller.began + DEADLINE || !caller.may_repeat() {
             self.figures.given_up += 1;
             self.pause(index);
             return;
         }
-        let datagram = caller.open(self.now);
+        let opening = caller.open(self.now);
         let due = caller.due;
         self.at(due, Event::CallerDue(index));
-        self.route(index, datagram);
+        self.route(index, &opening);
     }
 
     /// Sends a caller's datagram through the router of its domain.
-    fn route(&mut self, index: usize, datagram: Vec<u8>) {
-        self.written.insert(codec::fixed(&datagram), ());
-        let Some(segment) = ModelCodec.read(&datagram) else {
-            return;
-        };
+    fn route(&mut self, index: usize, outgoing: &Outgoing) {
+        let datagram = ModelCodec.write(outgoing);
+        self.witness.wrote(ModelCodec.fixed(&datagram));
         let domain = self.callers[index].domain;
         let near = (0..BALANCERS).filter(|b| b % DOMAINS == domain);
         let mut rotation: Vec<usize> = near.filter(|b| self.rotation[*b]).collect();
         if rotation.is_empty() {
             rotation = (0..BALANCERS).collect();
         }
-        let port = usize::from(segment.source.port());
+        let port = usize::from(outgoing.segment.source.port());
         let chosen = rotation[(port * 31 + index * 17) % rotation.len()];
         let delay = Duration::from_micros(self.rng.random_range(1000..1500));
         self.after(delay, Event::FromCaller(chosen, datagram));
--- a/src/trial/segments/world/checks.rs
+++ b/src/trial/segments/world/checks.rs
@@ -1,30 +1,43 @@
-//! What must hold for open flows, judged from what callers and servers see.
+//! What must hold for open flows and requests, judged from what callers and servers see.
 
 use berylvalve_core::l4::segment::FlowKey;
 
-use super::{CALM_TIME, Place, STRAY_SEGMENTS, World};
+use super::{CALM_TIME, Place, World};
+use crate::trial::segments::witness::Home;
 
 impl World {
     /// Counts segments of an open flow that reach other servers and not its own.
     pub(super) fn check_stray(&mut self, index: usize, flow: &FlowKey) {
-        let Some(truth) = self.truths.get_mut(flow) else {
+        let Some(home) = self.witness.home(flow) else {
             return;
         };
-        let owner = truth.server;
-        let lives = self.servers[owner].life == truth.life && self.servers[owner].holds(flow);
-        if owner == index || !lives {
-            truth.stray = 0;
-            return;
-        }
-        truth.stray += 1;
-        let stray = truth.stray;
-        if stray >= STRAY_SEGMENTS && self.is_calm(Place::Agent(owner)) {
+        let holds = self.holds(&home, flow);
+        let broken = self.witness.strays(flow, index, holds, self.now);
+        if broken && self.is_calm(Place::Agent(home.server)) {
             self.broke(&format!(
-                "the segments of {flow} reach server {index} and not {owner}"
+                "the segments of {flow} reach server {index} and not {}",
+                home.server
             ));
         }
     }
 
+    fn holds(&self, home: &Home, flow: &FlowKey) -> bool {
+        let server = &self.servers[home.server];
+        server.life == home.life && server.holds(flow)
+    }
+
+    /// A request that must not run twice must not run twice.
+    pub(super) fn check_run(&mut self, request: u64) {
+        let runs = self.witness.ran(request);
+        let caller = self
+            .callers
+            .iter()
+            .find(|c| c.request >> 32 == request >> 32);
+        if runs > 1 && caller.is_some_and(|caller| !caller.idempotent) {
+            self.broke(&format!("request {request:016x} ran {runs} times"));
+        }
+    }
+
     fn is_calm(&self, place: Place) -> bool {
         let standing = self.standing[&place];
         standing.up && self.now.since(standing.disturbed) >= CALM_TIME
@@ -33,14 +46,13 @@
     /// A reset must not reach an open flow whose server lives and was not disturbed.
     pub(super) fn check_reset(&mut self, index: usize, flow: &FlowKey) {
         let current = self.callers[index].flow == Some(*flow);
-        let Some(truth) = self.truths.get(flow).filter(|_| current) else {
+        let Some(home) = self.witness.home(flow).filter(|_| current) else {
             return;
         };
-        let server = &self.servers[truth.server];
-        if server.life == truth.life && server.holds(flow) {
-            let owner = truth.server;
+        if self.holds(&home, flow) {
             self.broke(&format!(
-                "the open flow {flow} was reset while its server {owner} lives"
+                "the open flow {flow} was reset while its server {} lives",
+                home.server
             ));
         }
     }
