--- a/src/cli.rs
+++ b/src/cli.rs
@@ -75,6 +75,15 @@
     pub json: bool,
 }
 
+/// Options of `dev --platform`.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TourOptions {
+    /// How the fleet runs.
+    pub run: soak::Options,
+    /// Whether the report is JSON.
+    pub json: bool,
+}
+
 /// Options of `soak`.
 #[derive(Clone, Debug, PartialEq)]
 pub struct SoakOptions {
@@ -130,6 +139,8 @@
     /// Settings of `berylvalved`.
     #[default]
     Daemon,
+    /// Settings of `berylvalve-node` on the users' platform.
+    Node,
     /// A site for development.
     Site,
     /// The operators' tree.
@@ -142,10 +153,11 @@
     fn from_str(text: &str) -> Result<Self, String> {
         match text {
             "daemon" => Ok(FileKind::Daemon),
+            "node" => Ok(FileKind::Node),
             "site" => Ok(FileKind::Site),
             "tree" => Ok(FileKind::Tree),
             _ => Err(format!(
-                "no kind named {text}; there are daemon, site and tree"
+                "no kind named {text}; there are daemon, node, site and tree"
             )),
         }
     }
@@ -169,6 +181,8 @@
     Help(String),
     /// Start or measure a site.
     Dev(DevOptions),
+    /// Show planned changes and a store outage with the daemons of the users' platform.
+    Tour(TourOptions),
     /// Send one request.
     Call(CallOptions),
     /// Send a site's mix to a running fleet.
@@ -234,6 +248,7 @@
         return Ok(Command::Help(entry.help.to_owned()));
     }
     let command = match entry.name {
+        "dev" if args.contains("--platform") => Command::Tour(parse_tour(&mut args)?),
         "dev" => Command::Dev(parse_dev(&mut args)?),
         "call" => Command::Call(parse_call(&mut args)?),
         "load" => Command::Load(parse_load(&mut args)?),
@@ -270,29 +285,46 @@
     })
 }
 
+fn parse_tour(args: &mut Arguments) -> Result<TourOptions, UsageError> {
+    let mut run = parse_fleet(args, "berylvalve-dev")?;
+    run.plan = soak::Plan::Tour;
+    Ok(TourOptions {
+        run,
+        json: args.contains("--json"),
+    })
+}
+
 fn parse_soak(args: &mut Arguments) -> Result<SoakOptions, UsageError> {
     let time = args.opt_value_from_fn("--seconds", soak_time)?;
-    let folder: Option<PathBuf> = args.opt_value_from_str("--folder")?;
+    let mut first = parse_fleet(args, "berylvalve-soak")?;
+    first.time = time.unwrap_or(first.time);
+    Ok(SoakOptions {
+        first,
+        runs: args.opt_value_from_str("--runs")?.unwrap_or(1),
+        failed: args.contains("--failed-seeds"),
+        json: args.contains("--json"),
+    })
+}
+
+/// Reads how a fleet of the platform's daemons runs, with a folder of a name unless one is given.
+fn parse_fleet(args: &mut Arguments, folder: &str) -> Result<soak::Options, UsageError> {
+    let named: Option<PathBuf> = args.opt_value_from_str("--folder")?;
     let program: Option<PathBuf> = args.opt_value_from_str("--node")?;
     let mut count = |name, usual| -> Result<usize, UsageError> {
         let counted = args.opt_value_from_fn(name, soak_count)?;
         Ok(counted.unwrap_or(usual))
     };
-    Ok(SoakOptions {
-        first: soak::Options {
-            size: Size {
-                balancers: count("--balancers", 6)?,
-                agents: count("--agents", 9)?,
-                callers: count("--callers", 60)?,
-            },
-            seed: args.opt_value_from_str("--seed")?.unwrap_or(1),
-            time: time.unwrap_or(soak::USUAL_TIME),
-            program: program.unwrap_or_else(soak::program_beside_this),
-            folder: folder.unwrap_or_else(|| std::env::temp_dir().join("berylvalve-soak")),
+    Ok(soak::Options {
+        size: Size {
+            balancers: count("--balancers", 6)?,
+            agents: count("--agents", 9)?,
+            callers: count("--callers", 60)?,
         },
-        runs: args.opt_value_from_str("--runs")?.unwrap_or(1),
-        failed: args.contains("--failed-seeds"),
-        json: args.contains("--json"),
+        plan: soak::Plan::Drawn,
+        seed: args.opt_value_from_str("--seed")?.unwrap_or(1),
+        time: soak::USUAL_TIME,
+        program: program.unwrap_or_else(soak::program_beside_this),
+        folder: named.unwrap_or_else(|| std::env::temp_dir().join(folder)),
     })
 }
 
--- a/src/cli/help.rs
+++ b/src/cli/help.rs
@@ -162,6 +162,7 @@
 USAGE:
   berylvalve dev [--site NAME]                start a site and serve until interrupted
   berylvalve dev [--site NAME] --seconds N    send the site's mix for N seconds and report
+  berylvalve dev --platform                   show the daemons of the users' platform for a minute
 
 OPTIONS:
   --site NAME     haverkamp or dolbom (default: haverkamp)
@@ -173,6 +174,10 @@
   --burst         send that load in bursts: five times as much for a fifth of the time
   --json          print the report as one JSON object on the last line
 
+With --platform, berylvalve-node processes serve callers on loopback, beside a stand-in of the
+platform's store: all balancers restart in turn, then all agents while the store is silent. --node,
+--folder, --balancers, --agents, --callers and --seed are as those of 'berylvalve soak'.
+
 EXAMPLE:
   berylvalve dev --site dolbom --seconds 10 --faults rolling --json
 ";
@@ -217,7 +222,7 @@
 berylvalve check: check a settings file without starting anything
 
 USAGE:
-  berylvalve check [--kind daemon|site|tree] FILE
+  berylvalve check [--kind daemon|node|site|tree] FILE
 
 EXAMPLE:
   berylvalve check balancer.json
--- a/src/cli/print.rs
+++ b/src/cli/print.rs
@@ -44,6 +44,38 @@
     text
 }
 
+/// Returns what callers saw in the last whole second, with the faults since the first `told`.
+pub fn tour_progress(report: &soak::Report, told: usize) -> String {
+    let mut text = String::new();
+    for struck in &report.faults[told.min(report.faults.len())..] {
+        text.push_str(&format!("       {}\n", struck.fault));
+    }
+    let count = report.seconds.len();
+    if let Some(second) = count.checked_sub(2).and_then(|at| report.seconds.get(at)) {
+        text.push_str(&format!(
+            "{:>4} s  served {:<5} refused {:<5} given up {}\n",
+            count - 1,
+            second.served,
+            second.refused,
+            second.given_up,
+        ));
+    }
+    text
+}
+
+/// Returns the result of a tour, and what can be looked at afterwards.
+pub fn tour_report(report: &soak::Report, folder: &Path) -> String {
+    let mut text = soak_report(report, folder);
+    let folder = folder.display();
+    text.push_str(&format!(
+        "settings, logs and a plot: {folder}\n  \
+         berylvalve check --kind node {folder}/agent-0.json\n  \
+         grep -h event=request {folder}/agent-0.log | tail -1\n  \
+         berylvalve explain REQUEST-ID {folder}/*.log\n"
+    ));
+    text
+}
+
 /// Returns where a site can be reached and how.
 pub fn fleet_text(fleet: &Fleet) -> String {
     let mut text = String::new();
--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -15,6 +15,7 @@
 
 use super::{
     CallOptions, Command, DevOptions, EXIT_FAILURE, EXIT_USAGE, FileKind, LoadCommand, SoakOptions,
+    TourOptions,
     fleet::{self, FleetError},
     help, print, settings, stand_in,
 };
@@ -39,6 +40,10 @@
             ExitCode::SUCCESS
         }
         Command::Dev(options) => run_dev(options).await.unwrap_or_else(dev_failure),
+        Command::Tour(options) => match run_tour(options).await {
+            Ok(code) => code,
+            Err(message) => failure(&message),
+        },
         Command::Completions(shell) => run_completions(&shell),
         Command::Status { fleet, json } => finish(fleet::status(&fleet, json).await),
         Command::Drain { fleet, daemon } => finish(fleet::drain(&fleet, daemon).await),
@@ -127,9 +132,14 @@
 fn run_check(kind: FileKind, file: &Path) -> ExitCode {
     let checked = match kind {
         FileKind::Daemon => config::load::<DaemonSettings>(file).map(|_| ()),
+        FileKind::Node => return report_check(file, berylvalve_platform::settings::check(file)),
         FileKind::Site => config::load::<Site>(file).map(|_| ()),
         FileKind::Tree => config::load::<Region>(file).map(|_| ()),
     };
+    report_check(file, checked)
+}
+
+fn report_check<E: std::fmt::Display>(file: &Path, checked: Result<(), E>) -> ExitCode {
     match checked {
         Ok(()) => {
             println!("{}: accepted", file.display());
@@ -297,6 +307,26 @@
     })
 }
 
+async fn run_tour(options: TourOptions) -> Result<ExitCode, String> {
+    let mut told = 0;
+    let progress = |report: &soak::Report| {
+        if !options.json {
+            print!("{}", print::tour_progress(report, told));
+        }
+        told = report.faults.len();
+    };
+    let report = soak::run(&options.run, progress).await;
+    let report = report.map_err(|error| error.to_string())?;
+    match options.json {
+        true => println!("{}", print::json_line(&report)),
+        false => print!("{}", print::tour_report(&report, &options.run.folder)),
+    }
+    Ok(match report.broken.is_empty() {
+        true => ExitCode::SUCCESS,
+        false => ExitCode::from(EXIT_FAILURE),
+    })
+}
+
 async fn run_soak(options: SoakOptions) -> Result<ExitCode, String> {
     let shows = !options.json && stderr().is_terminal();
     let mut whole = true;
--- a/src/soak.rs
+++ b/src/soak.rs
@@ -81,9 +81,20 @@
     },
 }
 
+/// What happens in a run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Plan {
+    /// Faults drawn by the seed.
+    Drawn,
+    /// A rolling restart of the balancers, then one of the agents during an outage of the store.
+    Tour,
+}
+
 /// Options of a run.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Options {
+    /// What happens.
+    pub plan: Plan,
     /// Seed of the faults and of the callers.
     pub seed: u64,
     /// Length of the run.
@@ -113,7 +124,10 @@
     let mut rng = SmallRng::seed_from_u64(options.seed);
     let end = Time::default() + options.time;
     let first = Time::default() + LEAD_TIME + QUIET_TIME;
-    let faults = fault::schedule(&mut rng, options.size, first, end - SETTLE_TIME);
+    let faults = match options.plan {
+        Plan::Drawn => fault::schedule(&mut rng, options.size, first, end - SETTLE_TIME),
+        Plan::Tour => fault::tour(options.size),
+    };
     let world = World::start(options, faults, rng).await?;
     let report = world.run(end, progress).await;
     let path = options.folder.join("report.json");
--- a/src/soak/fault.rs
+++ b/src/soak/fault.rs
@@ -1,6 +1,6 @@
 //! What goes wrong in a run of the soak, and when.
 
-use std::time::Duration;
+use std::{fmt, time::Duration};
 
 use berylvalve_core::clock::Time;
 use rand::{Rng, rngs::SmallRng};
@@ -11,6 +11,10 @@
     proxy::LinkFault,
 };
 
+/// Time from one process to the next of a role that is restarted in turn: longer than a process needs
+/// to stop and to be ready again.
+pub const ROLL_GAP: Duration = Duration::from_millis(2_500);
+
 /// Shortest and longest pause between the starts of two faults, in milliseconds; most last longer, so
 /// that they overlap.
 const GAP_MS: std::ops::Range<u64> = 200..1_600;
@@ -70,6 +74,20 @@
     DropRoute,
 }
 
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Fault::Restart(place) => write!(f, "{place} restarts"),
+            Fault::Roll { balancers: true } => f.write_str("all balancers restart in turn"),
+            Fault::Roll { balancers: false } => f.write_str("all agents restart in turn"),
+            Fault::AllStoreLinks(link, time) => {
+                write!(f, "all ways to the store are {link} for {time:?}")
+            }
+            other => write!(f, "{other:?}"),
+        }
+    }
+}
+
 /// What happens on a link.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
 pub enum Link {
@@ -83,6 +101,17 @@
     Silent,
 }
 
+impl fmt::Display for Link {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Link::Delayed(time) => write!(f, "late by {time:?}"),
+            Link::Reset => f.write_str("reset"),
+            Link::OneWay => f.write_str("cut one way"),
+            Link::Silent => f.write_str("silent"),
+        }
+    }
+}
+
 impl From<Link> for LinkFault {
     fn from(link: Link) -> Self {
         match link {
@@ -112,6 +141,18 @@
     faults
 }
 
+/// Returns the faults of a tour: every balancer restarts, then every agent while the store is silent.
+pub fn tour(size: Size) -> Vec<(Time, Fault)> {
+    let first = Time::from_millis(8_000);
+    let second = first + ROLL_GAP * size.balancers as u32;
+    let outage = Duration::from_secs(10);
+    vec![
+        (first, Fault::Roll { balancers: true }),
+        (second, Fault::AllStoreLinks(Link::Silent, outage)),
+        (second, Fault::Roll { balancers: false }),
+    ]
+}
+
 fn draw(rng: &mut SmallRng, size: Size) -> Fault {
     let lasts = Duration::from_millis(rng.random_range(LASTS_MS));
     let server = rng.random_range(0..size.agents);
--- a/src/soak/world/faults.rs
+++ b/src/soak/world/faults.rs
@@ -6,11 +6,10 @@
 };
 
 use super::{Due, Extra, Fault, Place, World};
-use crate::soak::{fault::Link, proxy::LinkFault};
-
-/// Time from one process to the next of a role that is restarted in turn: longer than a process needs
-/// to stop and to be ready again.
-const ROLL_GAP: Duration = Duration::from_millis(2_500);
+use crate::soak::{
+    fault::{Link, ROLL_GAP},
+    proxy::LinkFault,
+};
 
 /// Work of a slow server, in multiples of the usual.
 const SLOW_FACTOR: f64 = 4.0;
