Prove the balancer's and the agent's check of the service alone

Cause: with the filter on the owner's service taken out of flow::read the tests stayed green, as the agent behind the balancer drops what is wrapped for another service. Change: tests that hold each of the two alone, on both data planes: steering without an agent, intake without a balancer, openings of a balancer whose agents would take all, and (as before) an agent that is offered another service's opening.

--- a/core/tests/l4/balancer.rs
+++ b/core/tests/l4/balancer.rs
@@ -50,15 +50,23 @@
 }
 
 fn view(agents: &[(u8, MemberState)]) -> View {
+    let agents: Vec<_> = agents
+        .iter()
+        .map(|(i, state)| (*i, *state, "desk"))
+        .collect();
+    view_of_services(&agents)
+}
+
+fn view_of_services(agents: &[(u8, MemberState, &str)]) -> View {
     let mut members = BTreeMap::new();
-    for (index, state) in agents {
+    for (index, state, service) in agents {
         let record = Record {
             address: agent(*index),
             control: agent(*index),
             incarnation: Incarnation(1),
             domain: "a".into(),
             role: Role::Agent,
-            service: ServiceKey::of("desk").tag(),
+            service: ServiceKey::of(service).tag(),
             state: *state,
             weight: 100,
             version: 0,
@@ -185,6 +193,33 @@
     assert_ne!(first, second);
 }
 
+/// The balancer's check of the service, without the agent's behind it.
+#[test]
+fn openings_go_only_to_agents_of_the_service_of_their_route() {
+    let mut world = World::new(0);
+    let agents = [(1, "desk"), (2, "maps"), (3, "desk"), (4, "maps")];
+    let agents = agents.map(|(index, service)| (index, MemberState::Ready, service));
+    let view = view_of_services(&agents);
+    world.balancer.take_view(&view, world.now, &mut world.sent);
+    world.wait(1_000);
+    let mut asked = Vec::new();
+    for port in 0..40 {
+        world.caller(OPENING, port);
+        for agent in world.opened() {
+            asked.push(agent);
+            world.refuse(agent, Refusal::Mute, port);
+        }
+        asked.extend(world.opened());
+        world.wait(50);
+        asked.extend(world.opened());
+    }
+    assert!(asked.contains(&agent(1)) && asked.contains(&agent(3)));
+    assert!(
+        !asked.contains(&agent(2)) && !asked.contains(&agent(4)),
+        "{asked:?}"
+    );
+}
+
 #[test]
 fn silent_agent_is_passed_over_in_well_under_the_targets() {
     let mut world = World::new(3);
--- a/tests/flows_decisions.rs
+++ b/tests/flows_decisions.rs
@@ -403,3 +403,57 @@
     };
     assert_eq!(Some(address(number)), choice.second);
 }
+
+/// The balancer's check of the service, without the agent's behind it.
+#[test]
+fn balancer_alone_follows_no_owner_id_to_another_service() {
+    let view = view(&[MemberState::Ready; AGENTS as usize]);
+    for number in 0..AGENTS {
+        let other = if service(number) == A { B } else { A };
+        let steered = steering::steer(&view, &keyring(), other, &short_packet(number));
+        assert_eq!(steered, Err(DropReason::Foreign), "{number}");
+        let opening = initial(&keyring().seal(&owner(number), 9));
+        let route = steering::steer(&view, &keyring(), other, &opening).unwrap();
+        let chosen = (0..AGENTS).find(|n| address(*n) == route.agent).unwrap();
+        assert_eq!(service(chosen), other, "{number}");
+    }
+}
+
+/// The agent's checks of the service, without the balancer's before them.
+#[test]
+fn agent_alone_takes_nothing_of_another_service() {
+    let view = view(&[MemberState::Ready; AGENTS as usize]);
+    let standing = Standing {
+        address: address(0),
+        service: A,
+        incarnation: Incarnation(1),
+        draining: false,
+        pressure: 0,
+    };
+    let wrapped = |service: ServiceTag| Header {
+        caller: SocketAddr::from(([127, 0, 0, 1], 9)),
+        service,
+        version: 1,
+        balancer: address(200),
+        others: [None, None],
+        hops: 0,
+    };
+    let now = Time::from_millis(1);
+    let decide = |service: ServiceTag, packet: &[u8]| {
+        let header = wrapped(service);
+        FlowTable::default().decide(now, &standing, &view, &keyring(), &header, packet)
+    };
+    let opening = initial(&[5; 8]);
+    assert_eq!(decide(A, &opening), Intake::Take);
+    assert_eq!(decide(B, &opening), Intake::Drop(DropReason::OtherService));
+    assert_eq!(decide(A, &short_packet(0)), Intake::Take);
+    let foreign = short_packet(AGENTS - 1);
+    assert_eq!(decide(A, &foreign), Intake::Drop(DropReason::Foreign));
+    let flow = Flow {
+        key: &[1; 8],
+        opening: Opening::Maybe,
+        owner: None,
+    };
+    let taken = FlowTable::default().decide_flow(now, &standing, &view, &wrapped(B), &flow);
+    assert_eq!(taken, Intake::Drop(DropReason::OtherService));
+}
