--- a/core/src/l4/balancer/departures.rs
+++ b/core/src/l4/balancer/departures.rs
@@ -24,6 +24,8 @@
 /// What is known of an agent that was given up.
 #[derive(Clone, Copy, Debug)]
 struct Departure {
+    /// Whether it has answered at all.
+    answered: bool,
     /// Questions since the last answer.
     questions: u32,
     /// When to ask or to conclude next.
@@ -48,7 +50,11 @@
     /// Notes a word of an agent.
     pub(super) fn heard(&mut self, agent: SocketAddrV4, now: Time) {
         if let Some(departure) = self.0.get_mut(&agent) {
+            if !departure.answered {
+                tracing::info!(event = "agent_answered", %agent, questions = departure.questions);
+            }
             *departure = Departure {
+                answered: true,
                 questions: 0,
                 due: now + REPEAT_TIME,
             };
@@ -75,7 +81,9 @@
                 self.lose_flows_of(*agent, now, out);
                 continue;
             }
+            tracing::info!(event = "agent_doubted", %agent, view = view.version);
             let departure = Departure {
+                answered: false,
                 questions: 0,
                 due: now,
             };
@@ -87,18 +95,19 @@
     /// Asks the agents that were given up, and resets the flows of those that do not answer.
     pub(super) fn doubt(&mut self, now: Time, out: &mut impl Outbox) {
         let due = self.departures.0.iter().filter(|(_, d)| d.due <= now);
-        let due: Vec<(SocketAddrV4, u32)> = due.map(|(a, d)| (*a, d.questions)).collect();
-        for (agent, questions) in due {
-            if questions == QUESTIONS {
+        let due: Vec<(SocketAddrV4, Departure)> = due.map(|(a, d)| (*a, *d)).collect();
+        for (agent, departure) in due {
+            if departure.questions == QUESTIONS {
                 self.departures.0.remove(&agent);
                 self.lose_flows_of(agent, now, out);
                 continue;
             }
-            let departure = Departure {
-                questions: questions + 1,
+            let asked = Departure {
+                questions: departure.questions + 1,
                 due: now + ANSWER_TIME,
+                ..departure
             };
-            self.departures.0.insert(agent, departure);
+            self.departures.0.insert(agent, asked);
             let find = Message::Find {
                 flow: NO_FLOW,
                 acknowledged: 0,
@@ -116,6 +125,7 @@
                 lost.push((*flow, owned.acknowledged));
             }
         }
+        tracing::info!(event = "agent_gone", %agent, flows = lost.len());
         for (flow, acknowledged) in lost {
             self.lose(&flow, acknowledged, "agent_gone", now, out);
         }
