Put the operators' pages of both data planes on one page

docs/OPERATORS.md becomes a part of docs/OPERATIONS.md, so that each thing stands once; the test that compares metrics with the page reads the part about a fleet of your own, as strictly as before.

--- a/tests/metrics.rs
+++ b/tests/metrics.rs
@@ -67,7 +67,8 @@
         shown.extend(names(&text(&place.agent)));
     }
     fleet.stop().await;
-    let page = fs::read_to_string("docs/OPERATORS.md").unwrap();
+    let page = fs::read_to_string("docs/OPERATIONS.md").unwrap();
+    let (_, page) = page.split_once("\n## A fleet of your own\n").unwrap();
     for name in &shown {
         let spelt = [format!("`{name}`"), format!("`{name}_total`")];
         assert!(spelt.iter().any(|spelt| page.contains(spelt)), "{name}");
