--- a/src/soak.rs
+++ b/src/soak.rs
@@ -131,7 +131,7 @@
     let world = World::start(options, faults, rng).await?;
     let report = world.run(end, progress).await;
     let path = options.folder.join("report.json");
-    let text = serde_json::to_string_pretty(&report).unwrap_or_default();
+    let text = serde_json::to_string_pretty(&report).expect("reports encode");
     std::fs::write(&path, text).context(FileSnafu { path })?;
     plot::draw(&report, &options.folder.join("report.svg"))?;
     Ok(report)
--- a/src/soak/world/processes.rs
+++ b/src/soak/world/processes.rs
@@ -59,7 +59,7 @@
         let machine = self.layout.machine(place, service, &self.seeds);
         let settings = machine.settings(&self.layout.ports);
         let path = self.options.folder.join(format!("{place}.json"));
-        let text = to_vec_pretty(&settings).unwrap_or_default();
+        let text = to_vec_pretty(&settings).expect("settings encode");
         std::fs::write(&path, text).context(FileSnafu { path })
     }
 
