Let parts of a fleet that have lost sight of each other find each other again

Cause: seeds in the store were looked for only while no other process was known. Where all leases end and the store refuses calls while processes restart in turn, those that start find only each other; balancers and agents came to know only their own kind, nobody looked any more, and nobody was served for 30 s. Ruled out: servers (each agent saw its own as ready); routes (in force). A store read each 9 s from each balancer is the price.

--- a/core/src/l4/daemon.rs
+++ b/core/src/l4/daemon.rs
@@ -24,7 +24,7 @@
     clock::unix_ms,
     control::{self, Control, ControlClient},
     kernel::{Kernel, KernelError},
-    member::{Directory, MemberState, Record, Role},
+    member::{Directory, MemberState, Record, Role, View},
     membership::{self, LocalRecord, Signer},
     metrics::Metrics,
     owner_id::{FleetKey, Incarnation, ServiceTag},
@@ -43,10 +43,14 @@
 /// Time in which the news of a stop reaches the others.
 const FAREWELL_TIME: Duration = Duration::from_millis(300);
 
-/// Time without any other process after which a process looks for seeds in the store: those in its
-/// settings answer within some hundred milliseconds, or not at all.
+/// Time between two looks at whether seeds are needed from the store: those in the settings answer within
+/// some hundred milliseconds, or not at all.
 const SEED_PAUSE: Duration = Duration::from_millis(1500);
 
+/// Such times after which a balancer that knows others looks all the same: 9 s, as a seed's lease lasts
+/// 10 s.
+const SEED_PAUSES: u32 = 6;
+
 /// An error at the start of a daemon.
 #[derive(Debug, Snafu)]
 pub enum StartError {
@@ -251,31 +255,69 @@
     let found =
         membership::start_when_ready(&kernel, socket, signer.clone(), seeds, REPORT_PATIENCE);
     let found = found.context(KernelSnafu)?;
-    let prefix = options.seed_prefix.clone();
     let directory: Arc<Directory> = kernel.find(Directory::NAME).context(KernelSnafu)?;
-    kernel.spawn(look_for_seeds(store.clone(), prefix, directory, found));
+    let looks = look_for_seeds(store.clone(), options.clone(), role, directory, found);
+    kernel.spawn(looks);
     Ok((kernel, ControlClient::new(signer)))
 }
 
-/// Tells the membership of seeds in the store whenever no other process is known.
+/// Tells the membership of seeds in the store: while no process that keeps a seed is known, and now and
+/// then in a balancer, as parts of a fleet may have lost sight of each other.
 async fn look_for_seeds(
     store: Arc<dyn Store>,
-    prefix: String,
+    options: DaemonOptions,
+    role: Role,
     directory: Arc<Directory>,
     found: mpsc::Sender<Vec<SocketAddrV4>>,
 ) {
+    let mut pauses = 0;
     loop {
         tokio::time::sleep(SEED_PAUSE).await;
-        if directory.view().members.len() > 1 {
+        pauses += 1;
+        let wanted = match seed_need(&directory.view(), options.peers, role) {
+            SeedNeed::Now => true,
+            SeedNeed::Sometimes => pauses >= SEED_PAUSES,
+            SeedNeed::Never => false,
+        };
+        if !wanted {
             continue;
         }
-        let seeds = find_seeds(store.as_ref(), &prefix).await;
+        pauses = 0;
+        let seeds = find_seeds(store.as_ref(), &options.seed_prefix).await;
         if found.send(seeds).await.is_err() {
             return;
         }
     }
 }
 
+/// How much a process needs to look for seeds in the store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SeedNeed {
+    /// Nobody else is known, or no balancer, as balancers keep the seeds.
+    Now,
+    /// Now and then, to find parts of the fleet that have lost sight of this one.
+    Sometimes,
+    /// Balancers look for all.
+    Never,
+}
+
+/// Returns how much the process at `own` needs to look for seeds.
+pub fn seed_need(view: &View, own: SocketAddrV4, role: Role) -> SeedNeed {
+    let live = |record: &&Record| !matches!(record.state, MemberState::Dead | MemberState::Left);
+    let mut others = view.members.values().filter(live);
+    let mut alone = true;
+    let keeper = others.any(|record| {
+        let other = record.address != own;
+        alone &= !other;
+        other && record.role == Role::Balancer
+    });
+    match role {
+        Role::Balancer if !alone => SeedNeed::Sometimes,
+        Role::Agent if keeper => SeedNeed::Never,
+        _ => SeedNeed::Now,
+    }
+}
+
 async fn bind(address: SocketAddrV4) -> Result<UdpSocket, StartError> {
     let socket = UdpSocket::bind(address).await;
     socket.context(BindSnafu { address })
--- a/core/src/membership/swim.rs
+++ b/core/src/membership/swim.rs
@@ -168,12 +168,17 @@
         swim
     }
 
-    /// Adds control addresses to announce to.
+    /// Adds control addresses to announce to; those of no known member may belong to a part of the
+    /// fleet that has lost sight of this one, and are joined at once.
     pub fn add_seeds(&mut self, seeds: &[SocketAddrV4]) {
         for seed in seeds {
             if !self.seeds.contains(seed) {
                 self.seeds.push(*seed);
             }
+            let mut live = self.roster.iter().filter(|entry| entry.is_live());
+            if !live.any(|entry| entry.record.control == *seed) {
+                self.add_stranger(*seed);
+            }
         }
     }
 
--- a/core/src/membership/sync.rs
+++ b/core/src/membership/sync.rs
@@ -28,6 +28,9 @@
 /// fleet, as seeds in the store last for 10 s.
 const LONE_TIME: Duration = Duration::from_secs(10);
 
+/// Seeds of no known member that are joined at once.
+const MAX_STRANGERS: usize = 8;
+
 /// Seeds that are tried at once, since some of them may be gone.
 const JOIN_SEEDS: usize = 3;
 
@@ -63,6 +66,8 @@
     shards: u16,
     pending: Vec<Pending>,
     welcomed: bool,
+    /// Seeds of no known member that were found and not joined yet.
+    strangers: Vec<SocketAddrV4>,
     /// When the process counts as joined although it has found nobody to ask.
     lone: Time,
 }
@@ -79,6 +84,7 @@
             shards: 1,
             pending: Vec::new(),
             welcomed: false,
+            strangers: Vec::new(),
             lone: now + LONE_TIME,
         }
     }
@@ -105,6 +111,7 @@
             self.sync.join = now + JOIN_INTERVAL;
             self.join(now);
         }
+        self.join_strangers(now);
         self.pull(now);
         if now < self.sync.due {
             return;
@@ -187,6 +194,25 @@
         }
     }
 
+    pub(super) fn add_stranger(&mut self, seed: SocketAddrV4) {
+        if self.sync.strangers.len() < MAX_STRANGERS && !self.sync.strangers.contains(&seed) {
+            self.sync.strangers.push(seed);
+        }
+    }
+
+    /// Announces the process to seeds that it did not know, and compares views more often for a while.
+    fn join_strangers(&mut self, now: Time) {
+        let own = self.own.control;
+        let strangers = std::mem::take(&mut self.sync.strangers);
+        for seed in strangers.into_iter().filter(|seed| *seed != own) {
+            self.sync.early = now + EARLY_TIME;
+            self.sync.due = self.sync.due.min(now + EARLY_INTERVAL);
+            let mut message = self.message(Body::Join);
+            message.add(Update::full(&self.own, Verdict::Alive));
+            self.send(seed, Level::Probe, message);
+        }
+    }
+
     fn welcome(&mut self) -> Message {
         let members = self.roster.live() as u32;
         let mut message = self.message(Body::Welcome { members });
--- a/src/soak/seeds.rs
+++ b/src/soak/seeds.rs
@@ -25,4 +25,10 @@
         seed: 61,
         cause: "as seed 41",
     },
+    FailedSeed {
+        seed: 229,
+        cause: "all leases ended and the store refused calls while processes restarted in turn, without \
+                seeds in their settings: balancers and agents came to know only their own kind, and no \
+                process that knew another one looked for more; nobody was served for 30 s",
+    },
 ];
--- a/tests/membership/spread.rs
+++ b/tests/membership/spread.rs
@@ -80,6 +80,25 @@
     assert!(network.nodes[first].swim.is_joined());
 }
 
+/// Seeds in the store may end while processes restart; those that start meanwhile find only each other.
+#[test]
+fn two_parts_of_a_fleet_become_one_once_one_process_finds_a_seed_of_the_other() {
+    let mut network = Network::new(7);
+    for number in 0..16 {
+        let part = number % 2;
+        let seed = record(part, DOMAINS).control;
+        network.start(record(number, DOMAINS), vec![seed]);
+    }
+    network.run(seconds(20));
+    assert!(network.nodes.iter().all(|n| n.swim.roster().live() == 8));
+    let other = network.nodes[1].local.control;
+    network.nodes[4].swim.add_seeds(&[other]);
+    network.run(seconds(12));
+    for node in &network.nodes {
+        assert_eq!(node.swim.roster().live(), 16, "{}", node.local.address);
+    }
+}
+
 #[test]
 fn weight_change_reaches_all() {
     let mut network = fleet(100, 5);
