Read the change once more: one event queue, one answer to common questions

Behaviour stays as it is. - Four event queues (the model, the soak, the membership's network, trial flows) become trial::agenda; the model's kept every event's slot for the whole run. - The model and the soak ask the shared state machines instead of twice the same: whether a segment opened its flow (Reaction::opened), whether a flow is still open at its server (Home::holds), whether a request may be repeated (Caller::repeat). - MemberState::is_gone replaces six matches and the balancer's own function; a balancer's question whether an agent lives stands once; seed_need no longer changes a flag inside a closure. - The platform's name warmup_left_ms stood in the soak: a report's body is written in platform/standin now. - Dropped from the soak: a field that was written and never read, the end of a run given twice, a witness used as a set. Three tests share what they let all agents answer.

--- a/core/src/l4/balancer/contact.rs
+++ b/core/src/l4/balancer/contact.rs
@@ -26,7 +26,7 @@
 const ASKED_AGENTS: usize = 3;
 
 /// A flow that nobody has, to ask whether an agent answers.
-pub(super) const NO_FLOW: FlowKey = FlowKey {
+const NO_FLOW: FlowKey = FlowKey {
     caller: SocketAddrV4::new(std::net::Ipv4Addr::UNSPECIFIED, 0),
     address: SocketAddrV4::new(std::net::Ipv4Addr::UNSPECIFIED, 0),
 };
@@ -71,12 +71,17 @@
         self.contact.question = now + QUESTION_INTERVAL;
         let salt = self.salt();
         let agents: Vec<SocketAddrV4> = self.fleet.some(ASKED_AGENTS, salt).collect();
+        for agent in agents {
+            self.ask_whether_alive(agent, out);
+        }
+    }
+
+    /// Asks an agent for a flow that nobody has, so that it answers.
+    pub(super) fn ask_whether_alive(&mut self, agent: SocketAddrV4, out: &mut impl Outbox) {
         let find = Message::Find {
             flow: NO_FLOW,
             acknowledged: 0,
         };
-        for agent in agents {
-            self.send(agent, &find, &[], out);
-        }
+        self.send(agent, &find, &[], out);
     }
 }
--- a/core/src/l4/balancer/departures.rs
+++ b/core/src/l4/balancer/departures.rs
@@ -5,10 +5,10 @@
 
 use std::{collections::BTreeMap, net::SocketAddrV4, time::Duration};
 
-use super::{Balancer, Entry, contact::NO_FLOW};
+use super::{Balancer, Entry};
 use crate::{
     clock::Time,
-    l4::{message::Message, outbox::Outbox, segment::Codec},
+    l4::{outbox::Outbox, segment::Codec},
     member::{MemberState, View},
 };
 
@@ -108,11 +108,7 @@
                 ..departure
             };
             self.departures.0.insert(agent, asked);
-            let find = Message::Find {
-                flow: NO_FLOW,
-                acknowledged: 0,
-            };
-            self.send(agent, &find, &[], out);
+            self.ask_whether_alive(agent, out);
         }
     }
 
--- a/core/src/l4/balancer/fleet.rs
+++ b/core/src/l4/balancer/fleet.rs
@@ -66,7 +66,7 @@
         self.take_homes(view);
         for (address, record) in &view.members {
             if record.role != Role::Agent {
-                let near = record.domain == domain && !is_gone(record.state);
+                let near = record.domain == domain && !record.state.is_gone();
                 self.near.extend(near.then_some(*address));
                 continue;
             }
@@ -79,7 +79,7 @@
                 avoid: Time::default(),
                 unanswered: None,
             });
-            let ended = is_gone(record.state) && !is_gone(peer.state);
+            let ended = record.state.is_gone() && !peer.state.is_gone();
             peer.state = record.state;
             peer.service = record.service;
             if ended {
@@ -89,7 +89,7 @@
         let members = &view.members;
         self.agents.retain(|address, peer| {
             let known = members.contains_key(address);
-            if !known && !is_gone(peer.state) {
+            if !known && !peer.state.is_gone() {
                 gone.push(*address);
             }
             known
@@ -111,7 +111,7 @@
         let may_hold = |peer: &Peer| {
             let unanswered = peer.unanswered;
             let silent = unanswered.is_some_and(|since| now.since(since) >= SILENT_END);
-            !silent && !is_gone(peer.state)
+            !silent && !peer.state.is_gone()
         };
         if self.agents.len() <= SMALL_FLEET {
             let live = self.agents.iter().filter(|(_, peer)| may_hold(peer));
@@ -254,8 +254,3 @@
         }
     }
 }
-
-/// Returns whether a member has left or was given up.
-pub fn is_gone(state: MemberState) -> bool {
-    matches!(state, MemberState::Dead | MemberState::Left)
-}
--- a/core/src/l4/daemon.rs
+++ b/core/src/l4/daemon.rs
@@ -303,17 +303,11 @@
 
 /// Returns how much the process at `own` needs to look for seeds.
 pub fn seed_need(view: &View, own: SocketAddrV4, role: Role) -> SeedNeed {
-    let live = |record: &&Record| !matches!(record.state, MemberState::Dead | MemberState::Left);
-    let mut others = view.members.values().filter(live);
-    let mut alone = true;
-    let keeper = others.any(|record| {
-        let other = record.address != own;
-        alone &= !other;
-        other && record.role == Role::Balancer
-    });
+    let members = view.members.values();
+    let mut others = members.filter(|record| record.address != own && !record.state.is_gone());
     match role {
-        Role::Balancer if !alone => SeedNeed::Sometimes,
-        Role::Agent if keeper => SeedNeed::Never,
+        Role::Balancer if others.next().is_some() => SeedNeed::Sometimes,
+        Role::Agent if others.any(|record| record.role == Role::Balancer) => SeedNeed::Never,
         _ => SeedNeed::Now,
     }
 }
--- a/core/src/member.rs
+++ b/core/src/member.rs
@@ -43,6 +43,13 @@
     Dead,
 }
 
+impl MemberState {
+    /// Returns whether the process has stopped or was given up.
+    pub const fn is_gone(self) -> bool {
+        matches!(self, MemberState::Dead | MemberState::Left)
+    }
+}
+
 /// What a process announces about itself.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Record {
@@ -146,10 +153,9 @@
 
     /// Returns the agents that may hold flows.
     pub fn agents(&self) -> impl Iterator<Item = &Record> {
-        self.members.values().filter(|record| {
-            let gone = matches!(record.state, MemberState::Dead | MemberState::Left);
-            record.role == Role::Agent && !gone
-        })
+        self.members
+            .values()
+            .filter(|record| record.role == Role::Agent && !record.state.is_gone())
     }
 
     /// Returns a summary of [`View::agents`].
--- a/core/tests/l4/balancer.rs
+++ b/core/tests/l4/balancer.rs
@@ -167,6 +167,14 @@
         );
     }
 
+    /// Lets all that are asked for a flow say that they don't hold it, until the search ends.
+    fn all_deny(&mut self, agents: KnownAgents) {
+        for _ in 0..3 {
+            self.find_answers(Standing::NotHeld, agents);
+            self.wait(10);
+        }
+    }
+
     fn find_answers(&mut self, standing: Standing, agents: KnownAgents) {
         let sent = std::mem::take(&mut self.sent.peers);
         for (peer, message) in sent {
@@ -306,10 +314,7 @@
     for (agents, resets) in [(known, 1), (more, 0)] {
         let mut world = World::new(2);
         world.caller(DATA, 1);
-        for _ in 0..3 {
-            world.find_answers(Standing::NotHeld, agents);
-            world.wait(10);
-        }
+        world.all_deny(agents);
         assert_eq!(world.sent.resets, resets, "{agents:?}");
     }
 }
@@ -337,10 +342,7 @@
         world.balancer.take_view(&view, world.now, &mut world.sent);
         world.wait(2_000);
         world.caller(DATA, 1);
-        for _ in 0..3 {
-            world.find_answers(Standing::NotHeld, view.known_agents());
-            world.wait(10);
-        }
+        world.all_deny(view.known_agents());
         assert_eq!(world.sent.resets, resets, "joined: {joined}");
     }
 }
@@ -355,10 +357,7 @@
         world.view(&agents);
         world.wait(waited);
         world.caller(DATA, 1);
-        for _ in 0..3 {
-            world.find_answers(Standing::NotHeld, known);
-            world.wait(10);
-        }
+        world.all_deny(known);
         assert_eq!(world.sent.resets, resets, "after {waited} ms");
     }
 }
--- a/src/agent/pass.rs
+++ b/src/agent/pass.rs
@@ -49,7 +49,7 @@
     let Some(record) = view.members.get(&owner.address) else {
         return Keeper::Gone;
     };
-    let left = matches!(record.state, MemberState::Dead | MemberState::Left);
+    let left = record.state.is_gone();
     if left || record.role != Role::Agent || record.incarnation != owner.incarnation {
         return Keeper::Gone;
     }
--- a/src/flow.rs
+++ b/src/flow.rs
@@ -3,7 +3,7 @@
 
 use crate::{
     consts::OWNER_ID_BYTES,
-    member::{MemberState, View},
+    member::View,
     owner_id::{Keyring, Owner, ServiceTag},
     packet::{self, Packet},
 };
@@ -114,7 +114,7 @@
     if record.incarnation < owner.incarnation {
         return Fate::Unknown;
     }
-    let stopped = matches!(record.state, MemberState::Dead | MemberState::Left);
+    let stopped = record.state.is_gone();
     // A later life at the address may still hold the flow, if it was only frozen; if not, it
     // resets the flow itself.
     match stopped || record.service != owner.service {
--- a/src/settings/spread.rs
+++ b/src/settings/spread.rs
@@ -18,7 +18,7 @@
 use crate::{
     clock::Time,
     config::{Fault, tree::Region},
-    member::{MemberState, View},
+    member::View,
     placement::relays,
     store::Committed,
 };
@@ -233,7 +233,7 @@
         let mut actions = VecDeque::new();
         self.peers.clear();
         for record in view.members.values() {
-            let gone = matches!(record.state, MemberState::Dead | MemberState::Left);
+            let gone = record.state.is_gone();
             let foreign = self.foreign.contains(&record.control);
             if gone || foreign || record.address == self.own {
                 continue;
--- a/src/soak.rs
+++ b/src/soak.rs
@@ -129,7 +129,7 @@
         Plan::Tour => fault::tour(options.size),
     };
     let world = World::start(options, faults, rng).await?;
-    let report = world.run(end, progress).await;
+    let report = world.run(progress).await;
     let path = options.folder.join("report.json");
     let text = serde_json::to_string_pretty(&report).expect("reports encode");
     std::fs::write(&path, text).context(FileSnafu { path })?;
--- a/src/soak/world.rs
+++ b/src/soak/world.rs
@@ -7,8 +7,7 @@
 mod traffic;
 
 use std::{
-    cmp::Reverse,
-    collections::{BTreeMap, BinaryHeap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     net::SocketAddrV4,
     process::ExitStatus,
     sync::Arc,
@@ -34,10 +33,13 @@
     proxy::Proxy,
     report::Struck,
 };
-use crate::trial::segments::{
-    caller::Caller,
-    server::{Server, Work},
-    witness::Witness,
+use crate::trial::{
+    agenda::Agenda,
+    segments::{
+        caller::Caller,
+        server::{Server, Work},
+        witness::Witness,
+    },
 };
 
 /// Input that waits for the run; sockets keep what does not fit.
@@ -59,7 +61,7 @@
     ToCaller(Vec<u8>, SocketAddrV4),
     /// A datagram for a backend server.
     ToServer(usize, Vec<u8>),
-    /// What a balancer told the routers, `None` if nothing in time.
+    /// Whether a balancer told the routers in time that it is ready.
     Ready(usize, bool),
     /// Whether the report of a server's life was acknowledged.
     Reported(usize, u64, bool),
@@ -147,9 +149,7 @@
     /// Balancers that the settings of all processes name; none in some runs.
     seeds: Vec<usize>,
     report: Report,
-    count: u64,
-    due: BinaryHeap<Reverse<(Time, u64)>>,
-    waiting: HashMap<u64, Due>,
+    agenda: Agenda<Due>,
     inbox: mpsc::Receiver<Input>,
     input: mpsc::Sender<Input>,
     store: Arc<Store>,
@@ -160,12 +160,11 @@
     /// Unix time of each server's start, in milliseconds.
     servers_born: Vec<u64>,
     server_sockets: Vec<Arc<UdpSocket>>,
-    /// When the last disturbance of each server ended.
-    servers_disturbed: Vec<Time>,
     callers: Vec<Caller>,
     caller_sockets: Vec<Arc<UdpSocket>>,
-    caller_witness: Witness,
-    server_witness: Witness,
+    witness: Witness,
+    /// The fixed bytes of the datagrams that servers sent.
+    answers: HashSet<Vec<u8>>,
     /// The balancer that took the last datagram of each flow.
     taken: HashMap<FlowKey, usize>,
     extras: Vec<Extra>,
@@ -188,10 +187,9 @@
         let layout = Layout::choose().context(SocketSnafu)?;
         let store = Store::start(layout.store()).await.context(SocketSnafu)?;
         let (input, inbox) = mpsc::channel(INPUT);
-        let named = if rng.random_range(0..SEEDLESS_SHARE) == 0 {
-            0
-        } else {
-            SEEDS
+        let named = match rng.random_range(0..SEEDLESS_SHARE) {
+            0 => 0,
+            _ => SEEDS,
         };
         let mut world = Self {
             clock: Clock::start(),
@@ -201,9 +199,7 @@
             rng,
             layout,
             report: Report::new(options.seed, options.size),
-            count: 0,
-            due: BinaryHeap::new(),
-            waiting: HashMap::new(),
+            agenda: Agenda::default(),
             inbox,
             input,
             store,
@@ -213,11 +209,10 @@
             servers: Vec::new(),
             servers_born: Vec::new(),
             server_sockets: Vec::new(),
-            servers_disturbed: vec![Time::default(); options.size.agents],
             callers: Vec::new(),
             caller_sockets: Vec::new(),
-            caller_witness: Witness::new(checks::FLOW_TIME),
-            server_witness: Witness::new(checks::FLOW_TIME),
+            witness: Witness::new(checks::FLOW_TIME),
+            answers: HashSet::new(),
             taken: HashMap::new(),
             extras: Vec::new(),
             config_version: 0,
@@ -235,9 +230,10 @@
     }
 
     /// Runs to the end, stops all processes, and returns what was seen.
-    pub async fn run(mut self, end: Time, mut progress: impl FnMut(&Report)) -> Report {
+    pub async fn run(mut self, mut progress: impl FnMut(&Report)) -> Report {
+        let end = self.end;
         while self.now < end {
-            let next = self.due.peek().map_or(end, |Reverse((at, _))| *at);
+            let next = self.agenda.next().unwrap_or(end);
             let wake = self.clock.instant(next.min(end));
             tokio::select! {
                 biased;
@@ -259,9 +255,7 @@
     }
 
     fn at(&mut self, time: Time, due: Due) {
-        self.count += 1;
-        self.due.push(Reverse((time, self.count)));
-        self.waiting.insert(self.count, due);
+        self.agenda.add(time, due);
     }
 
     fn after(&mut self, delay: Duration, due: Due) {
@@ -270,14 +264,7 @@
 
     /// Does what is due first; returns whether a second has passed.
     fn act(&mut self) -> bool {
-        let Some(Reverse((at, number))) = self.due.peek().copied() else {
-            return false;
-        };
-        if at > self.now {
-            return false;
-        }
-        self.due.pop();
-        let Some(due) = self.waiting.remove(&number) else {
+        let Some((_, due)) = self.agenda.pop(self.now) else {
             return false;
         };
         match due {
@@ -314,6 +301,10 @@
         }
     }
 
+    fn places(&self) -> Vec<Place> {
+        self.nodes.keys().copied().collect()
+    }
+
     fn struck(&mut self, fault: Fault) {
         let at_ms = self.now.as_millis();
         self.report.faults.push(Struck { at_ms, fault });
--- a/src/soak/world/checks.rs
+++ b/src/soak/world/checks.rs
@@ -9,7 +9,7 @@
 use berylvalve_platform_standin::packet::PacketCodec;
 
 use super::{Place, World, servers};
-use crate::trial::segments::{wire::Wire, witness::Home};
+use crate::trial::segments::wire::Wire;
 
 /// Time without an unplanned disturbance from which flows must not be broken: `contact_ms` of the
 /// platform's bounds.
@@ -48,29 +48,21 @@
         self.nodes.keys().all(|place| self.is_calm(*place))
     }
 
-    fn holds(&self, home: &Home, flow: &FlowKey) -> bool {
-        let server = &self.servers[home.server];
-        server.life == home.life && server.holds(flow)
-    }
-
     /// Checks a datagram that reached a server: written by a caller, of the server's service, and not
     /// of a flow that is open elsewhere.
     pub(super) fn check_delivery(&mut self, index: usize, segment: &Segment, datagram: &[u8]) {
-        if !self
-            .caller_witness
-            .was_written(&PacketCodec.fixed(datagram))
-        {
+        if !self.witness.was_written(&PacketCodec.fixed(datagram)) {
             self.broke(format!("server {index} got a segment that no caller wrote"));
         }
         let flow = segment.flow_of_caller();
         if segment.is_opening() && self.servers[index].alive {
             self.check_opening(index, &flow);
         }
-        let Some(home) = self.caller_witness.home(&flow) else {
+        let Some(home) = self.witness.home(&flow) else {
             return;
         };
-        let holds = self.holds(&home, &flow);
-        let strays = self.caller_witness.strays(&flow, index, holds, self.now);
+        let holds = home.holds(&self.servers, &flow);
+        let strays = self.witness.strays(&flow, index, holds, self.now);
         let taker = self.taken.get(&flow).copied();
         let calm = taker.is_some_and(|taker| self.is_calm(Place::Balancer(taker)));
         if strays && calm && self.is_calm(Place::Agent(home.server)) {
@@ -105,7 +97,7 @@
 
     /// A request that must not run twice must not run twice.
     pub(super) fn check_run(&mut self, request: u64) {
-        let runs = self.caller_witness.ran(request);
+        let runs = self.witness.ran(request);
         let caller = self.layout.caller_index(((request >> 32) as u32).into());
         if runs > 1 && caller.is_some_and(|caller| !self.callers[caller].idempotent) {
             self.broke(format!("request {request:016x} ran {runs} times"));
@@ -122,10 +114,7 @@
         sender: SocketAddrV4,
     ) {
         if !segment.flags.rst {
-            if !self
-                .server_witness
-                .was_written(&PacketCodec.fixed(datagram))
-            {
+            if !self.answers.contains(&PacketCodec.fixed(datagram)) {
                 self.broke(format!(
                     "a caller got a segment of {sender} that no server wrote"
                 ));
@@ -136,7 +125,7 @@
         if self.callers[index].flow != Some(flow) {
             return;
         }
-        let Some(home) = self.caller_witness.home(&flow) else {
+        let Some(home) = self.witness.home(&flow) else {
             return;
         };
         let Some(place) = self.layout.place(*sender.ip()) else {
@@ -148,7 +137,7 @@
             .iter()
             .any(|e| e.address == flow.address && e.dropped.is_some());
         let calm = self.is_calm(place) && self.is_calm(Place::Agent(home.server));
-        if calm && !dropped && self.holds(&home, &flow) {
+        if calm && !dropped && home.holds(&self.servers, &flow) {
             let own = home.server;
             self.broke(format!(
                 "{place} reset the open flow {flow} of server {own}"
--- a/src/soak/world/faults.rs
+++ b/src/soak/world/faults.rs
@@ -7,6 +7,7 @@
 
 use super::{Due, Extra, Fault, Place, World};
 use crate::soak::{
+    SETTLE_TIME,
     fault::{Link, ROLL_GAP},
     proxy::LinkFault,
 };
@@ -25,8 +26,7 @@
             Fault::Pause(place, time) => self.pause_process(*place, *time),
             Fault::StoreLink(place, link, time) => self.disturb_store_link(*place, *link, *time),
             Fault::AllStoreLinks(link, time) => {
-                let places: Vec<Place> = self.nodes.keys().copied().collect();
-                for place in places {
+                for place in self.places() {
                     self.disturb_store_link(place, *link, *time);
                 }
                 true
@@ -105,8 +105,7 @@
     }
 
     fn kill_all(&mut self) -> bool {
-        let places: Vec<Place> = self.nodes.keys().copied().collect();
-        for place in places {
+        for place in self.places() {
             self.kill(place);
         }
         true
@@ -126,7 +125,7 @@
                 false => Place::Agent(index),
             };
             let at = self.now + ROLL_GAP * index as u32;
-            if at < self.end - super::super::SETTLE_TIME {
+            if at < self.end - SETTLE_TIME {
                 self.at(at, Due::Fault(Fault::Restart(place)));
             }
         }
--- a/src/soak/world/processes.rs
+++ b/src/soak/world/processes.rs
@@ -221,7 +221,7 @@
 
     /// Stops all processes; each has its time of grace.
     pub(super) async fn stop_all(&mut self) {
-        let places: Vec<Place> = self.nodes.keys().copied().collect();
+        let places = self.places();
         for place in &places {
             self.send_signal(*place, Signal::CONT);
             self.send_signal(*place, Signal::TERM);
--- a/src/soak/world/servers.rs
+++ b/src/soak/world/servers.rs
@@ -93,16 +93,15 @@
         };
         self.check_delivery(index, &segment, datagram);
         let flow = segment.flow_of_caller();
-        let before = self.servers[index].holds(&flow);
         let content = PacketCodec.content(datagram);
         let reaction = self.servers[index].receive(&segment, content, &mut self.rng);
-        if !before && self.servers[index].holds(&flow) {
+        if reaction.opened {
             let life = self.servers[index].life;
             let home = Home {
                 server: index,
                 life,
             };
-            self.caller_witness.opened(flow, home);
+            self.witness.opened(flow, home);
         }
         if reaction.bounced {
             self.send_from_server(index, &PacketCodec.bounce(datagram));
@@ -113,7 +112,7 @@
     fn react(&mut self, index: usize, reaction: Reaction) {
         for outgoing in reaction.sent {
             let datagram = PacketCodec.write(&outgoing);
-            self.server_witness.wrote(PacketCodec.fixed(&datagram));
+            self.answers.insert(PacketCodec.fixed(&datagram));
             self.send_from_server(index, &datagram);
         }
         let life = self.servers[index].life;
@@ -151,14 +150,13 @@
         let report = Report {
             service: service_name(desk).to_owned(),
             address: SocketAddrV4::new(ip, self.layout.ports.server),
-            zone: domain(index),
+            domain: domain(index),
             slots: server.slots,
-            state: if server.draining { "draining" } else { "ready" },
+            draining: server.draining,
             sequence: server.sequence,
-            born: self.servers_born[index],
-            version: "v1",
-            warmup_left_ms: 0,
-        };
+            born_ms: self.servers_born[index],
+        }
+        .body();
         let calls = HttpCalls::new(vec![SocketAddrV4::new(ip, self.layout.ports.control)]);
         let input = self.input.clone();
         let path = message::report_path(&server_id(index, life));
@@ -221,7 +219,6 @@
             return false;
         }
         self.servers[index].crash();
-        self.servers_disturbed[index] = self.now + down;
         self.after(down, Due::ServerBack(index));
         true
     }
--- a/src/soak/world/traffic.rs
+++ b/src/soak/world/traffic.rs
@@ -15,7 +15,7 @@
 use crate::{
     soak::{LEAD_TIME, fault::Link, place::DOMAINS},
     trial::segments::{
-        caller::{Caller, DEADLINE, Seen, Stage},
+        caller::{Caller, Seen, Stage},
         wire::{Outgoing, Wire},
     },
 };
@@ -113,7 +113,7 @@
     /// Passes a caller's segment to the balancer that the routers choose.
     fn pass(&mut self, index: usize, outgoing: &Outgoing) {
         let datagram = PacketCodec.write(outgoing);
-        self.caller_witness.wrote(PacketCodec.fixed(&datagram));
+        self.witness.wrote(PacketCodec.fixed(&datagram));
         let balancer = self.choose(index, &outgoing.segment);
         let flow = outgoing.segment.flow_of_caller();
         self.taken.insert(flow, balancer);
@@ -241,10 +241,9 @@
     }
 
     fn pause(&mut self, index: usize) {
-        let pause = self.random_ms(PAUSE_MS);
-        self.callers[index].stage = Stage::Idle;
-        self.callers[index].due = self.now + pause;
-        self.after(pause, Due::Caller(index));
+        let due = self.now + self.random_ms(PAUSE_MS);
+        self.callers[index].rest(due);
+        self.at(due, Due::Caller(index));
     }
 
     pub(super) fn retry(&mut self, index: usize) {
@@ -259,13 +258,12 @@
         if caller.stage == Stage::Idle {
             return;
         }
-        if self.now >= caller.began + DEADLINE || !caller.may_repeat() {
-            caller.flow = None;
-            self.report.second(self.now).given_up += 1;
-            self.pause(index);
-            return;
+        match caller.repeat(self.now) {
+            Some(opening) => self.send(index, &opening),
+            None => {
+                self.report.second(self.now).given_up += 1;
+                self.pause(index);
+            }
         }
-        let opening = caller.open(self.now);
-        self.send(index, &opening);
     }
 }
--- a/src/trial.rs
+++ b/src/trial.rs
@@ -2,6 +2,7 @@
 
 use serde_json::Value;
 
+pub mod agenda;
 pub mod balance;
 pub mod connections;
 pub mod flows;
--- a/src/trial/flows.rs
+++ b/src/trial/flows.rs
@@ -4,12 +4,13 @@
 //! Balancers join empty, leave and die, servers drain, join and die, weights change, and each
 //! process learns of each change after a delay of its own. No store takes part.
 
-use std::{cmp::Reverse, collections::BinaryHeap, time::Duration};
+use std::time::Duration;
 
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use serde::Serialize;
 use serde_json::{Value, json};
 
+use super::agenda::Agenda;
 use crate::clock::Time;
 
 mod fleet;
@@ -53,7 +54,7 @@
     handed_on: u64,
 }
 
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug)]
 enum Event {
     Open(usize),
     Packet(usize),
@@ -74,13 +75,12 @@
 }
 
 struct World {
-    events: BinaryHeap<Reverse<(Time, u64, Event)>>,
+    events: Agenda<Event>,
     figures: Figures,
     fleet: Fleet,
     flows: Vec<Flow>,
     now: Time,
     random: SmallRng,
-    sequence: u64,
 }
 
 /// Runs all modes on the schedule of a seed.
@@ -104,13 +104,12 @@
 impl World {
     fn new(mode: Mode, seed: u64) -> Self {
         let mut world = Self {
-            events: BinaryHeap::new(),
+            events: Agenda::default(),
             figures: Figures::default(),
             fleet: Fleet::new(mode, seed, AGENTS, BALANCERS),
             flows: Vec::new(),
             now: Time::default(),
             random: SmallRng::seed_from_u64(seed),
-            sequence: 0,
         };
         let end = Time::default() + RUN_TIME;
         world.schedule(Duration::ZERO, Event::Arrival);
@@ -128,17 +127,12 @@
     }
 
     fn schedule(&mut self, delay: Duration, event: Event) {
-        self.sequence += 1;
-        let entry = (self.now + delay, self.sequence, event);
-        self.events.push(Reverse(entry));
+        self.events.add(self.now + delay, event);
     }
 
     fn run(mut self) -> Figures {
         let end = Time::default() + RUN_TIME;
-        while let Some(Reverse((at, _, event))) = self.events.pop() {
-            if at > end {
-                break;
-            }
+        while let Some((at, event)) = self.events.pop(end) {
             self.now = at;
             self.fleet.learn(at);
             self.handle(event);
--- a/src/trial/membership/network.rs
+++ b/src/trial/membership/network.rs
@@ -1,8 +1,7 @@
 //! A small fake network: a queue with delay, loss and repetition between state machines.
 
 use std::{
-    cmp::Reverse,
-    collections::{BinaryHeap, HashMap},
+    collections::HashMap,
     net::{Ipv4Addr, SocketAddrV4},
     time::Duration,
 };
@@ -18,6 +17,7 @@
         swim::{Action, Swim, TICK_INTERVAL},
     },
     owner_id::{FleetKey, Incarnation, ServiceTag},
+    trial::agenda::Agenda,
 };
 
 /// Messages that wait for a frozen process, at most.
@@ -70,13 +70,13 @@
     waiting: Vec<Packet>,
 }
 
-#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Debug)]
 enum Step {
     Tick { node: usize },
     Arrive { packet: Packet },
 }
 
-#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Debug)]
 struct Packet {
     from: usize,
     to: SocketAddrV4,
@@ -97,8 +97,7 @@
     /// Whether actions other than sends are kept.
     pub logging: bool,
     controls: HashMap<SocketAddrV4, usize>,
-    order: u64,
-    queue: BinaryHeap<Reverse<(Time, u64, Step)>>,
+    queue: Agenda<Step>,
     rng: SmallRng,
     signer: Signer,
 }
@@ -117,8 +116,7 @@
             cut: false,
             logging: false,
             controls: HashMap::new(),
-            order: 0,
-            queue: BinaryHeap::new(),
+            queue: Agenda::default(),
             rng: SmallRng::seed_from_u64(seed),
             signer: Signer::new(&[key]),
         }
@@ -213,11 +211,7 @@
 
     /// Does the next step before `end`; returns the process that acted.
     pub fn step(&mut self, end: Time) -> Option<Option<usize>> {
-        let Reverse((at, _, _)) = self.queue.peek()?;
-        if *at > end {
-            return None;
-        }
-        let Reverse((at, _, step)) = self.queue.pop()?;
+        let (at, step) = self.queue.pop(end)?;
         self.now = at;
         match step {
             Step::Tick { node } => Some(self.tick(node)),
@@ -305,8 +299,7 @@
     }
 
     fn push(&mut self, at: Time, step: Step) {
-        self.order += 1;
-        self.queue.push(Reverse((at, self.order, step)));
+        self.queue.add(at, step);
     }
 }
 
--- a/src/trial/segments/caller.rs
+++ b/src/trial/segments/caller.rs
@@ -22,7 +22,7 @@
 const MAX_RESEND: Duration = Duration::from_millis(1600);
 
 /// Time in which a request has to be answered.
-pub const DEADLINE: Duration = Duration::from_millis(4000);
+const DEADLINE: Duration = Duration::from_millis(4000);
 
 /// How far a caller has come.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -143,9 +143,18 @@
         self.segment(true, None)
     }
 
-    /// Returns whether the request in progress may be sent again on another flow.
-    pub fn may_repeat(&self) -> bool {
-        self.idempotent || matches!(self.stage, Stage::Opening { .. })
+    /// Opens another flow for the request in progress; `None` if its deadline has passed, or if it may
+    /// have run and must not run twice.
+    pub fn repeat(&mut self, now: Time) -> Option<Outgoing> {
+        let unsent = matches!(self.stage, Stage::Opening { .. });
+        let repeats = now < self.began + DEADLINE && (self.idempotent || unsent);
+        repeats.then(|| self.open(now))
+    }
+
+    /// Ends the request in progress; the next one begins at `due`.
+    pub fn rest(&mut self, due: Time) {
+        self.stage = Stage::Idle;
+        self.due = due;
     }
 
     /// Does what is due; `None` if the attempt has ended.
--- a/src/trial/segments/server.rs
+++ b/src/trial/segments/server.rs
@@ -60,6 +60,8 @@
     pub sent: Vec<Outgoing>,
     /// Whether it sends the datagram back, as it does not hold the flow.
     pub bounced: bool,
+    /// Whether the datagram opened its flow here.
+    pub opened: bool,
     /// Requests that it starts to work on.
     pub started: Vec<Work>,
 }
@@ -144,13 +146,14 @@
         if !open.established && segment.acknowledged != open.initial.wrapping_add(1) {
             return reaction;
         }
-        open.established = true;
+        let opens = !std::mem::replace(&mut open.established, true);
         if segment.flags.rst || segment.flags.fin {
             if let Some(open) = self.flows.remove(&flow) {
                 reaction.sent.push(finish(&flow, &open));
             }
             return reaction;
         }
+        reaction.opened = opens;
         let Some(Content::Request(request)) = content else {
             return reaction;
         };
--- a/src/trial/segments/witness.rs
+++ b/src/trial/segments/witness.rs
@@ -7,6 +7,8 @@
 
 use berylvalve_core::{clock::Time, l4::segment::FlowKey};
 
+use super::server::Server;
+
 /// Segments of a flow at other servers, with none at its own, that count as a broken flow.
 const STRAY_SEGMENTS: u32 = 3;
 
@@ -19,6 +21,14 @@
     pub life: u64,
 }
 
+impl Home {
+    /// Returns whether the flow is still open at the same start of the server.
+    pub fn holds(&self, servers: &[Server], flow: &FlowKey) -> bool {
+        let server = &servers[self.server];
+        server.life == self.life && server.holds(flow)
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Open {
     home: Home,
--- a/src/trial/segments/world.rs
+++ b/src/trial/segments/world.rs
@@ -3,10 +3,10 @@
 mod checks;
 mod disturbances;
 mod members;
+mod traffic;
 
 use std::{
-    cmp::Reverse,
-    collections::{BTreeMap, BinaryHeap, HashMap},
+    collections::{BTreeMap, HashMap},
     net::{Ipv4Addr, SocketAddrV4},
     sync::Arc,
     time::Duration,
@@ -28,17 +28,20 @@
 
 use super::{
     Figures, Plan,
-    caller::{Caller, DEADLINE, Seen, Stage},
+    caller::Caller,
     codec::ModelCodec,
     faults::Fault,
-    server::{Reaction, Server, Work},
-    wire::{Outgoing, Wire},
-    witness::{Home, Witness},
+    server::{Server, Work},
+    witness::Witness,
 };
+use crate::trial::agenda::Agenda;
 
 /// Length of a run.
 const RUN_TIME: Time = Time::from_millis(20_000);
 
+/// The last microsecond of a run.
+const LAST_TIME: Time = Time(RUN_TIME.0 - 1);
+
 /// Time before callers begin.
 const LEAD_TIME: Time = Time::from_millis(1_000);
 
@@ -133,9 +136,7 @@
 /// One run of the model.
 pub struct World {
     now: Time,
-    count: u64,
-    events: BinaryHeap<Reverse<(Time, u64, usize)>>,
-    slots: Vec<Option<Event>>,
+    events: Agenda<Event>,
     rng: SmallRng,
     figures: Figures,
     balancers: Vec<Balancer<ModelCodec>>,
@@ -226,9 +227,7 @@
         let faults = plan.schedule(&mut rng, RUN_TIME);
         let mut world = Self {
             now: Time::default(),
-            count: 0,
-            events: BinaryHeap::new(),
-            slots: Vec::new(),
+            events: Agenda::default(),
             figures: Figures::default(),
             balancers: Vec::new(),
             agents: (0..SERVERS).map(|i| agent(i, Time::default())).collect(),
@@ -306,14 +305,9 @@
 
     /// Runs to the end and returns what callers and servers saw.
     pub fn run(mut self) -> Figures {
-        while let Some(Reverse((time, _, slot))) = self.events.pop() {
-            if time >= RUN_TIME {
-                break;
-            }
+        while let Some((time, event)) = self.events.pop(LAST_TIME) {
             self.now = time;
-            if let Some(event) = self.slots[slot].take() {
-                self.handle(event);
-            }
+            self.handle(event);
         }
         self.figures.openings_ms.sort_unstable();
         self.figures.answers_ms.sort_unstable();
@@ -321,10 +315,7 @@
     }
 
     fn at(&mut self, time: Time, event: Event) {
-        self.count += 1;
-        self.slots.push(Some(event));
-        let slot = self.slots.len() - 1;
-        self.events.push(Reverse((time, self.count, slot)));
+        self.events.add(time, event);
     }
 
     fn after(&mut self, delay: Duration, event: Event) {
@@ -475,153 +466,4 @@
             }
         }
     }
-
-    fn reach_server(&mut self, index: usize, datagram: &[u8]) {
-        let Some(segment) = ModelCodec.read(datagram) else {
-            self.broke("a server got bytes that are no segment");
-            return;
-        };
-        if !self.witness.was_written(&ModelCodec.fixed(datagram)) {
-            self.broke("a server got a segment that no caller wrote");
-        }
-        let flow = segment.flow_of_caller();
-        let desk = flow.address == service_address(true);
-        if segment.is_opening() && service(index) != service(if desk { 0 } else { SERVERS - 1 }) {
-            self.broke("an opening reached another service");
-        }
-        self.check_stray(index, &flow);
-        let before = self.servers[index].holds(&flow);
-        let content = ModelCodec.content(datagram);
-        let reaction = self.servers[index].receive(&segment, content, &mut self.rng);
-        if !before && self.servers[index].holds(&flow) {
-            let life = self.servers[index].life;
-            let home = Home {
-                server: index,
-                life,
-            };
-            self.witness.opened(flow, home);
-        }
-        if reaction.bounced {
-            let event =
-                Event::FromServer(index, self.servers[index].life, ModelCodec.bounce(datagram));
-            self.after(SERVER_DELAY, event);
-        }
-        self.react(index, reaction);
-    }
-
-    fn react(&mut self, index: usize, reaction: Reaction) {
-        let life = self.servers[index].life;
-        for outgoing in reaction.sent {
-            let datagram = ModelCodec.write(&outgoing);
-            self.after(SERVER_DELAY, Event::FromServer(index, life, datagram));
-        }
-        for work in reaction.started {
-            self.check_run(work.request);
-            self.after(work.time, Event::Done(index, life, work));
-        }
-    }
-
-    fn reach_caller(&mut self, datagram: &[u8], own_reset: bool) {
-        let Some(segment) = ModelCodec.read(datagram) else {
-            return;
-        };
-        let flow = segment.flow_of_server();
-        let index = usize::from(flow.caller.ip().octets()[3]) - 1;
-        if own_reset {
-            self.check_reset(index, &flow);
-        }
-        let now = self.now;
-        let caller = &mut self.callers[index];
-        let content = ModelCodec.content(datagram);
-        let (seen, answer) = caller.receive(&segment, content, now);
-        match seen {
-            Seen::Opened(took) => {
-                self.figures.flows += 1;
-                self.figures.openings_ms.push(took.as_millis() as u64);
-                let due = self.callers[index].due;
-                self.at(due, Event::CallerDue(index));
-            }
-            Seen::Answered(took) => self.answered(index, took),
-            Seen::Reset => {
-                self.figures.resets += 1;
-                self.try_again(index);
-            }
-            Seen::Mixed => self.broke("a caller got the answer to another request"),
-            Seen::Nothing => {}
-        }
-        if let Some(answer) = answer {
-            self.route(index, &answer);
-        }
-    }
-
-    fn answered(&mut self, index: usize, took: Duration) {
-        self.figures.answered += 1;
-        self.figures.answers_ms.push(took.as_millis() as u64);
-        if self.callers[index].answered >= self.callers[index].requests_per_flow {
-            let last = self.callers[index].finish();
-            self.route(index, &last);
-        }
-        self.pause(index);
-    }
-
-    fn pause(&mut self, index: usize) {
-        let pause = Duration::from_millis(self.rng.random_range(50..400));
-        self.callers[index].stage = Stage::Idle;
-        self.callers[index].due = self.now + pause;
-        let due = self.callers[index].due;
-        self.at(due, Event::CallerDue(index));
-    }
-
-    fn caller_due(&mut self, index: usize) {
-        if self.now < self.callers[index].due {
-            return;
-        }
-        if self.callers[index].stage == Stage::Idle {
-            self.figures.requests += 1;
-        }
-        match self.callers[index].act(self.now) {
-            Some(outgoing) => {
-                let due = self.callers[index].due;
-                self.at(due, Event::CallerDue(index));
-                self.route(index, &outgoing);
-            }
-            None => {
-                self.callers[index].flow = None;
-                self.try_again(index);
-            }
-        }
-    }
-
-    /// Opens another flow for the request in progress, or gives it up at its deadline.
-    fn try_again(&mut self, index: usize) {
-        let caller = &mut self.callers[index];
-        if caller.stage == Stage::Idle {
-            return;
-        }
-        if self.now >= caller.began + DEADLINE || !caller.may_repeat() {
-            self.figures.given_up += 1;
-            self.pause(index);
-            return;
-        }
-        let opening = caller.open(self.now);
-        let due = caller.due;
-        self.at(due, Event::CallerDue(index));
-        self.route(index, &opening);
-    }
-
-    /// Sends a caller's datagram through the router of its domain.
-    fn route(&mut self, index: usize, outgoing: &Outgoing) {
-        let datagram = ModelCodec.write(outgoing);
-        self.witness.wrote(ModelCodec.fixed(&datagram));
-        let domain = self.callers[index].domain;
-        let near = (0..BALANCERS).filter(|b| b % DOMAINS == domain);
-        let mut rotation: Vec<usize> = near.filter(|b| self.rotation[*b]).collect();
-        if rotation.is_empty() {
-            rotation = (0..BALANCERS).collect();
-        }
-        let port = usize::from(outgoing.segment.source.port());
-        let chosen = rotation[(port * 31 + index * 17) % rotation.len()];
-        let delay = Duration::from_micros(self.rng.random_range(1000..1500));
-        self.after(delay, Event::FromCaller(chosen, datagram));
-    }
 }
--- a/src/trial/segments/world/checks.rs
+++ b/src/trial/segments/world/checks.rs
@@ -3,7 +3,6 @@
 use berylvalve_core::l4::segment::FlowKey;
 
 use super::{CALM_TIME, Place, World};
-use crate::trial::segments::witness::Home;
 
 impl World {
     /// Counts segments of an open flow that reach other servers and not its own.
@@ -11,7 +10,7 @@
         let Some(home) = self.witness.home(flow) else {
             return;
         };
-        let holds = self.holds(&home, flow);
+        let holds = home.holds(&self.servers, flow);
         let broken = self.witness.strays(flow, index, holds, self.now);
         if broken && self.is_calm(Place::Agent(home.server)) {
             self.broke(&format!(
@@ -21,11 +20,6 @@
         }
     }
 
-    fn holds(&self, home: &Home, flow: &FlowKey) -> bool {
-        let server = &self.servers[home.server];
-        server.life == home.life && server.holds(flow)
-    }
-
     /// A request that must not run twice must not run twice.
     pub(super) fn check_run(&mut self, request: u64) {
         let runs = self.witness.ran(request);
@@ -49,7 +43,7 @@
         let Some(home) = self.witness.home(flow).filter(|_| current) else {
             return;
         };
-        if self.holds(&home, flow) {
+        if home.holds(&self.servers, flow) {
             self.broke(&format!(
                 "the open flow {flow} was reset while its server {} lives",
                 home.server
