Order waiting flows by the age of their first opening segment

Change: the codec tells the age of an opening segment from its copy number, the balancer sends the time that is left until the target, and flows that can't meet it any more get only free slots, count neither as load nor as queue for the others, and are evicted first. Flows older than 1.2 s are not tried at further agents.

--- a/core/benches/l4.rs
+++ b/core/benches/l4.rs
@@ -57,6 +57,10 @@
         })
     }
 
+    fn opening_age(&self, _: &Segment) -> Duration {
+        Duration::ZERO
+    }
+
     fn mark(&self, _: &mut [u8], _: u32) {}
 
     fn reset(&self, _: &FlowKey, _: u32, _: &mut Vec<u8>) {}
--- a/core/src/l4/agent.rs
+++ b/core/src/l4/agent.rs
@@ -273,17 +273,18 @@
                 priority,
                 target_ms,
             } => {
+                let Some(segment) = self.codec.read(received.datagram) else {
+                    return;
+                };
                 let urgency = Urgency {
                     priority,
                     target: Duration::from_millis(target_ms.into()),
                     work_time: self.workload.mean_work_time(),
+                    age: self.codec.opening_age(&segment),
                 };
-                let Some(segment) = self.codec.read(received.datagram) else {
-                    return;
-                };
-                match self.check_admission(&segment, service, forced, now) {
+                match self.check_admission(&segment, service, forced, &urgency, now) {
                     Some(refusal) => self.refuse(from, refusal, received.datagram, out),
-                    None => self.admit(&segment, urgency, received, now, out),
+                    None => self.admit(&segment, &urgency, received, now, out),
                 }
             }
             Message::Forward => self.handle_forward(received, now, out),
--- a/core/src/l4/agent/opening.rs
+++ b/core/src/l4/agent/opening.rs
@@ -39,6 +39,7 @@
         segment: &Segment,
         service: ServiceKey,
         forced: bool,
+        urgency: &Urgency,
         now: Time,
     ) -> Option<Refusal> {
         if service != self.options.service {
@@ -62,7 +63,8 @@
             }
             self.retry_at = Some(now + UNRESPONSIVE_RETRY_INTERVAL);
         }
-        let waiting_full = !self.waiting.has_room(self.workload.answer_interval());
+        let interval = self.workload.answer_interval();
+        let waiting_full = !self.waiting.has_room(urgency, interval, now);
         if waiting_full || self.workload.flows() >= self.options.max_flows {
             return Some(Refusal::Full);
         }
@@ -73,7 +75,7 @@
     pub(super) fn admit(
         &mut self,
         segment: &Segment,
-        urgency: Urgency,
+        urgency: &Urgency,
         received: &Received<'_>,
         now: Time,
         out: &mut impl Outbox,
@@ -84,16 +86,28 @@
             return;
         }
         let has_entry = self.flows.get(&flow).is_some();
-        if has_entry || (self.waiting.is_empty() && self.workload.can_queue()) {
+        let can_start = self.workload.can_start(urgency.is_late());
+        if has_entry || (can_start && self.waiting.count_in_time(now) == 0) {
             self.deliver_opening(flow, from, received.datagram, now, out);
             return;
         }
-        self.waiting
+        let evicted = self
+            .waiting
             .add(flow, from, received.datagram, urgency, now);
-        self.workload.set_waiting(self.waiting.len());
+        if let Some(evicted) = evicted {
+            self.refuse(evicted.balancer, Refusal::Full, &evicted.datagram, out);
+        }
+        self.workload.set_waiting(self.waiting.count_in_time(now));
         self.metrics.waited.inc();
         let load = self.workload.load();
-        tracing::info!(event = "flow_waiting", %flow, waiting = self.waiting.len(), busy = load.busy);
+        tracing::info!(
+            event = "flow_waiting",
+            %flow,
+            waiting = self.waiting.len(),
+            busy = load.busy,
+            late = urgency.is_late(),
+            age_ms = urgency.age.as_millis() as u64,
+        );
         self.send(from, &Message::Waits { flow, load }, &[], out);
     }
 
@@ -127,13 +141,14 @@
                 self.refuse(waiting.balancer, refusal, &waiting.datagram, out);
             }
         }
-        while self.workload.can_queue() {
-            let Some(next) = self.waiting.pop_next(now) else {
+        while self.workload.can_start(false) {
+            let include_late = self.workload.can_start(true);
+            let Some(next) = self.waiting.pop_next(include_late, now) else {
                 break;
             };
             self.deliver_opening(next.flow, next.balancer, &next.datagram, now, out);
         }
-        self.workload.set_waiting(self.waiting.len());
+        self.workload.set_waiting(self.waiting.count_in_time(now));
     }
 
     pub(super) fn refuse(
--- a/core/src/l4/balancer.rs
+++ b/core/src/l4/balancer.rs
@@ -226,7 +226,7 @@
             return;
         }
         if segment.is_opening() {
-            self.receive_opening(&flow, datagram, now, out);
+            self.receive_opening(&flow, &segment, datagram, now, out);
             return;
         }
         match self.flows.get_mut(&flow) {
--- a/core/src/l4/balancer/opening.rs
+++ b/core/src/l4/balancer/opening.rs
@@ -12,6 +12,7 @@
         outbox::Outbox,
         routes::ServiceKey,
         segment::{Codec, FlowKey, Segment, acknowledges_start},
+        waiting::MAX_OPENING_AGE,
     },
 };
 
@@ -30,7 +31,10 @@
 /// A flow that is being placed.
 #[derive(Clone, Debug)]
 pub(super) struct Opening {
+    /// Last copy of the opening segment.
     datagram: Box<[u8]>,
+    /// When the caller sent its first opening segment.
+    started: Time,
     /// Agents that did not reply in time, or refused the flow for other reasons than those below.
     excluded: Vec<SocketAddrV4>,
     /// Agents that refused the flow for want of a free slot.
@@ -68,16 +72,20 @@
     pub(super) fn receive_opening(
         &mut self,
         flow: &FlowKey,
+        segment: &Segment,
         datagram: &[u8],
         now: Time,
         out: &mut impl Outbox,
     ) {
+        let started = now - self.codec.opening_age(segment);
         let owner = match self.flows.get_mut(flow) {
             Some(FlowState::Owned(owned)) => owned.agent,
             Some(FlowState::Opening(opening)) => match opening.accepted.first() {
                 Some((agent, _)) => *agent,
                 None if opening.pending.is_some() || opening.waiting_at.is_some() => return,
                 None => {
+                    opening.started = opening.started.min(started);
+                    opening.datagram = datagram.into();
                     opening.excluded.clear();
                     opening.tries = 0;
                     self.try_next(flow, now, out);
@@ -85,24 +93,26 @@
                 }
             },
             _ => {
-                self.start_opening(flow, datagram, now, out);
+                self.start_opening(flow, started, datagram, now, out);
                 return;
             }
         };
         // The agent may hold the flow already, so it must not refuse a retransmission as busy.
-        if let Some(message) = self.open_message(flow, true) {
+        if let Some(message) = self.open_message(flow, true, now.since(started)) {
             self.send(owner, &message, datagram, out);
         }
     }
 
-    /// Returns the message that asks an agent to take a flow, or `None` without a route or target.
-    fn open_message(&self, flow: &FlowKey, forced: bool) -> Option<Message> {
+    /// Returns the message that asks an agent to take a flow whose caller sent the first opening segment
+    /// `age` ago, or `None` without a route or target.
+    fn open_message(&self, flow: &FlowKey, forced: bool, age: Duration) -> Option<Message> {
         let route = self.routes.routes.get(&flow.address)?;
+        let age_ms = u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
         Some(Message::Open {
             service: route.service(flow)?,
             forced,
             priority: route.priority,
-            target_ms: route.target_ms,
+            target_ms: route.target_ms.saturating_sub(age_ms),
         })
     }
 
@@ -110,13 +120,21 @@
         self.routes.routes.get(&flow.address)?.service(flow)
     }
 
-    fn start_opening(&mut self, flow: &FlowKey, datagram: &[u8], now: Time, out: &mut impl Outbox) {
+    fn start_opening(
+        &mut self,
+        flow: &FlowKey,
+        started: Time,
+        datagram: &[u8],
+        now: Time,
+        out: &mut impl Outbox,
+    ) {
         if self.service_of(flow).is_none() {
             self.reset_flow(flow, 0, "no_target", now, out);
             return;
         }
         let opening = Opening {
             datagram: datagram.into(),
+            started,
             excluded: Vec::new(),
             busy_agents: Vec::new(),
             failing_agents: Vec::new(),
@@ -139,7 +157,8 @@
         let Some(FlowState::Opening(opening)) = self.flows.get_mut(flow) else {
             return;
         };
-        if opening.tries < MAX_TRIES {
+        let age = now.since(opening.started);
+        if opening.tries < MAX_TRIES && age < MAX_OPENING_AGE {
             let excluded = &opening.excluded;
             self.fleet
                 .collect_candidates(service.tag(), excluded, now, &mut self.candidates);
@@ -171,6 +190,7 @@
             %flow,
             agent = %candidate.address,
             near = candidate.is_local,
+            age_ms = age.as_millis() as u64,
             busy = candidate.load.busy,
             flows = candidate.load.flows,
             slots = candidate.load.slots,
@@ -184,7 +204,7 @@
         self.reachability.record_opening(now);
         self.fleet.record_placement(candidate.address);
         self.opening_timers.push(Reverse((due, *flow)));
-        if let Some(message) = self.open_message(flow, forced) {
+        if let Some(message) = self.open_message(flow, forced, age) {
             self.send(candidate.address, &message, &datagram, out);
         }
     }
--- a/core/src/l4/message.rs
+++ b/core/src/l4/message.rs
@@ -80,7 +80,7 @@
         forced: bool,
         /// Priority under overload; 0 is the highest.
         priority: u8,
-        /// Target latency of answers, in milliseconds.
+        /// Time that is left until the target latency of the answer, in milliseconds.
         target_ms: u32,
     },
     /// To an agent, with a segment of a flow that it holds as far as the balancer knows.
--- a/core/src/l4/segment.rs
+++ b/core/src/l4/segment.rs
@@ -1,6 +1,6 @@
 //! Segment headers and flow keys, and the codec of a deployment's wire format.
 
-use std::{fmt, net::SocketAddrV4};
+use std::{fmt, net::SocketAddrV4, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
@@ -114,6 +114,10 @@
     /// Returns the segment header of a datagram, or `None` if it is not a segment.
     fn read(&self, datagram: &[u8]) -> Option<Segment>;
 
+    /// Returns the time since the caller sent the first copy of an opening segment, as far as this
+    /// copy tells; zero for the first one.
+    fn opening_age(&self, opening: &Segment) -> Duration;
+
     /// Clears the bounced flag of a caller's datagram and writes a mark. A backend server that
     /// bounces the datagram returns the mark with it.
     fn mark(&self, datagram: &mut [u8], mark: u32);
--- a/core/src/l4/waiting.rs
+++ b/core/src/l4/waiting.rs
@@ -4,17 +4,23 @@
 //! the servers can hold. If all of these flows were delivered at once, the servers would shed most
 //! of them, or answer late because each request waits for all others. So the flows are ordered
 //! here: first those that can still be answered within their target latency, by priority; then
-//! those that can't. A flow that can't be served before its caller gives up is refused at once,
-//! while another agent may still admit it.
+//! those that can't, as long as the server has a free slot. The age of a flow counts from the
+//! caller's first opening segment, so that callers who have waited through an outage do not make
+//! those late that come after it. A flow that can't be served before its caller gives up is refused
+//! at once, while another agent may still admit it.
 
 use std::{net::SocketAddrV4, time::Duration};
 
 use super::segment::FlowKey;
 use crate::clock::Time;
 
-/// Longest wait of a flow. A caller gives up an opening after 1.4 s, which has to include two round
-/// trips.
-const MAX_WAIT: Duration = Duration::from_millis(1200);
+/// Age at which a flow is no longer delivered. A caller gives up an opening after 1.4 s, which has to
+/// include two round trips.
+pub const MAX_OPENING_AGE: Duration = Duration::from_millis(1200);
+
+/// Number of mean work times that a delivered request may take: one in the server's queue and one in a
+/// slot.
+const WORK_TIMES_PER_REQUEST: u32 = 2;
 
 /// Limit of flows that wait at one agent.
 const MAX_WAITING_FLOWS: usize = 256;
@@ -32,10 +38,23 @@
     pub priority: u8,
     /// Latest time of delivery at which the flow is still answered within its target latency.
     pub latest_start: Time,
+    /// Whether the flow was late already when it arrived.
+    is_overdue: bool,
     /// Latest time of delivery before the caller gives up.
     pub expires: Time,
 }
 
+impl WaitingFlow {
+    fn is_late(&self, now: Time) -> bool {
+        self.is_overdue || now > self.latest_start
+    }
+
+    /// Returns the sort key of the order in which flows are served.
+    fn order(&self, now: Time) -> (bool, u8, Time) {
+        (self.is_late(now), self.priority, self.latest_start)
+    }
+}
+
 /// Waiting flows of one agent.
 #[derive(Clone, Debug, Default)]
 pub struct WaitingFlows {
@@ -58,44 +77,59 @@
         self.flows.iter().any(|waiting| waiting.flow == *flow)
     }
 
+    /// Returns the number of flows that can still be answered within their target latency.
+    pub fn count_in_time(&self, now: Time) -> usize {
+        let in_time = self.flows.iter().filter(|waiting| !waiting.is_late(now));
+        in_time.count()
+    }
+
     /// Returns whether one more flow can wait and still be served before its caller gives up, if
-    /// one flow is delivered every `interval`.
-    pub fn has_room(&self, interval: Duration) -> bool {
-        let ahead = self.flows.len() as u32;
-        self.flows.len() < MAX_WAITING_FLOWS && interval * ahead < MAX_WAIT
+    /// one flow is delivered every `interval`. Only the flows that are served before it count.
+    pub fn has_room(&self, urgency: &Urgency, interval: Duration, now: Time) -> bool {
+        let order = (urgency.is_late(), urgency.priority);
+        let ahead = self.flows.iter();
+        let ahead = ahead.filter(|waiting| (waiting.is_late(now), waiting.priority) <= order);
+        let ahead = ahead.count();
+        ahead < MAX_WAITING_FLOWS
+            && interval * (ahead as u32) < MAX_OPENING_AGE.saturating_sub(urgency.age)
     }
 
-    /// Adds a flow that arrived at `now` in the frame of a balancer.
+    /// Adds a flow that arrived at `now` in the frame of a balancer. If the limit is exceeded, removes
+    /// and returns the flow that would be served last.
     pub fn add(
         &mut self,
         flow: FlowKey,
         balancer: SocketAddrV4,
         datagram: &[u8],
-        urgency: Urgency,
+        urgency: &Urgency,
         now: Time,
-    ) {
+    ) -> Option<WaitingFlow> {
         self.flows.push(WaitingFlow {
             flow,
             balancer,
             datagram: datagram.into(),
             priority: urgency.priority,
-            latest_start: now + urgency.target.saturating_sub(urgency.work_time),
-            expires: now + MAX_WAIT,
+            latest_start: now + urgency.target.saturating_sub(urgency.request_time()),
+            is_overdue: urgency.is_late(),
+            expires: now + MAX_OPENING_AGE.saturating_sub(urgency.age),
         });
+        if self.flows.len() <= MAX_WAITING_FLOWS {
+            return None;
+        }
+        let flows = self.flows.iter().enumerate();
+        let (last, _) = flows.max_by_key(|(_, waiting)| waiting.order(now))?;
+        Some(self.flows.swap_remove(last))
     }
 
     /// Removes and returns the flow that is served next: one that is not late before the late ones,
-    /// then the highest priority, then the earliest `latest_start`.
-    pub fn pop_next(&mut self, now: Time) -> Option<WaitingFlow> {
-        let order = |waiting: &WaitingFlow| {
-            (
-                now > waiting.latest_start,
-                waiting.priority,
-                waiting.latest_start,
-            )
-        };
+    /// then the highest priority, then the earliest `latest_start`. Late flows are returned only if
+    /// `include_late` is set.
+    pub fn pop_next(&mut self, include_late: bool, now: Time) -> Option<WaitingFlow> {
         let flows = self.flows.iter().enumerate();
-        let (index, _) = flows.min_by_key(|(_, waiting)| order(waiting))?;
+        let (index, next) = flows.min_by_key(|(_, waiting)| waiting.order(now))?;
+        if next.is_late(now) && !include_late {
+            return None;
+        }
         Some(self.flows.swap_remove(index))
     }
 
@@ -119,8 +153,22 @@
 pub struct Urgency {
     /// Priority; 0 is the highest.
     pub priority: u8,
-    /// Target latency of its answers.
+    /// Time that is left until the target latency of its answer.
     pub target: Duration,
     /// Expected work time of its request.
     pub work_time: Duration,
+    /// Time since the caller's first opening segment.
+    pub age: Duration,
+}
+
+impl Urgency {
+    /// Returns whether the answer is late even if the flow is delivered at once.
+    pub fn is_late(&self) -> bool {
+        self.target < self.work_time || self.target.is_zero()
+    }
+
+    /// Returns the time from the delivery of the flow to its answer if the server's queue is full.
+    fn request_time(&self) -> Duration {
+        self.work_time * WORK_TIMES_PER_REQUEST
+    }
 }
--- a/core/src/l4/workload.rs
+++ b/core/src/l4/workload.rs
@@ -20,8 +20,8 @@
 pub struct Load {
     /// Number of requests that the server processes at once.
     pub slots: u16,
-    /// Number of unanswered requests, openings and waiting flows; an opening counts until its first
-    /// request or its timeout.
+    /// Number of unanswered requests, openings, and waiting flows that are not late; an opening counts
+    /// until its first request or its timeout.
     pub busy: u16,
     /// Number of flows, including those that are still opening.
     pub flows: u16,
@@ -112,7 +112,8 @@
         self.failing = failing;
     }
 
-    /// Sets the number of waiting flows.
+    /// Sets the number of waiting flows that can still be answered within their target latency. Late
+    /// flows are left out, as they delay no other.
     pub fn set_waiting(&mut self, waiting: usize) {
         self.waiting = u16::try_from(waiting).unwrap_or(u16::MAX);
     }
@@ -131,11 +132,15 @@
         self.outstanding + self.opening < self.slots
     }
 
-    /// Returns whether the backend server can queue a new request. One queued request per slot is
+    /// Returns whether a waiting flow can be delivered. One request per slot in the server's queue is
     /// enough to keep the slots in use. More would wait at the server, where they can't be ordered
-    /// or refused.
-    pub fn can_queue(&self) -> bool {
-        self.outstanding + self.opening < MAX_REQUESTS_PER_SLOT * self.slots
+    /// or refused. A late flow is delivered only to a free slot, so that the queue stays short for the
+    /// flows that come after it.
+    pub fn can_start(&self, is_late: bool) -> bool {
+        match is_late {
+            true => self.has_free_slot(),
+            false => self.outstanding + self.opening < MAX_REQUESTS_PER_SLOT * self.slots,
+        }
     }
 
     /// Returns the mean work time: that of requests that found a free slot, zero before the first
--- a/core/tests/l4/codec.rs
+++ b/core/tests/l4/codec.rs
@@ -1,7 +1,11 @@
 //! Wire format for tests, of three bytes: kind, port of the caller, and a number in tens that is both
-//! the sequence and the acknowledgement number.
+//! the sequence and the acknowledgement number. In an opening segment the number is its age in hundreds
+//! of milliseconds.
 
-use std::net::{Ipv4Addr, SocketAddrV4};
+use std::{
+    net::{Ipv4Addr, SocketAddrV4},
+    time::Duration,
+};
 
 use berylvalve_core::l4::segment::{Codec, Flags, FlowKey, Segment};
 
@@ -59,6 +63,10 @@
         })
     }
 
+    fn opening_age(&self, opening: &Segment) -> Duration {
+        Duration::from_millis(10 * u64::from(opening.acknowledged))
+    }
+
     fn mark(&self, _: &mut [u8], _: u32) {}
 
     fn reset(&self, flow: &FlowKey, _: u32, buffer: &mut Vec<u8>) {
--- a/core/tests/l4_allocations.rs
+++ b/core/tests/l4_allocations.rs
@@ -5,6 +5,7 @@
     collections::HashMap,
     net::{Ipv4Addr, SocketAddrV4},
     sync::Arc,
+    time::Duration,
 };
 
 use berylvalve_core::{
@@ -47,6 +48,10 @@
         })
     }
 
+    fn opening_age(&self, _: &Segment) -> Duration {
+        Duration::ZERO
+    }
+
     fn mark(&self, _: &mut [u8], _: u32) {}
 
     fn reset(&self, _: &FlowKey, _: u32, _: &mut Vec<u8>) {}
--- a/src/trial/segments/caller.rs
+++ b/src/trial/segments/caller.rs
@@ -10,7 +10,8 @@
 use super::wire::{Content, DATA_BYTES, Outgoing};
 
 /// Times after the first opening segment at which copies follow.
-const COPIES: [Duration; 2] = [Duration::from_millis(200), Duration::from_millis(600)];
+pub const OPENING_COPY_TIMES: [Duration; 2] =
+    [Duration::from_millis(200), Duration::from_millis(600)];
 
 /// Time after which an opening is given up.
 const OPENING_TIME: Duration = Duration::from_millis(1400);
@@ -139,7 +140,7 @@
             copies: 0,
             since: now,
         };
-        self.due = now + COPIES[0];
+        self.due = now + OPENING_COPY_TIMES[0];
         self.segment(true, None)
     }
 
@@ -161,12 +162,15 @@
     pub fn act(&mut self, now: Time) -> Option<Outgoing> {
         match self.stage {
             Stage::Idle => Some(self.begin(now)),
-            Stage::Opening { copies, since } if copies < COPIES.len() => {
+            Stage::Opening { copies, since } if copies < OPENING_COPY_TIMES.len() => {
                 self.stage = Stage::Opening {
                     copies: copies + 1,
                     since,
                 };
-                let next = COPIES.get(copies + 1).copied().unwrap_or(OPENING_TIME);
+                let next = OPENING_COPY_TIMES
+                    .get(copies + 1)
+                    .copied()
+                    .unwrap_or(OPENING_TIME);
                 self.due = since + next;
                 Some(self.segment(true, None))
             }
@@ -241,6 +245,9 @@
 
     fn segment(&self, syn: bool, content: Option<Content>) -> Outgoing {
         let mut segment = self.head();
+        if let Stage::Opening { copies, .. } = self.stage {
+            segment.acknowledged = copies as u32;
+        }
         segment.flags.syn = syn;
         segment.flags.ack = !syn;
         segment.length = content.map_or(0, |_| DATA_BYTES);
--- a/src/trial/segments/codec.rs
+++ b/src/trial/segments/codec.rs
@@ -1,10 +1,16 @@
 //! The wire format of the model: fixed fields, one after the other.
 
-use std::net::{Ipv4Addr, SocketAddrV4};
+use std::{
+    net::{Ipv4Addr, SocketAddrV4},
+    time::Duration,
+};
 
 use berylvalve_core::l4::segment::{Codec, Flags, FlowKey, Segment};
 
-use super::wire::{Content, DATA_BYTES, Outgoing, Wire};
+use super::{
+    caller::OPENING_COPY_TIMES,
+    wire::{Content, DATA_BYTES, Outgoing, Wire},
+};
 
 const HEAD_BYTES: usize = 27;
 const FLAGS: usize = 22;
@@ -131,6 +137,13 @@
         })
     }
 
+    fn opening_age(&self, opening: &Segment) -> Duration {
+        match opening.acknowledged as usize {
+            0 => Duration::ZERO,
+            copy => OPENING_COPY_TIMES[copy.min(OPENING_COPY_TIMES.len()) - 1],
+        }
+    }
+
     fn mark(&self, datagram: &mut [u8], mark: u32) {
         datagram[MARK..HEAD_BYTES].copy_from_slice(&mark.to_be_bytes());
         datagram[FLAGS] &= !BOUNCED;
