--- a/core/src/l4/agent.rs
+++ b/core/src/l4/agent.rs
@@ -200,6 +200,15 @@
         }
     }
 
+    /// Registers a new flow with one of its homes before its caller learns that it is open. The caller's
+    /// next segment may reach another balancer, which asks the homes for the owner.
+    fn register_at_first_home(&mut self, flow: FlowKey, out: &mut impl Outbox) {
+        let [home, _] = self.homes.of(&flow);
+        if let Some(home) = home.filter(|home| *home != self.options.address) {
+            self.send(home, &Message::Register { flow }, &[], out);
+        }
+    }
+
     /// Applies a status report of the backend server. If it is the first report that a new instance
     /// has sent, the open flows of the earlier instance are reset.
     ///
@@ -321,6 +330,7 @@
                     load: self.workload.load(),
                 };
                 self.send(balancer, &opened, &[], out);
+                self.register_at_first_home(segment.flow_of_server(), out);
             }
             SegmentEffect::Confirmed { balancer } => {
                 let flow = segment.flow_of_server();
--- a/core/src/l4/balancer.rs
+++ b/core/src/l4/balancer.rs
@@ -8,6 +8,7 @@
 pub mod fleet;
 mod opening;
 mod reachability;
+pub mod reply_time;
 mod search;
 
 use std::{
@@ -26,6 +27,7 @@
     fleet::Fleet,
     opening::Opening,
     reachability::Reachability,
+    reply_time::ReplyTime,
     search::{Search, budget::SearchBudget},
 };
 use super::{
@@ -128,6 +130,7 @@
     budget: SearchBudget,
     metrics: BalancerMetrics,
     reachability: Reachability,
+    reply_time: ReplyTime,
     dead_agents: DeadAgents,
     next_expiry: Time,
     rng: SmallRng,
@@ -159,6 +162,7 @@
             budget: SearchBudget::new(options.link_rate),
             metrics: BalancerMetrics::default(),
             reachability: Reachability::default(),
+            reply_time: ReplyTime::default(),
             dead_agents: DeadAgents::default(),
             next_expiry: Time::default(),
             rng: SmallRng::seed_from_u64(seed),
@@ -285,7 +289,7 @@
             } => self.handle_found(&flow, from, (ownership, agents), now, out),
             Message::Waits { flow, load } => {
                 self.fleet.record_acceptance(from, load);
-                self.handle_waits(&flow, from);
+                self.handle_waits(&flow, from, now);
             }
             Message::LoadReport(load) => self.fleet.update_load(from, load),
             Message::Find { flow, .. } => self.reply_to_query(from, &flow, out),
--- a/core/src/l4/balancer/fleet.rs
+++ b/core/src/l4/balancer/fleet.rs
@@ -174,14 +174,16 @@
         self.service_agents = services;
     }
 
-    /// Returns the processes that probably know the owner of a flow: the balancers of this failure
-    /// domain and the flow's homes.
-    pub fn targeted_peers(&self, service: ServiceTag, flow: &FlowKey) -> Vec<SocketAddrV4> {
-        let mut peers = self.local_balancers.clone();
-        if let Some(homes) = self.homes.get(&service) {
-            peers.extend(homes.of(flow).into_iter().flatten());
-        }
-        peers
+    /// Returns the homes of a flow: at most two agents.
+    pub fn homes(&self, service: ServiceTag, flow: &FlowKey) -> Vec<SocketAddrV4> {
+        let homes = self.homes.get(&service).map(|homes| homes.of(flow));
+        homes.into_iter().flatten().flatten().collect()
+    }
+
+    /// Returns the balancers of this failure domain, which may have forwarded its callers' segments
+    /// before.
+    pub fn local_balancers(&self) -> &[SocketAddrV4] {
+        &self.local_balancers
     }
 
     /// Returns whether any agent of any service is ready.
--- a/core/src/l4/balancer/opening.rs
+++ b/core/src/l4/balancer/opening.rs
@@ -16,15 +16,16 @@
     },
 };
 
-/// Time for an agent's reply to an opening segment at the first try: several round trips.
-const REPLY_TIMEOUT: Duration = Duration::from_millis(30);
-
 /// Time after which an opening is removed; callers give up after 1.4 s.
 const OPENING_TTL: Duration = Duration::from_secs(3);
 
 /// Number of agents that may refuse a flow for want of a free slot before it is forced on one.
 const MAX_BUSY_TRIES: usize = 2;
 
+/// Number of requests per slot, unanswered or expected, at which an agent is taken for busy without being
+/// asked: the queue of its backend server is full too.
+const SATURATED_PER_SLOT: u16 = 2;
+
 /// Largest number of tries for one opening segment of a caller; each try sends it to an agent.
 const MAX_TRIES: usize = 6;
 
@@ -41,10 +42,10 @@
     busy_agents: Vec<SocketAddrV4>,
     /// Agents that refused the flow because their servers fail.
     failing_agents: Vec<SocketAddrV4>,
-    /// Agent that was sent the opening segment last, and the deadline for its reply.
-    pending: Option<(SocketAddrV4, Time)>,
-    /// Agents that did not reply in time and may have accepted the flow nevertheless.
-    silent: Vec<SocketAddrV4>,
+    /// The last try, until the agent replies.
+    pending: Option<Try>,
+    /// Tries without a reply in time. Their agents may have accepted the flow nevertheless.
+    silent: Vec<Try>,
     /// Agents whose servers accepted the flow, with the servers' initial sequence numbers.
     accepted: Vec<(SocketAddrV4, u32)>,
     /// Agent at which the flow waits until the backend server can queue a request.
@@ -53,7 +54,28 @@
     pub(super) expires: Time,
 }
 
+/// An opening segment that was sent to an agent.
+#[derive(Clone, Copy, Debug)]
+struct Try {
+    agent: SocketAddrV4,
+    sent: Time,
+    /// Deadline for the reply.
+    due: Time,
+}
+
 impl Opening {
+    /// Removes the try at an agent that replies; returns it with whether the reply came in time.
+    fn take_try(&mut self, agent: SocketAddrV4) -> Option<(Try, bool)> {
+        if let Some(pending) = self.pending.take_if(|pending| pending.agent == agent) {
+            return Some((pending, true));
+        }
+        let index = self
+            .silent
+            .iter()
+            .position(|silent| silent.agent == agent)?;
+        Some((self.silent.swap_remove(index), false))
+    }
+
     fn needs_agent(&self) -> bool {
         self.pending.is_none() && self.accepted.is_empty() && self.waiting_at.is_none()
     }
@@ -61,7 +83,7 @@
     /// Returns the reply to another balancer's query: the likeliest owner.
     pub(super) fn ownership(&self) -> Ownership {
         let accepted = self.accepted.first().map(|(agent, _)| *agent);
-        let pending = self.pending.map(|(agent, _)| agent);
+        let pending = self.pending.map(|pending| pending.agent);
         let likeliest = accepted.or(pending).or(self.waiting_at);
         likeliest.map_or(Ownership::NotHeld, Ownership::HeldBy)
     }
@@ -180,9 +202,13 @@
             return;
         };
         // The timeout doubles with each try, up to 16-fold, as this balancer's own link may be slow.
-        let due = now + REPLY_TIMEOUT * (1 << opening.tries.min(4));
+        let due = now + self.reply_time.timeout() * (1 << opening.tries.min(4));
         opening.tries += 1;
-        opening.pending = Some((candidate.address, due));
+        opening.pending = Some(Try {
+            agent: candidate.address,
+            sent: now,
+            due,
+        });
         let tries = opening.tries;
         let datagram = opening.datagram.clone();
         tracing::info!(
@@ -237,6 +263,9 @@
     ) {
         match self.flows.get_mut(flow) {
             Some(FlowState::Opening(opening)) => {
+                if let Some((answered, _)) = opening.take_try(agent) {
+                    self.reply_time.record(now.since(answered.sent));
+                }
                 opening.pending = None;
                 opening.waiting_at = None;
                 opening.accepted.retain(|(known, _)| *known != agent);
@@ -252,8 +281,11 @@
     }
 
     /// Records that a flow waits at an agent.
-    pub(super) fn handle_waits(&mut self, flow: &FlowKey, agent: SocketAddrV4) {
+    pub(super) fn handle_waits(&mut self, flow: &FlowKey, agent: SocketAddrV4, now: Time) {
         if let Some(FlowState::Opening(opening)) = self.flows.get_mut(flow) {
+            if let Some((answered, _)) = opening.take_try(agent) {
+                self.reply_time.record(now.since(answered.sent));
+            }
             opening.pending = None;
             opening.waiting_at = Some(agent);
         }
@@ -277,7 +309,10 @@
             .refused
             .get_or_create(&[("reason", reason)])
             .inc();
-        opening.silent.retain(|silent| *silent != agent);
+        let answered = opening.take_try(agent);
+        if let Some((answered, _)) = answered {
+            self.reply_time.record(now.since(answered.sent));
+        }
         match refusal {
             Refusal::Busy => opening.busy_agents.push(agent),
             Refusal::Failing => opening.failing_agents.push(agent),
@@ -287,7 +322,7 @@
             .waiting_at
             .take_if(|waiting_at| *waiting_at == agent)
             .is_some();
-        let expected = waited || opening.pending.is_some_and(|(pending, _)| pending == agent);
+        let expected = waited || answered.is_some_and(|(_, in_time)| in_time);
         if expected && opening.accepted.is_empty() {
             self.try_next(flow, now, out);
         }
@@ -303,14 +338,16 @@
         let Some(FlowState::Opening(opening)) = self.flows.get_mut(flow) else {
             return;
         };
-        let Some((agent, due)) = opening.pending else {
+        let Some(pending) = opening.pending else {
             return;
         };
-        if now < due || !opening.accepted.is_empty() {
+        if now < pending.due || !opening.accepted.is_empty() {
             return;
         }
+        let agent = pending.agent;
+        opening.pending = None;
         opening.excluded.push(agent);
-        opening.silent.push(agent);
+        opening.silent.push(pending);
         tracing::info!(event = "agent_silent", %flow, %agent, tries = opening.tries);
         self.metrics.silent.inc();
         self.fleet.record_timeout(agent, now);
@@ -339,8 +376,8 @@
         // Without a match, the owner is an agent whose reply was lost or is late, if only one such
         // agent was tried.
         let only_unconfirmed = match (&opening.silent[..], opening.pending) {
-            ([], Some((agent, _))) => Some(agent),
-            ([agent], None) => Some(*agent),
+            ([], Some(pending)) => Some(pending.agent),
+            ([silent], None) => Some(silent.agent),
             _ => None,
         };
         match confirmed.or(only_unconfirmed) {
@@ -354,7 +391,8 @@
 }
 
 /// Returns the agent to try next, and whether the flow is forced on it; `None` without candidates. It is
-/// forced after [`MAX_BUSY_TRIES`] busy refusals, or if all candidates are busy or fail.
+/// forced after [`MAX_BUSY_TRIES`] busy refusals, or if all candidates are busy, saturated by their last
+/// report, or fail.
 ///
 /// Agents whose servers fail are removed from `candidates` while there are others.
 fn choose(
@@ -370,8 +408,9 @@
     }
     let average = CandidateAverage::of(candidates);
     if has_healthy && opening.busy_agents.len() < MAX_BUSY_TRIES {
-        let is_free =
-            |candidate: &&AgentCandidate| !opening.busy_agents.contains(&candidate.address);
+        let is_free = |candidate: &&AgentCandidate| {
+            !opening.busy_agents.contains(&candidate.address) && !is_saturated(candidate)
+        };
         let free: Vec<AgentCandidate> = candidates.iter().filter(is_free).copied().collect();
         if let Some(best) = choice::best(&free, &average, tie_offset) {
             return Some((best, false));
@@ -379,3 +418,10 @@
     }
     choice::best(candidates, &average, tie_offset).map(|best| (best, true))
 }
+
+/// Returns whether the backend server had no room in its queue at the agent's last report.
+fn is_saturated(candidate: &AgentCandidate) -> bool {
+    let load = &candidate.load;
+    let busy = load.busy.saturating_add(candidate.placed);
+    load.slots > 0 && busy >= load.slots * SATURATED_PER_SLOT
+}
--- a/core/src/l4/balancer/search.rs
+++ b/core/src/l4/balancer/search.rs
@@ -1,14 +1,15 @@
-//! Search for the agent that holds a flow, in up to three steps.
+//! Search for the agent that holds a flow, in up to four steps.
 //!
-//! 1. The processes that probably know the owner are queried: the balancers of the failure domain
-//!    and the flow's two homes.
-//! 2. The query is broadcast to all possible owners.
-//! 3. Agents that are unsure are sent a segment of the flow (trial delivery): a backend server
+//! 1. The flow's two homes are queried. The owner registers the flow at one of them before the caller
+//!    learns that it is open, so nearly all searches end here.
+//! 2. The balancers of the failure domain are queried, through which the caller may have come before.
+//! 3. The query is broadcast to all possible owners.
+//! 4. Agents that are unsure are sent a segment of the flow (trial delivery): a backend server
 //!    returns a segment of a flow that it does not hold.
 //!
 //! When the fabric adds or removes a balancer, nearly all flows of a failure domain arrive at
-//! balancers that have no entry for them. A broadcast for each would fill the link of a small
-//! balancer, so the targeted query comes first and broadcasts have a budget.
+//! balancers that have no entry for them. Further queries for each would fill the link of a small
+//! balancer, so steps 2 and 3 have a budget. A search that exceeds it waits, and queries the homes again.
 
 pub(super) mod budget;
 
@@ -25,17 +26,20 @@
     member::KnownAgents,
 };
 
-/// Time for the replies to the targeted query, after which the query is broadcast.
+/// Time for the replies to the first and the second step, after which the next step begins.
 const TARGETED_TIMEOUT: Duration = Duration::from_millis(8);
 
+/// Time after which a search that exceeded the budget is continued.
+const POSTPONE_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Time after which agents that have not replied to a broadcast are queried again.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(25);
 
 /// Size of a query on the wire, with all headers.
 const QUERY_BYTES: u64 = 100;
 
-/// Number of rounds of queries, the targeted one included.
-const MAX_ROUNDS: u8 = 4;
+/// Number of rounds of queries: the homes, the domain, and three broadcasts.
+const MAX_ROUNDS: u8 = 5;
 
 /// Time in which a backend server returns a segment of a flow that it does not hold.
 const TRIAL_TIMEOUT: Duration = Duration::from_millis(40);
@@ -46,6 +50,17 @@
 /// Time after which a search is removed.
 const SEARCH_TTL: Duration = Duration::from_secs(2);
 
+/// Processes that have been queried.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Scope {
+    /// The homes of the flow.
+    Homes,
+    /// Also the balancers of the failure domain.
+    Domain,
+    /// Also all possible owners.
+    All,
+}
+
 /// The search for the owner of a flow.
 #[derive(Clone, Debug)]
 pub(super) struct Search {
@@ -56,8 +71,9 @@
     /// Queried agents and balancers with their replies.
     queried: Vec<(SocketAddrV4, Option<Ownership>)>,
     rounds: u8,
-    /// Whether only the targeted query has been sent so far.
-    is_targeted: bool,
+    scope: Scope,
+    /// Whether the next step waits for the budget, until `due`.
+    is_postponed: bool,
     /// Whether the agents that are unsure have been sent the first buffered segment.
     trial_sent: bool,
     due: Time,
@@ -100,7 +116,7 @@
 }
 
 impl<C: Codec> Balancer<C> {
-    /// Starts a search with the targeted query.
+    /// Starts a search with the query of the homes.
     pub(super) fn start_search(
         &mut self,
         flow: &FlowKey,
@@ -111,14 +127,14 @@
     ) {
         let due = now + TARGETED_TIMEOUT;
         let service = self.service_of(flow).unwrap_or_default();
-        let mut queried = self.fleet.targeted_peers(service.tag(), flow);
-        queried.retain(|peer| *peer != self.address);
+        let queried = self.fleet.homes(service.tag(), flow);
         let search = Search {
             acknowledged: segment.acknowledged,
             buffered: vec![datagram.into()],
             queried: queried.iter().map(|peer| (*peer, None)).collect(),
             rounds: 1,
-            is_targeted: true,
+            scope: Scope::Homes,
+            is_postponed: false,
             trial_sent: false,
             due,
             is_conclusive: true,
@@ -137,24 +153,32 @@
         self.send_queries(flow, segment.acknowledged, &queried, out);
     }
 
-    /// Queries all possible owners that have not been queried. Removes the search if the budget is
-    /// spent; a retransmission of the caller starts a new one.
-    fn broadcast(&mut self, flow: &FlowKey, now: Time, out: &mut impl Outbox) {
+    /// Begins the next step of a search: queries the balancers of the failure domain, then all possible
+    /// owners. Postpones it if the budget is spent.
+    fn widen(&mut self, flow: &FlowKey, now: Time, out: &mut impl Outbox) {
         let service = self.service_of(flow).unwrap_or_default();
         let Some(FlowState::Searching(search)) = self.flows.get_mut(flow) else {
             return;
         };
-        let mut others = self.fleet.possible_owners(service.tag(), now);
-        others.extend(self.dead_agents.addresses());
+        let (scope, timeout, mut others) = match search.scope {
+            Scope::Homes => {
+                let balancers = self.fleet.local_balancers().to_vec();
+                (Scope::Domain, TARGETED_TIMEOUT, balancers)
+            }
+            Scope::Domain | Scope::All => {
+                let mut owners = self.fleet.possible_owners(service.tag(), now);
+                owners.extend(self.dead_agents.addresses());
+                (Scope::All, QUERY_TIMEOUT, owners)
+            }
+        };
         let queried = &search.queried;
-        others.retain(|peer| queried.iter().all(|(other, _)| other != peer));
+        others
+            .retain(|peer| *peer != self.address && queried.iter().all(|(other, _)| other != peer));
         if !self
             .budget
             .try_consume(others.len() as u64 * QUERY_BYTES, now)
         {
-            tracing::info!(event = "flow_search_postponed", %flow, asked = others.len());
-            self.metrics.count_search("postponed");
-            self.flows.remove(flow);
+            self.postpone(flow, others.len(), now, out);
             return;
         }
         // Balancers only cache owners, so the search does not wait for one that has not replied.
@@ -162,9 +186,10 @@
         search
             .queried
             .retain(|(peer, reply)| reply.is_some() || fleet.get(*peer).is_some());
-        search.is_targeted = false;
+        search.scope = scope;
+        search.is_postponed = false;
         search.rounds += 1;
-        search.due = now + QUERY_TIMEOUT;
+        search.due = now + timeout;
         search
             .queried
             .extend(others.iter().map(|peer| (*peer, None)));
@@ -174,6 +199,24 @@
         self.advance_if_complete(flow, now, out);
     }
 
+    /// Postpones the next step of a search, and queries the homes again meanwhile.
+    fn postpone(&mut self, flow: &FlowKey, asked: usize, now: Time, out: &mut impl Outbox) {
+        let Some(FlowState::Searching(search)) = self.flows.get_mut(flow) else {
+            return;
+        };
+        if !search.is_postponed {
+            tracing::info!(event = "flow_search_postponed", %flow, asked);
+            self.metrics.count_search("postponed");
+        }
+        search.is_postponed = true;
+        search.due = now + POSTPONE_INTERVAL;
+        let (due, acknowledged) = (search.due, search.acknowledged);
+        self.search_timers.push(Reverse((due, *flow)));
+        let service = self.service_of(flow).unwrap_or_default();
+        let homes = self.fleet.homes(service.tag(), flow);
+        self.send_queries(flow, acknowledged, &homes, out);
+    }
+
     fn send_queries(
         &mut self,
         flow: &FlowKey,
@@ -279,11 +322,11 @@
             return;
         };
         let is_incomplete = search.queried.iter().any(|(_, reply)| reply.is_none());
-        if is_incomplete {
+        if is_incomplete || search.is_postponed {
             return;
         }
-        if search.is_targeted {
-            self.broadcast(flow, now, out);
+        if search.scope != Scope::All {
+            self.widen(flow, now, out);
             return;
         }
         let unsure_count = search.count_replies(Ownership::Unsure);
@@ -359,8 +402,8 @@
             self.end_trial(flow, now, out);
             return;
         }
-        if search.is_targeted {
-            self.broadcast(flow, now, out);
+        if search.scope != Scope::All {
+            self.widen(flow, now, out);
             return;
         }
         if search.rounds >= MAX_ROUNDS {
--- a/core/src/l4/balancer/search/budget.rs
+++ b/core/src/l4/balancer/search/budget.rs
@@ -8,40 +8,47 @@
 /// counted, as replies use the other direction of the link.
 const LINK_DIVISOR: u64 = 10;
 
-/// Capacity of the bucket, as the time in which it fills.
-const BURST_WINDOW: Duration = Duration::from_secs(2);
+/// Capacity of the bucket, as the time in which it fills. A burst must not hold up the segments that are
+/// behind it in the link's queue: with a tenth of the link, it takes 20 ms to send.
+const BURST_WINDOW: Duration = Duration::from_millis(200);
 
-/// A token bucket of bytes for broadcast queries.
+/// A token bucket of bytes for broadcast queries. It may go below zero by one broadcast, which can be
+/// larger than the bucket.
 #[derive(Clone, Copy, Debug)]
 pub(in crate::l4::balancer) struct SearchBudget {
-    bytes: u64,
+    bytes: i64,
     refilled_at: Time,
     /// Bytes per second.
-    rate: u64,
+    rate: i64,
 }
 
 impl SearchBudget {
     /// Returns a full bucket for a link with `link_rate` bytes per second.
     pub(in crate::l4::balancer) fn new(link_rate: u64) -> Self {
-        let rate = link_rate / LINK_DIVISOR;
+        let rate = i64::try_from(link_rate / LINK_DIVISOR).unwrap_or(i64::MAX);
         Self {
-            bytes: rate * BURST_WINDOW.as_secs(),
+            bytes: capacity(rate),
             refilled_at: Time::default(),
             rate,
         }
     }
 
-    /// Removes bytes from the bucket; returns whether it held that many, and removes none if not.
+    /// Removes bytes from the bucket; returns whether it held any, and removes none if not.
     pub(super) fn try_consume(&mut self, bytes: u64, now: Time) -> bool {
-        let millis = now.since(self.refilled_at).as_millis() as u64;
+        let millis = now.since(self.refilled_at).as_millis() as i64;
         if millis > 0 {
             let earned = millis.saturating_mul(self.rate) / 1000;
-            let limit = self.rate * BURST_WINDOW.as_secs();
-            self.bytes = limit.min(self.bytes.saturating_add(earned));
+            self.bytes = capacity(self.rate).min(self.bytes.saturating_add(earned));
             self.refilled_at = now;
         }
-        let left = self.bytes.checked_sub(bytes);
-        self.bytes = left.unwrap_or(self.bytes);
-        left.is_some()
+        let has_bytes = self.bytes > 0;
+        if has_bytes {
+            self.bytes -= i64::try_from(bytes).unwrap_or(i64::MAX);
+        }
+        has_bytes
     }
 }
+
+fn capacity(rate: i64) -> i64 {
+    rate.saturating_mul(BURST_WINDOW.as_millis() as i64) / 1000
+}
--- a/core/src/l4/daemon.rs
+++ b/core/src/l4/daemon.rs
@@ -28,6 +28,7 @@
     membership::{self, LocalRecord, Signer},
     metrics::Metrics,
     owner_id::{FleetKey, Incarnation, ServiceTag},
+    placement::relays,
     seeds::{find_seeds, maintain_seed},
     store::Store,
 };
@@ -48,7 +49,10 @@
 /// answer within some hundred milliseconds or not at all.
 const SEED_CHECK_INTERVAL: Duration = Duration::from_millis(1500);
 
-/// Number of checks after which a balancer that knows other processes reads the seeds anyway. This
+/// Time from the start of a balancer to its registration as a seed, in which it learns of the others.
+const SEED_REGISTER_DELAY: Duration = Duration::from_secs(1);
+
+/// Number of checks after which a relay that knows other processes reads the seeds anyway. This
 /// makes 9 s, less than the 10 s after which a seed without a renewed lease disappears.
 const SEED_REFRESH_CHECKS: u32 = 6;
 
@@ -140,8 +144,8 @@
             client,
         );
         let routes = routes.context(KernelSnafu)?;
-        let key = format!("{}{}", options.seed_prefix, options.control);
-        kernel.spawn(maintain_seed(store, key, options.control));
+        let directory: Arc<Directory> = kernel.find(Directory::NAME).context(KernelSnafu)?;
+        kernel.spawn(register_while_relay(store, options.clone(), directory));
         let sockets = sockets::Sockets::new(
             bind(options.address).await?,
             bind(balancer_daemon_options.ingress).await?,
@@ -275,7 +279,44 @@
     Ok((kernel, ControlClient::new(signer)))
 }
 
+/// Registers this balancer as a seed in the store while it is a relay of its failure domain.
+///
+/// A few seeds a domain are enough to find the fleet. With all balancers as seeds, the renewals of their
+/// leases would grow with the fleet.
+async fn register_while_relay(
+    store: Arc<dyn Store>,
+    options: DaemonOptions,
+    directory: Arc<Directory>,
+) {
+    let key = format!("{}{}", options.seed_prefix, options.control);
+    let mut changes = directory.changes();
+    // A process that has just started knows no other balancers and would take itself for a relay.
+    tokio::time::sleep(SEED_REGISTER_DELAY).await;
+    loop {
+        let is_relay = is_relay(&directory.view(), &options);
+        let changed = async {
+            while changes.changed().await.is_ok() {
+                if self::is_relay(&directory.view(), &options) != is_relay {
+                    return;
+                }
+            }
+            std::future::pending().await
+        };
+        tokio::select! {
+            () = changed => {}
+            () = maintain_seed(store.clone(), key.clone(), options.control), if is_relay => {}
+        }
+    }
+}
+
+fn is_relay(view: &View, options: &DaemonOptions) -> bool {
+    relays(view, &options.domain).contains(&options.address)
+}
+
 /// Reads the seeds in the store when [`seed_need`] asks for it, and sends them to the membership.
+///
+/// The seeds in the settings may start late or be gone when the whole fleet starts again, so the first
+/// read comes at once.
 async fn discover_seeds(
     store: Arc<dyn Store>,
     options: DaemonOptions,
@@ -285,21 +326,21 @@
 ) {
     let mut checks = 0;
     loop {
-        tokio::time::sleep(SEED_CHECK_INTERVAL).await;
-        checks += 1;
-        let is_needed = match seed_need(&directory.view(), options.address, role) {
+        let need = seed_need(&directory.view(), options.address, &options.domain, role);
+        let is_needed = match need {
             SeedNeed::Now => true,
             SeedNeed::Periodic => checks >= SEED_REFRESH_CHECKS,
             SeedNeed::Never => false,
         };
-        if !is_needed {
-            continue;
-        }
-        checks = 0;
-        let seeds = find_seeds(store.as_ref(), &options.seed_prefix).await;
-        if seed_sender.send(seeds).await.is_err() {
-            return;
+        if is_needed {
+            checks = 0;
+            let seeds = find_seeds(store.as_ref(), &options.seed_prefix).await;
+            if seed_sender.send(seeds).await.is_err() {
+                return;
+            }
         }
+        tokio::time::sleep(SEED_CHECK_INTERVAL).await;
+        checks += 1;
     }
 }
 
@@ -311,17 +352,22 @@
     Now,
     /// Every few checks, to rejoin the other part of a partitioned fleet.
     Periodic,
-    /// Not at all: an agent knows a balancer, and balancers read the seeds for all.
+    /// Not at all: an agent knows a balancer, or a balancer is no relay. Relays read the seeds for all.
     Never,
 }
 
 /// Returns when the process at `own_address` needs to read the seeds in the store.
-pub fn seed_need(view: &View, own_address: SocketAddrV4, role: Role) -> SeedNeed {
+pub fn seed_need(view: &View, own_address: SocketAddrV4, domain: &str, role: Role) -> SeedNeed {
     let members = view.members.values();
     let mut others =
         members.filter(|record| record.address != own_address && !record.state.is_gone());
     match role {
-        Role::Balancer if others.next().is_some() => SeedNeed::Periodic,
+        Role::Balancer if others.next().is_some() => {
+            match relays(view, domain).contains(&own_address) {
+                true => SeedNeed::Periodic,
+                false => SeedNeed::Never,
+            }
+        }
         Role::Agent if others.any(|record| record.role == Role::Balancer) => SeedNeed::Never,
         _ => SeedNeed::Now,
     }
--- a/core/src/l4/route_sync.rs
+++ b/core/src/l4/route_sync.rs
@@ -14,6 +14,7 @@
     clock::Time,
     member::{MemberState, Role, View},
     placement::relays,
+    store::{Consistency, Position},
 };
 
 /// Delay of a retry after the first failed call to the store; it doubles with each failure.
@@ -33,14 +34,16 @@
 pub enum Event {
     /// Time has passed.
     Tick,
-    /// A read of the store succeeded: its revision, and the table if there is a valid one.
-    ReadSucceeded(u64, Option<RouteTable>),
+    /// A read of the store succeeded: its position, and the table if there is a valid one.
+    ReadSucceeded(Position, Option<RouteTable>),
     /// A read of the store failed.
     ReadFailed,
     /// The watch reported a change of the store.
     Changed,
     /// The watch ended or could not be started.
     WatchEnded,
+    /// The store was restored from an older copy.
+    StoreRestored,
     /// A pull ended, with the peer's table or `None` if it failed.
     PullEnded(Option<RouteTable>),
 }
@@ -49,15 +52,17 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
     /// Read the table from the store.
-    Read,
-    /// Watch the store for changes after a revision.
-    Watch(u64),
+    Read(Consistency),
+    /// Watch the store for changes after a position.
+    Watch(Position),
     /// Pull the table from the peer with this control address.
     Pull(SocketAddrV4),
     /// Publish the table, which has replaced an older one.
     Publish(Arc<RouteTable>),
     /// Report that the store has become reachable (`true`) or unreachable.
     ReportStore(bool),
+    /// Report that the store holds a table of this version, older than the one in use.
+    ReportOlder(u64),
 }
 
 /// Synchronizes the route table of one process.
@@ -74,6 +79,11 @@
     /// Whether the store changed during a read, so that it has to be read again.
     needs_reread: bool,
     is_watching: bool,
+    /// Whether the next read must include all writes that the store has acknowledged. The periodic
+    /// reads need not: they only repair what relays and peers have missed.
+    needs_latest: bool,
+    /// Version of an older table that was reported last.
+    older_version: Option<u64>,
     store_reachable: bool,
     retry_delay: Duration,
     read_due: Time,
@@ -93,6 +103,8 @@
             is_reading: false,
             needs_reread: false,
             is_watching: false,
+            needs_latest: true,
+            older_version: None,
             store_reachable: true,
             retry_delay: MIN_RETRY_DELAY,
             read_due: Time::default(),
@@ -125,32 +137,42 @@
         let mut actions = Vec::new();
         match event {
             Event::Tick => {}
-            Event::ReadSucceeded(revision, table) => {
+            Event::ReadSucceeded(position, table) => {
                 self.is_reading = false;
                 self.retry_delay = MIN_RETRY_DELAY;
                 self.set_store_reachable(true, &mut actions);
+                self.report_if_older(table.as_ref(), &mut actions);
                 self.apply_if_newer(table, &mut actions);
                 self.read_due = now + RESYNC_INTERVAL;
                 if self.needs_reread {
                     self.needs_reread = false;
+                    self.needs_latest = true;
                     self.read_due = now;
                 } else if self.is_relay && !self.is_watching {
                     self.is_watching = true;
-                    actions.push(Action::Watch(revision));
+                    actions.push(Action::Watch(position));
                 }
             }
             Event::ReadFailed => {
                 self.is_reading = false;
+                self.needs_latest = true;
                 self.set_store_reachable(false, &mut actions);
                 self.read_due = now + self.retry_delay;
                 self.retry_delay = MAX_RETRY_DELAY.min(self.retry_delay * 2);
             }
             Event::Changed => {
                 self.needs_reread = self.is_reading;
+                self.needs_latest = true;
+                self.read_due = now;
+            }
+            Event::StoreRestored => {
+                self.needs_reread = self.is_reading;
+                self.needs_latest = true;
                 self.read_due = now;
             }
             Event::WatchEnded => {
                 self.is_watching = false;
+                self.needs_latest = true;
                 self.read_due = self.read_due.min(now + self.retry_delay);
             }
             Event::PullEnded(table) => {
@@ -166,7 +188,11 @@
     fn start_due_calls(&mut self, now: Time, actions: &mut Vec<Action>) {
         if !self.is_reading && now >= self.read_due {
             self.is_reading = true;
-            actions.push(Action::Read);
+            let consistency = match std::mem::take(&mut self.needs_latest) {
+                true => Consistency::Linearizable,
+                false => Consistency::Stale,
+            };
+            actions.push(Action::Read(consistency));
         }
         let version = self.table.version;
         self.newer_peers.retain(|(_, theirs)| *theirs > version);
@@ -192,6 +218,17 @@
         actions.push(Action::Publish(self.table.clone()));
     }
 
+    /// Reports an older table in the store, once for each version: the store was restored from an
+    /// older copy, and the operator has not written the newer table again yet.
+    fn report_if_older(&mut self, table: Option<&RouteTable>, actions: &mut Vec<Action>) {
+        let older = table.map(|table| table.version);
+        let older = older.filter(|version| *version < self.table.version);
+        if older != self.older_version {
+            self.older_version = older;
+            actions.extend(older.map(Action::ReportOlder));
+        }
+    }
+
     fn set_store_reachable(&mut self, store_reachable: bool, actions: &mut Vec<Action>) {
         if self.store_reachable != store_reachable {
             self.store_reachable = store_reachable;
--- a/core/src/l4/route_sync/service.rs
+++ b/core/src/l4/route_sync/service.rs
@@ -22,7 +22,7 @@
     member::Directory,
     membership::LocalRecord,
     metrics::Metrics,
-    store::{Store, StoreError},
+    store::{Consistency, Position, Store, StoreError},
 };
 
 /// Path of the control message that returns the table of a process.
@@ -70,7 +70,7 @@
         calls: Calls {
             client,
             events: sender,
-            refused_revision: Arc::new(Mutex::new(0)),
+            refused_position: Arc::new(Mutex::new(Position::START)),
             source,
             store,
             store_calls: Counter::default(),
@@ -102,11 +102,13 @@
 impl Task {
     async fn run(mut self, mut events: mpsc::Receiver<Event>) {
         let mut changes = self.directory.changes();
+        let mut eras = self.calls.store.eras();
         let mut ticks = tokio::time::interval(TICK_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             let event = tokio::select! {
                 _ = ticks.tick() => Event::Tick,
+                Ok(()) = eras.changed() => Event::StoreRestored,
                 _ = changes.changed() => {
                     self.sync.apply_view(&self.directory.view());
                     Event::Tick
@@ -121,10 +123,14 @@
 
     fn run_action(&mut self, action: Action) {
         match action {
-            Action::Read => drop(tokio::spawn(self.calls.clone().read())),
-            Action::Watch(revision) => drop(tokio::spawn(self.calls.clone().watch(revision))),
+            Action::Read(consistency) => drop(tokio::spawn(self.calls.clone().read(consistency))),
+            Action::Watch(since) => drop(tokio::spawn(self.calls.clone().watch(since))),
             Action::Pull(peer) => drop(tokio::spawn(self.calls.clone().pull(peer))),
             Action::Publish(table) => self.publish(table),
+            Action::ReportOlder(version) => {
+                let in_use = self.sync.table().version;
+                tracing::warn!(event = "routes_older_in_store", version, in_use);
+            }
             Action::ReportStore(true) => tracing::info!(event = "route_store_reachable"),
             Action::ReportStore(false) => tracing::warn!(event = "route_store_unreachable"),
         }
@@ -151,22 +157,25 @@
 struct Calls {
     client: ControlClient,
     events: mpsc::Sender<Event>,
-    /// Store revision of the last value that was invalid, so that each is logged once.
-    refused_revision: Arc<Mutex<u64>>,
+    /// Position of the last value that was invalid, so that each is logged once.
+    refused_position: Arc<Mutex<Position>>,
     source: RouteSource,
     store: Arc<dyn Store>,
     store_calls: Counter,
 }
 
 impl Calls {
-    async fn read(self) {
+    async fn read(self, consistency: Consistency) {
         self.store_calls.inc();
-        let event = match self.store.range(self.source.key, 0).await {
+        let read = self
+            .store
+            .range(self.source.key, Position::START, consistency);
+        let event = match read.await {
             Ok(snapshot) => {
                 let key = self.source.key;
                 let item = snapshot.items.iter().find(|item| item.key == key);
-                let table = item.and_then(|item| self.decode(item.revision, &item.value));
-                Event::ReadSucceeded(snapshot.revision, table)
+                let table = item.and_then(|item| self.decode(item.position, &item.value));
+                Event::ReadSucceeded(snapshot.position, table)
             }
             Err(error) => {
                 log_failure("read", &error);
@@ -176,31 +185,43 @@
         let _ = self.events.send(event).await;
     }
 
-    fn decode(&self, revision: u64, value: &[u8]) -> Option<RouteTable> {
+    fn decode(&self, position: Position, value: &[u8]) -> Option<RouteTable> {
         match (self.source.decode)(value) {
             Ok(table) => Some(table),
             Err(reason) => {
                 let mut refused = self
-                    .refused_revision
+                    .refused_position
                     .lock()
-                    .expect("lock of the refused revision");
-                if *refused != revision {
-                    *refused = revision;
-                    tracing::error!(event = "routes_refused", revision, reason);
+                    .expect("lock of the refused position");
+                if *refused != position {
+                    *refused = position;
+                    let revision = position.revision;
+                    tracing::error!(
+                        event = "routes_refused",
+                        revision,
+                        era = position.era,
+                        reason
+                    );
                 }
                 None
             }
         }
     }
 
-    async fn watch(self, revision: u64) {
+    /// Reports the changes of the table until the watch or the era of the store ends.
+    async fn watch(self, since: Position) {
         self.store_calls.inc();
-        match self.store.watch(self.source.key, revision).await {
-            Ok(mut changes) => {
-                while changes.next().await.is_some() {
-                    let _ = self.events.send(Event::Changed).await;
+        let mut eras = self.store.eras();
+        match self.store.watch(self.source.key, since).await {
+            Ok(mut changes) => loop {
+                tokio::select! {
+                    change = changes.next() => match change {
+                        Some(_) => drop(self.events.send(Event::Changed).await),
+                        None => break,
+                    },
+                    Ok(()) = eras.changed() => break,
                 }
-            }
+            },
             Err(error) => log_failure("watch", &error),
         }
         let _ = self.events.send(Event::WatchEnded).await;
--- a/core/src/membership/swim.rs
+++ b/core/src/membership/swim.rs
@@ -496,7 +496,7 @@
                 self.probe_on_behalf(to, *sequence, target.0, now);
                 None
             }
-            _ => self.sync_reply(message),
+            _ => self.sync_reply(message, now),
         };
         let priority = match reply.as_ref().map(|r| &r.body) {
             Some(Body::Ack { .. } | Body::JoinReply { .. }) => SendPriority::Probe,
--- a/core/src/membership/sync.rs
+++ b/core/src/membership/sync.rs
@@ -137,12 +137,13 @@
     }
 
     /// Processes the messages of joins and comparisons; returns the reply, if there is one.
-    pub(super) fn sync_reply(&mut self, message: &Message) -> Option<Message> {
+    pub(super) fn sync_reply(&mut self, message: &Message, now: Time) -> Option<Message> {
         let to = message.header.control.0;
         match &message.body {
             Body::Join => Some(self.join_reply()),
             Body::JoinReply { members } => {
                 self.apply_join_reply(*members);
+                self.pull(now);
                 None
             }
             Body::Digest { digests } => {
--- a/core/src/membership/udp_loop.rs
+++ b/core/src/membership/udp_loop.rs
@@ -93,7 +93,10 @@
         loop {
             tokio::select! {
                 _ = ticks.tick() => self.tick().await,
-                Some(seeds) = discovered.recv() => self.swim.add_seeds(&seeds),
+                Some(seeds) = discovered.recv() => {
+                    self.swim.add_seeds(&seeds);
+                    self.tick().await;
+                }
                 received = self.socket.recv_from(&mut buffer) => {
                     let Ok((length, _)) = received else { continue };
                     self.receive(&buffer[..length]).await;
--- a/core/src/store/http.rs
+++ b/core/src/store/http.rs
@@ -2,12 +2,12 @@
 
 use std::{
     net::SocketAddrV4,
-    sync::atomic::{AtomicUsize, Ordering},
+    sync::atomic::{AtomicBool, AtomicUsize, Ordering},
     time::Duration,
 };
 
 use bytes::Bytes;
-use http::{Method, Request, StatusCode, header::CONTENT_TYPE};
+use http::{HeaderName, Method, Request, Response, StatusCode, header::CONTENT_TYPE};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper_util::{
@@ -15,7 +15,7 @@
     rt::TokioExecutor,
 };
 use serde::{Serialize, de::DeserializeOwned};
-use tokio::time::timeout;
+use tokio::{sync::watch, time::timeout};
 
 use super::{IndeterminateSnafu, NotSentSnafu, RefusedSnafu, StoreError};
 
@@ -34,6 +34,21 @@
     endpoints: Vec<SocketAddrV4>,
     /// Number of switches to the next endpoint.
     failovers: AtomicUsize,
+    /// Response header with the store's era, if the store counts eras.
+    era_header: Option<HeaderName>,
+    /// Latest era that a response has shown. The first one is not notified as a change.
+    era: watch::Sender<u64>,
+    /// Whether a response has arrived.
+    has_era: AtomicBool,
+}
+
+/// A decoded response.
+#[derive(Clone, Copy, Debug)]
+pub struct Reply<R> {
+    /// Era of the store that responded; 0 if the store does not count them.
+    pub era: u64,
+    /// The response body.
+    pub body: R,
 }
 
 impl JsonClient {
@@ -45,7 +60,52 @@
             client: Client::builder(TokioExecutor::new()).build(connector),
             endpoints,
             failovers: AtomicUsize::new(0),
+            era_header: None,
+            era: watch::Sender::new(0),
+            has_era: AtomicBool::new(false),
+        }
+    }
+
+    /// Reads the store's era from a header of each response.
+    pub fn with_era_header(mut self, name: HeaderName) -> Self {
+        self.era_header = Some(name);
+        self
+    }
+
+    /// Returns a receiver of the latest era that a response has shown.
+    pub fn eras(&self) -> watch::Receiver<u64> {
+        self.era.subscribe()
+    }
+
+    /// Returns the latest era that a response has shown.
+    pub fn era(&self) -> u64 {
+        *self.era.borrow()
+    }
+
+    /// Returns the era of a response, and records it if it is later than all before. Returns `None` if
+    /// it is earlier: the response was sent before the store was restored, or by another store.
+    fn record_era(&self, response: &Response<Incoming>) -> Option<u64> {
+        let name = self.era_header.as_ref();
+        let value = name.and_then(|name| response.headers().get(name));
+        let value = value.and_then(|value| value.to_str().ok());
+        let era: u64 = value.and_then(|value| value.parse().ok()).unwrap_or(0);
+        let is_first = !self.has_era.swap(true, Ordering::Relaxed);
+        let previous = self.era();
+        if era < previous {
+            tracing::error!(event = "store_era_fell", era, previous);
+            return None;
         }
+        if era > previous {
+            let is_change = !is_first;
+            if is_change {
+                tracing::warn!(event = "store_era_changed", era, previous);
+            }
+            self.era.send_if_modified(|known| {
+                *known = era;
+                is_change
+            });
+        }
+        Some(era)
     }
 
     fn current_endpoint(&self) -> SocketAddrV4 {
@@ -64,10 +124,8 @@
         message: &M,
     ) -> Result<Incoming, StoreError> {
         let body = serde_json::to_vec(message).expect("messages encode");
-        let (_, body) = self
-            .send(Method::POST, path, body.into(), CALL_TIMEOUT)
-            .await?;
-        Ok(body)
+        let response = self.send(Method::POST, path, body.into(), CALL_TIMEOUT);
+        Ok(response.await?.body)
     }
 
     /// Sends a message as JSON and returns the decoded response.
@@ -76,7 +134,7 @@
     ///
     /// Fails if the response does not arrive in time, its status is not 200, or it cannot be decoded.
     /// The head of the response and then its body must each arrive within [`CALL_TIMEOUT`].
-    pub async fn post<M, R>(&self, path: &str, message: &M) -> Result<R, StoreError>
+    pub async fn post<M, R>(&self, path: &str, message: &M) -> Result<Reply<R>, StoreError>
     where
         M: Serialize,
         R: DeserializeOwned,
@@ -95,7 +153,7 @@
         &self,
         path: &str,
         time_limit: Duration,
-    ) -> Result<R, StoreError> {
+    ) -> Result<Reply<R>, StoreError> {
         self.call(Method::GET, path, Bytes::new(), time_limit).await
     }
 
@@ -105,13 +163,16 @@
         path: &str,
         body: Bytes,
         time_limit: Duration,
-    ) -> Result<R, StoreError> {
-        let (endpoint, body) = self.send(method, path, body, time_limit).await?;
+    ) -> Result<Reply<R>, StoreError> {
+        let endpoint = self.current_endpoint();
+        let Reply { era, body } = self.send(method, path, body, time_limit).await?;
         let body = timeout(time_limit, Limited::new(body, MAX_RESPONSE_BYTES).collect()).await;
         let Ok(Ok(body)) = body else {
             return IndeterminateSnafu { endpoint }.fail();
         };
-        serde_json::from_slice(&body.to_bytes()).map_err(|_| StoreError::Indeterminate { endpoint })
+        let body = serde_json::from_slice(&body.to_bytes())
+            .map_err(|_| StoreError::Indeterminate { endpoint })?;
+        Ok(Reply { era, body })
     }
 
     async fn send(
@@ -120,7 +181,7 @@
         path: &str,
         body: Bytes,
         time_limit: Duration,
-    ) -> Result<(SocketAddrV4, Incoming), StoreError> {
+    ) -> Result<Reply<Incoming>, StoreError> {
         let endpoint = self.current_endpoint();
         let request = Request::builder()
             .method(method)
@@ -131,13 +192,22 @@
         let result = timeout(time_limit, self.client.request(request)).await;
         match result {
             Ok(Ok(response)) if response.status() == StatusCode::OK => {
-                Ok((endpoint, response.into_body()))
+                match self.record_era(&response) {
+                    Some(era) => Ok(Reply {
+                        era,
+                        body: response.into_body(),
+                    }),
+                    None => IndeterminateSnafu { endpoint }.fail(),
+                }
             }
-            Ok(Ok(response)) => RefusedSnafu {
-                endpoint,
-                status: response.status(),
+            Ok(Ok(response)) => {
+                self.record_era(&response);
+                RefusedSnafu {
+                    endpoint,
+                    status: response.status(),
+                }
+                .fail()
             }
-            .fail(),
             Ok(Err(error)) if error.is_connect() => {
                 self.failovers.fetch_add(1, Ordering::Relaxed);
                 NotSentSnafu { endpoint }.fail()
--- a/core/tests/l4_route_sync.rs
+++ b/core/tests/l4_route_sync.rs
@@ -14,6 +14,7 @@
     },
     member::{MemberState, Record, Role, View},
     owner_id::{Incarnation, ServiceTag},
+    store::{Consistency, Position},
 };
 use proptest::{
     prelude::*,
@@ -24,6 +25,13 @@
     SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, index), 7001)
 }
 
+const READ: Action = Action::Read(Consistency::Linearizable);
+
+/// Returns a position in the first era.
+fn at(revision: u64) -> Position {
+    Position { era: 0, revision }
+}
+
 fn table(version: u64) -> RouteTable {
     RouteTable {
         version,
@@ -60,9 +68,9 @@
 fn process_reads_then_watches_from_the_revision_that_it_read() {
     let mut sync = sync();
     let now = Time::default();
-    assert_eq!(sync.handle(Event::Tick, now), [Action::Read]);
-    let actions = sync.handle(Event::ReadSucceeded(41, Some(table(7))), now);
-    assert!(actions.contains(&Action::Watch(41)));
+    assert_eq!(sync.handle(Event::Tick, now), [READ]);
+    let actions = sync.handle(Event::ReadSucceeded(at(41), Some(table(7))), now);
+    assert!(actions.contains(&Action::Watch(at(41))));
     assert_eq!(sync.table().version, 7);
 }
 
@@ -70,12 +78,15 @@
 fn ended_watch_is_followed_by_a_read_and_a_new_watch() {
     let mut sync = sync();
     sync.handle(Event::Tick, Time::default());
-    sync.handle(Event::ReadSucceeded(41, Some(table(7))), Time::default());
+    sync.handle(
+        Event::ReadSucceeded(at(41), Some(table(7))),
+        Time::default(),
+    );
     sync.handle(Event::WatchEnded, Time::from_millis(10));
     let later = Time::from_millis(400);
-    assert_eq!(sync.handle(Event::Tick, later), [Action::Read]);
-    let actions = sync.handle(Event::ReadSucceeded(60, Some(table(9))), later);
-    assert!(actions.contains(&Action::Watch(60)));
+    assert_eq!(sync.handle(Event::Tick, later), [READ]);
+    let actions = sync.handle(Event::ReadSucceeded(at(60), Some(table(9))), later);
+    assert!(actions.contains(&Action::Watch(at(60))));
 }
 
 #[test]
@@ -84,8 +95,8 @@
     let now = Time::default();
     sync.handle(Event::Tick, now);
     sync.handle(Event::Changed, now);
-    let actions = sync.handle(Event::ReadSucceeded(41, Some(table(7))), now);
-    assert!(actions.contains(&Action::Read), "{actions:?}");
+    let actions = sync.handle(Event::ReadSucceeded(at(41), Some(table(7))), now);
+    assert!(actions.contains(&READ), "{actions:?}");
 }
 
 #[test]
@@ -100,15 +111,54 @@
     assert_eq!(sync.table().version, 8);
 }
 
+/// An older copy must not bring back an older table, and the operator has to learn of it.
+#[test]
+fn older_table_of_a_restored_store_is_reported_once_and_not_applied() {
+    let mut sync = sync();
+    let now = Time::default();
+    sync.handle(Event::Tick, now);
+    sync.handle(Event::ReadSucceeded(at(41), Some(table(7))), now);
+    sync.handle(Event::WatchEnded, now);
+    assert_eq!(sync.handle(Event::StoreRestored, now), [READ]);
+    let restored = Position {
+        era: 1,
+        revision: 30,
+    };
+    let actions = sync.handle(Event::ReadSucceeded(restored, Some(table(5))), now);
+    assert!(actions.contains(&Action::ReportOlder(5)), "{actions:?}");
+    assert!(actions.contains(&Action::Watch(restored)), "{actions:?}");
+    assert_eq!(sync.table().version, 7);
+    sync.handle(Event::Changed, now);
+    let actions = sync.handle(Event::ReadSucceeded(restored, Some(table(5))), now);
+    assert!(!actions.contains(&Action::ReportOlder(5)), "{actions:?}");
+}
+
+/// The periodic read only repairs what relays and peers have missed, so it may be stale.
+#[test]
+fn periodic_reads_are_stale_and_those_for_a_reason_are_not() {
+    let mut sync = sync();
+    sync.handle(Event::Tick, Time::default());
+    sync.handle(
+        Event::ReadSucceeded(at(41), Some(table(7))),
+        Time::default(),
+    );
+    let later = Time::from_millis(10_000);
+    let stale = Action::Read(Consistency::Stale);
+    assert_eq!(sync.handle(Event::Tick, later), [stale]);
+    sync.handle(Event::ReadSucceeded(at(41), Some(table(7))), later);
+    assert_eq!(sync.handle(Event::Changed, later), [READ]);
+}
+
 fn event() -> impl Strategy<Value = Event> {
     let table_option = || proptest::option::of((1..20_u64).prop_map(table));
     prop_oneof![
         Just(Event::Tick),
         (1..99_u64, table_option())
-            .prop_map(|(revision, table)| Event::ReadSucceeded(revision, table)),
+            .prop_map(|(revision, table)| Event::ReadSucceeded(at(revision), table)),
         Just(Event::ReadFailed),
         Just(Event::Changed),
         Just(Event::WatchEnded),
+        Just(Event::StoreRestored),
         table_option().prop_map(Event::PullEnded),
     ]
 }
--- a/core/tests/l4_seeds.rs
+++ b/core/tests/l4_seeds.rs
@@ -56,7 +56,7 @@
     ] {
         let mut members = vec![(1, own, Ready)];
         members.extend(others);
-        let need = seed_need(&view(&members), address(1), own);
+        let need = seed_need(&view(&members), address(1), "a", own);
         assert_eq!(need, expected, "{members:?}");
     }
 }
--- a/src/settings/bootstrap.rs
+++ b/src/settings/bootstrap.rs
@@ -11,7 +11,10 @@
     part::{Part, Parts},
     sync::{Page, Pull},
 };
-use crate::{control::ControlClient, store::Store};
+use crate::{
+    control::ControlClient,
+    store::{Consistency, Position, Store},
+};
 
 /// Control path on which a process serves its parts to peers.
 pub const PULL_PATH: &str = "/settings/pull";
@@ -48,8 +51,9 @@
         return Parts::new();
     };
     let layout = Layout::new(region);
-    let read = timeout(BOOTSTRAP_TIMEOUT, store.range(&layout.tree_prefix(), 0)).await;
-    let Ok(Ok(snapshot)) = read else {
+    let prefix = layout.tree_prefix();
+    let read = store.range(&prefix, Position::START, Consistency::Linearizable);
+    let Ok(Ok(snapshot)) = timeout(BOOTSTRAP_TIMEOUT, read).await else {
         return Parts::new();
     };
     layout.decode(&snapshot).parts
--- a/src/settings/client.rs
+++ b/src/settings/client.rs
@@ -16,7 +16,7 @@
     clock::Clock,
     clock::unix_ms,
     control::ControlClient,
-    store::{CommitOutcome, Store, StoreError},
+    store::{CommitOutcome, Consistency, Position, Snapshot, Store, StoreError},
 };
 
 /// Time after which an edit is no longer retried.
@@ -76,7 +76,7 @@
     /// Fails if the store does not answer or refuses the call.
     pub async fn read(&self) -> Result<StoredTree, StoreError> {
         let layout = Layout::new(self.region);
-        let snapshot = self.store.range(&layout.tree_prefix(), 0).await?;
+        let snapshot = read_all(self.store, &layout.tree_prefix()).await?;
         Ok(layout.decode(&snapshot))
     }
 
@@ -88,7 +88,7 @@
     /// Fails if the store does not answer or refuses the call.
     pub async fn history(&self, name: &PartName) -> Result<VecDeque<Part>, StoreError> {
         let key = Layout::new(self.region).history_key(name);
-        let snapshot = self.store.range(&key, 0).await?;
+        let snapshot = read_all(self.store, &key).await?;
         let item = snapshot.items.iter().find(|item| item.key == key);
         let history = item.and_then(|item| serde_json::from_slice(&item.value).ok());
         Ok(history.unwrap_or_default())
@@ -164,6 +164,11 @@
     }
 }
 
+async fn read_all(store: &dyn Store, prefix: &str) -> Result<Snapshot, StoreError> {
+    let read = store.range(prefix, Position::START, Consistency::Linearizable);
+    read.await
+}
+
 /// Commits a proposal together with the updated history of its parts.
 ///
 /// # Errors
@@ -178,7 +183,7 @@
     let mut histories = Histories::new();
     for name in proposal.parts.keys() {
         let key = layout.history_key(name);
-        let snapshot = store.range(&key, 0).await?;
+        let snapshot = read_all(store, &key).await?;
         let item = snapshot.items.iter().find(|item| item.key == key);
         let history = item.and_then(|item| serde_json::from_slice(&item.value).ok());
         histories.insert(name.clone(), history.unwrap_or_default());
--- a/src/settings/driver.rs
+++ b/src/settings/driver.rs
@@ -31,7 +31,7 @@
     membership::LocalRecord,
     metrics::Metrics,
     seeds::maintain_seed,
-    store::{Store, StoreError},
+    store::{Consistency, Position, Store, StoreError},
 };
 
 /// Control path on which a process receives hints of a peer's new revision.
@@ -354,13 +354,15 @@
 
     async fn call_store(&self, store: &dyn Store, action: Action) -> Result<Event, StoreError> {
         let layout = &self.layout;
+        let read =
+            async |prefix: &str, since| store.range(prefix, since, Consistency::Linearizable).await;
         Ok(match action {
             Action::ReadHead => {
-                let stored = layout.decode(&store.range(&layout.head_key(), 0).await?);
-                Event::HeadRead(stored.head_store_revision, stored.head)
+                let stored = layout.decode(&read(&layout.head_key(), Position::START).await?);
+                Event::HeadRead(stored.head_position, stored.head)
             }
             Action::ReadParts(since) => {
-                let snapshot = store.range(&layout.tree_prefix(), since).await?;
+                let snapshot = read(&layout.tree_prefix(), since).await?;
                 Event::PartsRead(since, layout.decode(&snapshot))
             }
             Action::Restore(proposal) => {
@@ -378,8 +380,9 @@
         let head = self.layout.head_key();
         let watch_head = async {
             loop {
-                let read = store.range(&head, 0).await.map_or(0, |s| s.revision);
-                if let Ok(mut changes) = store.watch(&head, read).await {
+                let read = store.range(&head, Position::START, Consistency::Linearizable);
+                let since = read.await.map_or(Position::START, |read| read.position);
+                if let Ok(mut changes) = store.watch(&head, since).await {
                     while changes.next().await.is_some() {
                         let _ = self.events.send(Event::StoreChanged).await;
                     }
--- a/src/settings/edit.rs
+++ b/src/settings/edit.rs
@@ -194,7 +194,7 @@
                     read_back: true,
                 });
             }
-            if stored.head_store_revision == proposal.head_store_revision {
+            if stored.head_position == proposal.head_position {
                 // The write may still arrive. Only one of two identical writes can succeed, so
                 // the repetition makes the outcome certain.
                 self.is_writing = true;
@@ -259,7 +259,7 @@
             change: self.id.clone(),
         };
         let proposal = Proposal {
-            head_store_revision: stored.head_store_revision,
+            head_position: stored.head_position,
             head: stored.head.with_change(reference),
             parts,
         };
--- a/src/settings/layout.rs
+++ b/src/settings/layout.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::part::{Part, PartName, Parts, max_revision};
-use crate::store::{Compare, Snapshot, Transaction, Write};
+use crate::store::{Compare, Position, Snapshot, Transaction, Write};
 
 /// Largest number of recent changes that the head lists.
 pub const MAX_RECENT_CHANGES: usize = 32;
@@ -73,21 +73,21 @@
 pub struct StoredTree {
     /// Head; empty if there is none or it can't be decoded.
     pub head: Head,
-    /// Store revision of the head; 0 if there is none.
-    pub head_store_revision: u64,
+    /// Position of the head's last write; [`Position::START`] if there is none.
+    pub head_position: Position,
     /// Parts that can be decoded.
     pub parts: Parts,
     /// Keys whose name or value can't be decoded.
     pub unreadable: Vec<String>,
-    /// Store revision of the snapshot.
-    pub store_revision: u64,
+    /// Position of the snapshot.
+    pub position: Position,
 }
 
-/// Parts to write under the condition that the head is still at `head_store_revision`.
+/// Parts to write under the condition that the head is still at `head_position`.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Proposal {
-    /// Store revision of the head that was read; 0 if there was none.
-    pub head_store_revision: u64,
+    /// Position of the last write of the head that was read; [`Position::START`] if there was none.
+    pub head_position: Position,
     /// New head.
     pub head: Head,
     /// New parts.
@@ -135,14 +135,14 @@
     /// Decodes a snapshot of the tree; items that can't be decoded are listed as unreadable.
     pub fn decode(&self, snapshot: &Snapshot) -> StoredTree {
         let mut stored = StoredTree {
-            store_revision: snapshot.revision,
+            position: snapshot.position,
             ..StoredTree::default()
         };
         let (head, parts) = (self.head_key(), self.parts_prefix());
         for item in &snapshot.items {
             let text = String::from_utf8_lossy(&item.value);
             if item.key == head {
-                stored.head_store_revision = item.revision;
+                stored.head_position = item.position;
                 match serde_json::from_str(&text) {
                     Ok(head) => stored.head = head,
                     Err(_) => stored.unreadable.push(item.key.clone()),
@@ -166,7 +166,7 @@
         let mut transaction = Transaction {
             compares: vec![Compare {
                 key: self.head_key(),
-                revision: proposal.head_store_revision,
+                position: proposal.head_position,
             }],
             writes: vec![put(self.head_key(), &proposal.head)],
         };
@@ -211,7 +211,7 @@
     }
     head.revision = head.revision.max(max_revision(&parts));
     Proposal {
-        head_store_revision: stored.head_store_revision,
+        head_position: stored.head_position,
         head,
         parts,
     }
--- a/src/settings/sync.rs
+++ b/src/settings/sync.rs
@@ -20,7 +20,7 @@
     config::{Violation, tree::Region},
     member::View,
     placement::relays,
-    store::CommitOutcome,
+    store::{CommitOutcome, Position},
 };
 
 /// Size at which a page of parts ends, in bytes; the part that exceeds it is still included.
@@ -84,9 +84,9 @@
     /// A watch reported a change in the store.
     StoreChanged,
     /// The head was read, with its store revision.
-    HeadRead(u64, Head),
+    HeadRead(Position, Head),
     /// The head and the parts that changed after a store revision were read.
-    PartsRead(u64, StoredTree),
+    PartsRead(Position, StoredTree),
     /// A call to the store failed.
     StoreFailed,
     /// A transaction that restores missing parts was executed, or conflicted with another one.
@@ -105,7 +105,7 @@
     /// Read the head.
     ReadHead,
     /// Read the head and the parts that changed after a store revision.
-    ReadParts(u64),
+    ReadParts(Position),
     /// Write parts that the store has lost back to it.
     Restore(Proposal),
     /// Pull parts from a peer.
@@ -167,14 +167,14 @@
     is_configured: bool,
     /// Whether the store changed during a call, so that it is read again at once.
     read_again: bool,
-    /// Store revision of the head and id of its newest change, if any, at the last read of parts.
-    last_head: Option<(u64, Option<String>)>,
+    /// Position of the head and id of its newest change, if any, at the last read of parts.
+    last_head: Option<(Position, Option<String>)>,
     next_read: Time,
     /// When to restore missing parts, if the store still lacks them.
     restore_at: Option<Time>,
     is_reachable: bool,
-    /// Store revision up to which parts were read; 0 if all are to be read again.
-    read_store_revision: u64,
+    /// Position up to which parts were read; [`Position::START`] if all are to be read again.
+    read_position: Position,
 }
 
 #[derive(Debug, Default)]
@@ -283,9 +283,7 @@
                 self.store.read_again = self.store.in_flight;
                 self.store.next_read = now;
             }
-            Event::HeadRead(store_revision, head) => {
-                self.handle_head(store_revision, &head, now, &mut actions)
-            }
+            Event::HeadRead(position, head) => self.handle_head(position, &head, now, &mut actions),
             Event::PartsRead(since, stored) => self.apply_stored(since, &stored, now, &mut actions),
             Event::StoreFailed => {
                 self.finish_store_call(now, &mut actions, false);
@@ -506,7 +504,7 @@
 
     fn handle_head(
         &mut self,
-        store_revision: u64,
+        position: Position,
         head: &Head,
         now: Time,
         actions: &mut VecDeque<Action>,
@@ -514,7 +512,7 @@
         let is_restore_due = self.store.restore_at.is_some_and(|due| now >= due);
         let newest = head.recent.front().map(|change| change.change.clone());
         let known = self.store.last_head.as_ref();
-        if !is_restore_due && known == Some(&(store_revision, newest)) {
+        if !is_restore_due && known == Some(&(position, newest)) {
             self.finish_store_call(now, actions, true);
             return;
         }
@@ -522,19 +520,20 @@
         // state; only a read of all parts shows what it has lost.
         let follows = known.is_some_and(|(known, change)| {
             let change = change.as_ref();
-            store_revision > *known && change.is_some_and(|change| head.find(change).is_some())
+            let is_later = position.continues(known) && position != *known;
+            is_later && change.is_some_and(|change| head.find(change).is_some())
         });
         let since = if follows && !is_restore_due {
-            self.store.read_store_revision
+            self.store.read_position
         } else {
-            0
+            Position::START
         };
         actions.push_back(Action::ReadParts(since));
     }
 
     fn apply_stored(
         &mut self,
-        since: u64,
+        since: Position,
         stored: &StoredTree,
         now: Time,
         actions: &mut VecDeque<Action>,
@@ -549,11 +548,15 @@
             .recent
             .front()
             .map(|change| change.change.clone());
-        self.store.last_head = Some((stored.head_store_revision, newest));
+        self.store.last_head = Some((stored.head_position, newest));
         // The replica lacks rejected and unreadable parts, so the next read must return all parts.
         let is_partial = is_rejected || !stored.unreadable.is_empty();
-        self.store.read_store_revision = if is_partial { 0 } else { stored.store_revision };
-        if since == 0 && self.is_relay {
+        self.store.read_position = if is_partial {
+            Position::START
+        } else {
+            stored.position
+        };
+        if since == Position::START && self.is_relay {
             self.restore_missing(stored, now, actions);
         }
     }
--- a/src/standin/kv.rs
+++ b/src/standin/kv.rs
@@ -356,6 +356,7 @@
             return None;
         }
         let range = inner.contents.range(&RangeRequest {
+            serializable: false,
             key: request.key.clone(),
             range_end: request.range_end.clone(),
             min_mod_revision: StringU64(since),
--- a/src/store/etcd.rs
+++ b/src/store/etcd.rs
@@ -6,10 +6,12 @@
 use futures::{FutureExt, StreamExt, future::BoxFuture, stream};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use tokio::sync::watch;
 
 use super::{
-    CommitOutcome, Compare, Item, JsonClient, LeaseId, Snapshot, Store, StoreError, Transaction,
-    Watch, Write,
+    CommitOutcome, Compare, Consistency, Item, JsonClient, LeaseId, Position, Snapshot, Store,
+    StoreError, Transaction, Watch, Write,
+    http::Reply,
     wire::{
         Base64, CompareRequest, GrantRequest, KeepAliveRequest, LeaseResponse, Operation,
         PutRequest, RangeRequest, RangeResponse, StreamMessage, StringU64, TxnRequest, TxnResponse,
@@ -36,26 +38,32 @@
     fn range<'a>(
         &'a self,
         prefix: &'a str,
-        since: u64,
+        since: Position,
+        consistency: Consistency,
     ) -> BoxFuture<'a, Result<Snapshot, StoreError>> {
         async move {
             let request = RangeRequest {
                 key: Base64(prefix.into()),
                 range_end: Base64(prefix_end(prefix.as_bytes())),
-                min_mod_revision: StringU64(if since == 0 { 0 } else { since + 1 }),
+                min_mod_revision: StringU64(match since.revision {
+                    0 => 0,
+                    revision => revision + 1,
+                }),
+                serializable: consistency == Consistency::Stale,
             };
-            let response: RangeResponse = self.client.post("/v3/kv/range", &request).await?;
+            let response: Reply<RangeResponse> = self.client.post("/v3/kv/range", &request).await?;
+            let response = response.body;
             let mut items = Vec::with_capacity(response.kvs.len());
             for kv in response.kvs {
                 items.push(Item {
                     key: String::from_utf8_lossy(&kv.key.0).into_owned(),
                     value: kv.value.0,
-                    revision: kv.mod_revision.0,
+                    position: position(kv.mod_revision.0),
                 });
             }
             Ok(Snapshot {
                 items,
-                revision: response.header.revision.0,
+                position: position(response.header.revision.0),
             })
         }
         .boxed()
@@ -70,8 +78,8 @@
                 compare: transaction.compares.iter().map(compare_request).collect(),
                 success: transaction.writes.iter().map(put_operation).collect(),
             };
-            let response: TxnResponse = self.client.post("/v3/kv/txn", &request).await?;
-            Ok(if response.succeeded {
+            let response: Reply<TxnResponse> = self.client.post("/v3/kv/txn", &request).await?;
+            Ok(if response.body.succeeded {
                 CommitOutcome::Applied
             } else {
                 CommitOutcome::Conflict
@@ -85,8 +93,12 @@
             let request = GrantRequest {
                 ttl: StringU64(ttl_seconds),
             };
-            let response: LeaseResponse = self.client.post("/v3/lease/grant", &request).await?;
-            Ok(LeaseId(response.id.0))
+            let response: Reply<LeaseResponse> =
+                self.client.post("/v3/lease/grant", &request).await?;
+            Ok(LeaseId {
+                era: 0,
+                number: response.body.id.0,
+            })
         }
         .boxed()
     }
@@ -94,11 +106,11 @@
     fn keep_alive(&self, lease: LeaseId) -> BoxFuture<'_, Result<bool, StoreError>> {
         async move {
             let request = KeepAliveRequest {
-                id: StringU64(lease.0),
+                id: StringU64(lease.number),
             };
-            let response: StreamMessage<LeaseResponse> =
+            let response: Reply<StreamMessage<LeaseResponse>> =
                 self.client.post("/v3/lease/keepalive", &request).await?;
-            Ok(response.result.ttl.0 > 0)
+            Ok(response.body.result.ttl.0 > 0)
         }
         .boxed()
     }
@@ -106,22 +118,31 @@
     fn watch<'a>(
         &'a self,
         prefix: &'a str,
-        since: u64,
+        since: Position,
     ) -> BoxFuture<'a, Result<Watch, StoreError>> {
         async move {
             let create_request = WatchCreateRequest {
                 key: Base64(prefix.into()),
                 range_end: Base64(prefix_end(prefix.as_bytes())),
-                start_revision: StringU64(since + 1),
+                start_revision: StringU64(since.revision + 1),
             };
             let body = self
                 .client
                 .post_stream("/v3/watch", &WatchRequest { create_request })
                 .await?;
-            Ok(watch_revisions(body))
+            Ok(watch_positions(body))
         }
         .boxed()
     }
+
+    fn eras(&self) -> watch::Receiver<u64> {
+        self.client.eras()
+    }
+}
+
+/// Returns the position of a revision. etcd counts no eras.
+fn position(revision: u64) -> Position {
+    Position { era: 0, revision }
 }
 
 fn compare_request(compare: &Compare) -> CompareRequest {
@@ -129,7 +150,7 @@
         result: "EQUAL".into(),
         target: "MOD".into(),
         key: Base64(compare.key.clone().into()),
-        mod_revision: StringU64(compare.revision),
+        mod_revision: StringU64(compare.position.revision),
     }
 }
 
@@ -138,15 +159,15 @@
         request_put: PutRequest {
             key: Base64(write.key.clone().into()),
             value: Base64(write.value.clone()),
-            lease: StringU64(write.lease.map_or(0, |lease| lease.0)),
+            lease: StringU64(write.lease.map_or(0, |lease| lease.number)),
         },
     }
 }
 
-/// Returns the revisions in a watch's newline-delimited JSON.
+/// Returns the positions in a watch's newline-delimited JSON.
 ///
 /// The stream ends with the connection or at a line that can't be decoded.
-fn watch_revisions(body: Incoming) -> Watch {
+fn watch_positions(body: Incoming) -> Watch {
     let lines = stream::unfold((body, BytesMut::new()), |(mut body, mut buffer)| async {
         loop {
             if let Some(end) = buffer.iter().position(|byte| *byte == b'\n') {
@@ -165,7 +186,7 @@
         .filter_map(|message| async move {
             let response = message?.result;
             let changed = !response.events.is_empty();
-            changed.then_some(response.header.revision.0)
+            changed.then_some(position(response.header.revision.0))
         })
         .boxed()
 }
--- a/src/store/wire.rs
+++ b/src/store/wire.rs
@@ -69,6 +69,8 @@
     pub range_end: Base64,
     /// Lowest store revision of the last write of returned keys; 0 for no limit.
     pub min_mod_revision: StringU64,
+    /// Whether any endpoint may answer from its own state, which may be old.
+    pub serializable: bool,
 }
 
 /// Response to a [`RangeRequest`].
--- a/src/trial/settings.rs
+++ b/src/trial/settings.rs
@@ -23,6 +23,7 @@
         part::{Content, Part, PartName, Parts, split},
         sync::{Action, Event, SettingsSync},
     },
+    store::Position,
 };
 
 /// Fleet sizes that are run.
@@ -213,8 +214,9 @@
             change: format!("change-{revision}"),
         };
         self.stored.head = Head::default().with_change(mark);
-        self.stored.head_store_revision = revision;
-        self.stored.store_revision = revision;
+        let position = Position { era: 0, revision };
+        self.stored.head_position = position;
+        self.stored.position = position;
         self.stored.parts.extend(parts);
     }
 
@@ -373,7 +375,7 @@
                     self.calls += 1;
                     self.bytes += CALL_BYTES as u64;
                     let event =
-                        Event::HeadRead(self.stored.head_store_revision, self.stored.head.clone());
+                        Event::HeadRead(self.stored.head_position, self.stored.head.clone());
                     self.deliver(node, event, 2 * HOP_MS);
                 }
                 Action::ReadParts(since) => {
@@ -382,7 +384,7 @@
                     let mut stored = self.stored.clone();
                     stored
                         .parts
-                        .retain(|_, part| since == 0 || part.revision > since);
+                        .retain(|_, part| part.revision > since.revision);
                     self.deliver(node, Event::PartsRead(since, stored), 2 * HOP_MS);
                 }
                 _ => {}
--- a/tests/settings_store.rs
+++ b/tests/settings_store.rs
@@ -8,7 +8,10 @@
 use berylvalve::{
     kernel::Kernel,
     standin::kv::Kv,
-    store::{CommitOutcome, Compare, EtcdStore, Store, StoreError, Transaction, Write},
+    store::{
+        CommitOutcome, Compare, Consistency, EtcdStore, Position, Store, StoreError, Transaction,
+        Write,
+    },
 };
 use futures::StreamExt;
 use tokio::time::timeout;
@@ -17,7 +20,7 @@
     Transaction {
         compares: vec![Compare {
             key: key.into(),
-            revision,
+            position: Position { era: 0, revision },
         }],
         writes: vec![Write {
             key: key.into(),
@@ -41,12 +44,15 @@
         CommitOutcome::Conflict
     );
     store.commit(&put("b/1", "z", 0)).await.unwrap();
-    let found = store.range("a/", 0).await.unwrap();
+    let found = store
+        .range("a/", Position::START, Consistency::Linearizable)
+        .await
+        .unwrap();
     assert_eq!(found.items.len(), 1);
     assert_eq!(found.items[0].value, b"x");
     assert_eq!(
         store
-            .range("a/", found.items[0].revision)
+            .range("a/", found.items[0].position, Consistency::Linearizable)
             .await
             .unwrap()
             .items,
@@ -65,7 +71,12 @@
     assert_eq!(watch.next().await, Some(1));
     kv.fail(|failures| failures.down = true);
     assert_eq!(watch.next().await, None);
-    assert!(store.range("a/", 0).await.is_err());
+    assert!(
+        store
+            .range("a/", Position::START, Consistency::Linearizable)
+            .await
+            .is_err()
+    );
     assert_eq!(kv.calls().watches, 1);
     kernel.stop().await;
 }
@@ -78,7 +89,15 @@
     kv.fail(|failures| failures.lose = 1);
     let lost = store.commit(&put("a/1", "x", 0)).await.unwrap_err();
     assert!(lost.is_indeterminate(), "{lost}");
-    assert_eq!(store.range("a/", 0).await.unwrap().items[0].value, b"x");
+    assert_eq!(
+        store
+            .range("a/", Position::START, Consistency::Linearizable)
+            .await
+            .unwrap()
+            .items[0]
+            .value,
+        b"x"
+    );
     let unreachable = EtcdStore::new(vec!["127.0.0.1:1".parse().unwrap()]);
     let refused = unreachable.commit(&put("a/1", "x", 0)).await.unwrap_err();
     assert!(matches!(refused, StoreError::NotSent { .. }), "{refused}");
@@ -97,7 +116,14 @@
     assert!(store.keep_alive(lease).await.unwrap());
     kv.lapse();
     assert!(!store.keep_alive(lease).await.unwrap());
-    assert_eq!(store.range("seeds/", 0).await.unwrap().items, []);
+    assert_eq!(
+        store
+            .range("seeds/", Position::START, Consistency::Linearizable)
+            .await
+            .unwrap()
+            .items,
+        []
+    );
     kernel.stop().await;
 }
 
@@ -107,7 +133,11 @@
     let kv = Kv::start(&kernel).await.unwrap();
     let store = EtcdStore::new(vec![kv.address()]);
     kv.fail(|failures| failures.delay_ms = 60_000);
-    let result = timeout(Duration::from_secs(5), store.range("a/", 0)).await;
+    let result = timeout(
+        Duration::from_secs(5),
+        store.range("a/", Position::START, Consistency::Linearizable),
+    )
+    .await;
     assert!(result.unwrap().unwrap_err().is_indeterminate());
     kernel.stop().await;
 }
--- a/tests/settings_sync/world.rs
+++ b/tests/settings_sync/world.rs
@@ -18,7 +18,7 @@
         replica::Replica,
         sync::{Action, Event, SettingsSync},
     },
-    store::{CommitOutcome, Item, Snapshot, Transaction},
+    store::{CommitOutcome, Item, Position, Snapshot, Transaction},
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use serde_json::json;
@@ -45,20 +45,26 @@
 }
 
 impl FakeStore {
-    pub fn range(&self, prefix: &str, since: u64) -> Snapshot {
+    pub fn range(&self, prefix: &str, since: Position) -> Snapshot {
         let mut items = Vec::new();
         for (key, (value, revision)) in &self.entries {
-            if key.starts_with(prefix) && *revision > since {
+            if key.starts_with(prefix) && *revision > since.revision {
                 items.push(Item {
                     key: key.clone(),
                     value: value.clone(),
-                    revision: *revision,
+                    position: Position {
+                        era: 0,
+                        revision: *revision,
+                    },
                 });
             }
         }
         Snapshot {
             items,
-            revision: self.revision,
+            position: Position {
+                era: 0,
+                revision: self.revision,
+            },
         }
     }
 
@@ -68,7 +74,7 @@
                 .entries
                 .get(&compare.key)
                 .map_or(0, |(_, revision)| *revision);
-            if revision != compare.revision {
+            if revision != compare.position.revision {
                 return CommitOutcome::Conflict;
             }
         }
@@ -80,7 +86,7 @@
         CommitOutcome::Applied
     }
 
-    pub fn stored(&self, since: u64) -> StoredTree {
+    pub fn stored(&self, since: Position) -> StoredTree {
         let layout = Layout::new(REGION);
         layout.decode(&self.range(&layout.tree_prefix(), since))
     }
@@ -278,8 +284,8 @@
         let layout = Layout::new(REGION);
         let event = match action {
             Action::ReadHead => {
-                let stored = layout.decode(&self.store.range(&layout.head_key(), 0));
-                Event::HeadRead(stored.head_store_revision, stored.head)
+                let stored = layout.decode(&self.store.range(&layout.head_key(), Position::START));
+                Event::HeadRead(stored.head_position, stored.head)
             }
             Action::ReadParts(since) => Event::PartsRead(*since, self.store.stored(*since)),
             Action::Restore(proposal) => {
@@ -356,7 +362,9 @@
                 indeterminate: true,
             },
             EditAction::Read if self.is_behind() => EditEvent::Behind,
-            EditAction::Read => EditEvent::Read(self.store.stored(0), 1_000_000 + self.now_ms),
+            EditAction::Read => {
+                EditEvent::Read(self.store.stored(Position::START), 1_000_000 + self.now_ms)
+            }
             EditAction::Write(proposal) => {
                 let transaction = Layout::new(REGION).transaction(proposal, &Histories::new());
                 EditEvent::WriteEnded(self.store.commit(&transaction))
@@ -376,7 +384,7 @@
 
     /// Returns whether a responsive process has newer settings than the store.
     pub fn is_behind(&self) -> bool {
-        let revision = self.store.stored(0).head.revision;
+        let revision = self.store.stored(Position::START).head.revision;
         let responsive = self
             .nodes
             .iter()
@@ -388,7 +396,7 @@
     /// Records the parts of an accepted edit, which must be in the store.
     pub fn record_accepted(&mut self, index: usize) {
         let id = self.edits[index].0.id().to_owned();
-        let stored = self.store.stored(0);
+        let stored = self.store.stored(Position::START);
         assert!(
             stored.head.find(&id).is_some(),
             "{id} accepted but not in the store"
