Let only relays watch the store, and answer repeated openings of waiting flows

An agent gave no answer to a repeated opening segment of a flow that waits with it, so its balancer took it for silent after 30 ms and placed the flow on a second agent.

Change: a relay watches from 1 s after its start and ends the watch when it is none. Waits is answered for repeated openings, to the balancer that asked.

--- a/core/src/l4/agent.rs
+++ b/core/src/l4/agent.rs
@@ -200,7 +200,7 @@
         }
     }
 
-    /// Registers a new flow with one of its homes before its caller learns that it is open. The caller's
+    /// Registers a new flow with one of its homes, before its caller learns that it is open. The caller's
     /// next segment may reach another balancer, which asks the homes for the owner.
     fn register_at_first_home(&mut self, flow: FlowKey, out: &mut impl Outbox) {
         let [home, _] = self.homes.of(&flow);
--- a/core/src/l4/agent/opening.rs
+++ b/core/src/l4/agent/opening.rs
@@ -82,7 +82,9 @@
     ) {
         let flow = segment.flow_of_caller();
         let from = received.from;
-        if self.waiting.contains(&flow) {
+        if self.waiting.set_balancer(&flow, from) {
+            let load = self.workload.load();
+            self.send(from, &Message::Waits { flow, load }, &[], out);
             return;
         }
         let has_entry = self.flows.get(&flow).is_some();
--- a/core/src/l4/route_sync.rs
+++ b/core/src/l4/route_sync.rs
@@ -26,6 +26,10 @@
 /// Shortest interval between two pulls from peers.
 const PULL_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Time from the start after which a relay watches the store. Before, a process that does not know the
+/// others yet takes itself for a relay.
+const WATCH_DELAY: Duration = Duration::from_secs(1);
+
 /// Interval at which a process reads the store even if no change was reported.
 const RESYNC_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -55,6 +59,8 @@
     Read(Consistency),
     /// Watch the store for changes after a position.
     Watch(Position),
+    /// End the watch.
+    StopWatch,
     /// Pull the table from the peer with this control address.
     Pull(SocketAddrV4),
     /// Publish the table, which has replaced an older one.
@@ -79,6 +85,8 @@
     /// Whether the store changed during a read, so that it has to be read again.
     needs_reread: bool,
     is_watching: bool,
+    /// When the first watch may start, set at the first event.
+    watch_start: Option<Time>,
     /// Whether the next read must include all writes that the store has acknowledged. The periodic
     /// reads need not: they only repair what relays and peers have missed.
     needs_latest: bool,
@@ -103,6 +111,7 @@
             is_reading: false,
             needs_reread: false,
             is_watching: false,
+            watch_start: None,
             needs_latest: true,
             older_version: None,
             store_reachable: true,
@@ -135,6 +144,11 @@
     /// Handles an event and returns the actions that follow.
     pub fn handle(&mut self, event: Event, now: Time) -> Vec<Action> {
         let mut actions = Vec::new();
+        let watch_start = *self.watch_start.get_or_insert(now + WATCH_DELAY);
+        if self.is_watching && !self.is_relay {
+            self.is_watching = false;
+            actions.push(Action::StopWatch);
+        }
         match event {
             Event::Tick => {}
             Event::ReadSucceeded(position, table) => {
@@ -148,6 +162,9 @@
                     self.needs_reread = false;
                     self.needs_latest = true;
                     self.read_due = now;
+                } else if self.is_relay && !self.is_watching && now < watch_start {
+                    self.needs_latest = true;
+                    self.read_due = watch_start;
                 } else if self.is_relay && !self.is_watching {
                     self.is_watching = true;
                     actions.push(Action::Watch(position));
--- a/core/src/l4/route_sync/service.rs
+++ b/core/src/l4/route_sync/service.rs
@@ -10,7 +10,7 @@
 use futures::StreamExt;
 use prometheus_client::metrics::counter::Counter;
 use tokio::{
-    sync::{mpsc, watch},
+    sync::{mpsc, oneshot, watch},
     time::MissedTickBehavior,
 };
 
@@ -81,6 +81,7 @@
         local,
         metrics: metrics.clone(),
         tables,
+        watch_stop: None,
     };
     let help = "Calls to the store for routes";
     metrics.register("route_store_calls", help, task.calls.store_calls.clone());
@@ -97,6 +98,8 @@
     metrics: Arc<Metrics>,
     sync: RouteSync,
     tables: watch::Sender<Arc<RouteTable>>,
+    /// Ends the task of the watch when it is dropped.
+    watch_stop: Option<oneshot::Sender<()>>,
 }
 
 impl Task {
@@ -124,7 +127,12 @@
     fn run_action(&mut self, action: Action) {
         match action {
             Action::Read(consistency) => drop(tokio::spawn(self.calls.clone().read(consistency))),
-            Action::Watch(since) => drop(tokio::spawn(self.calls.clone().watch(since))),
+            Action::Watch(since) => {
+                let (stop, stopped) = oneshot::channel();
+                self.watch_stop = Some(stop);
+                tokio::spawn(self.calls.clone().watch(since, stopped));
+            }
+            Action::StopWatch => self.watch_stop = None,
             Action::Pull(peer) => drop(tokio::spawn(self.calls.clone().pull(peer))),
             Action::Publish(table) => self.publish(table),
             Action::ReportOlder(version) => {
@@ -208,8 +216,9 @@
         }
     }
 
-    /// Reports the changes of the table until the watch or the era of the store ends.
-    async fn watch(self, since: Position) {
+    /// Reports the changes of the table until the watch or the era of the store ends, or until the
+    /// sender of `stopped` is dropped.
+    async fn watch(self, since: Position, mut stopped: oneshot::Receiver<()>) {
         self.store_calls.inc();
         let mut eras = self.store.eras();
         match self.store.watch(self.source.key, since).await {
@@ -220,6 +229,7 @@
                         None => break,
                     },
                     Ok(()) = eras.changed() => break,
+                    _ = &mut stopped => return,
                 }
             },
             Err(error) => log_failure("watch", &error),
--- a/core/src/l4/waiting.rs
+++ b/core/src/l4/waiting.rs
@@ -77,6 +77,17 @@
         self.flows.iter().any(|waiting| waiting.flow == *flow)
     }
 
+    /// Sets the balancer of a waiting flow whose opening segment was repeated; returns whether the flow
+    /// is waiting.
+    pub fn set_balancer(&mut self, flow: &FlowKey, balancer: SocketAddrV4) -> bool {
+        let waiting = self.flows.iter_mut().find(|waiting| waiting.flow == *flow);
+        let Some(waiting) = waiting else {
+            return false;
+        };
+        waiting.balancer = balancer;
+        true
+    }
+
     /// Returns the number of flows that can still be answered within their target latency.
     pub fn count_in_time(&self, now: Time) -> usize {
         let in_time = self.flows.iter().filter(|waiting| !waiting.is_late(now));
--- a/core/tests/l4/agent.rs
+++ b/core/tests/l4/agent.rs
@@ -14,6 +14,8 @@
         routes::ServiceKey,
         server::{ServerReport, ServerState},
     },
+    member::{MemberState, Record, Role, View},
+    owner_id::Incarnation,
 };
 
 use crate::codec::{self, ACCEPT, ANSWER, BOUNCED, DATA, FINISH, OPENING, RESET, TestCodec, flow};
@@ -92,6 +94,25 @@
         result.unwrap();
     }
 
+    /// Applies a view with another agent of the service.
+    fn know_peer(&mut self, index: u8) {
+        let address = SocketAddrV4::new(Ipv4Addr::new(10, 0, 1, index), 7001);
+        let record = Record {
+            address,
+            control: address,
+            incarnation: Incarnation(1),
+            domain: "a".into(),
+            role: Role::Agent,
+            service: ServiceKey::of("desk").tag(),
+            state: MemberState::Ready,
+            weight: 100,
+            version: 0,
+            revision: 0,
+        };
+        let view = View::default().next([(address, record)].into());
+        self.agent.apply_view(&view);
+    }
+
     fn send(&mut self, message: Message, datagram: &[u8]) {
         let received = Received {
             from: BALANCER,
@@ -282,3 +303,52 @@
     harness.send(Message::Forward, &[FINISH, 1, 5]);
     assert_eq!(harness.ownership(1, 50), Ownership::Held);
 }
+
+/// A balancer that gets a repeated opening segment may place it on the agent at which the flow waits
+/// already. Without a reply, it takes the agent for silent and places the flow on another one too.
+#[test]
+fn repeated_opening_of_a_waiting_flow_is_answered() {
+    let mut harness = Harness::new(1);
+    for port in 1..=5 {
+        harness.open("desk", true, port);
+    }
+    harness.sent.messages.clear();
+    harness.open("desk", true, 5);
+    let reply = harness.sent.messages.pop();
+    assert!(matches!(reply, Some(Message::Waits { .. })), "{reply:?}");
+}
+
+/// Guards against a backlog of callers from an outage that fills the queue of the server in front of
+/// those who come after it.
+#[test]
+fn late_opening_waits_for_a_free_slot_and_lets_one_in_time_pass() {
+    let mut harness = Harness::new(1);
+    harness.open("desk", true, 1);
+    harness.open("desk", true, 2);
+    let late = Message::Open {
+        service: ServiceKey::of("desk"),
+        forced: true,
+        priority: 1,
+        target_ms: 0,
+    };
+    harness.send(late, &[OPENING, 3, 60]);
+    assert_eq!(harness.sent.delivered.len(), 2, "both slots are in use");
+    harness.open("desk", true, 4);
+    assert_eq!(
+        harness.sent.delivered.len(),
+        3,
+        "the queue has room for a flow in time"
+    );
+}
+
+/// Between the acceptance of a flow and its first segment, the fabric may change the balancer.
+#[test]
+fn accepted_flow_is_registered_at_its_first_home_before_its_caller_learns_of_it() {
+    let mut harness = Harness::new(1);
+    harness.know_peer(2);
+    harness.open("desk", true, 1);
+    harness.sent.messages.clear();
+    harness.receive_from_server(ACCEPT, 1, 5);
+    let register = Message::Register { flow: flow(1) };
+    assert!(harness.sent.messages.contains(&register));
+}
