--- a/core/src/control.rs
+++ b/core/src/control.rs
@@ -22,7 +22,10 @@
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use snafu::Snafu;
-use tokio::{net::TcpListener, time::timeout};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    time::timeout,
+};
 
 use crate::{
     consts::MAX_BODY_BYTES,
@@ -33,6 +36,9 @@
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Delay after a connection could not be accepted.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
+
 /// Largest body of a control request or response, in bytes.
 ///
 /// A caller's request that one agent sends to another must fit, with its headers and its encoding.
@@ -237,11 +243,23 @@
     Ok(())
 }
 
+/// Accepts a connection, however often that fails: without a pause, a process that has run out of file
+/// descriptors would spend all its processor time here.
+pub async fn accept(listener: &TcpListener) -> TcpStream {
+    loop {
+        match listener.accept().await {
+            Ok((socket, _)) => return socket,
+            Err(error) => {
+                tracing::warn!(event = "accept_failed", %error);
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+            }
+        }
+    }
+}
+
 async fn accept_connections(listener: TcpListener, control: Arc<ControlServer>, stop: StopSignal) {
     loop {
-        let Ok((socket, _)) = listener.accept().await else {
-            continue;
-        };
+        let socket = accept(&listener).await;
         let control = control.clone();
         let mut stop = stop.clone();
         tokio::spawn(async move {
--- a/core/src/kernel.rs
+++ b/core/src/kernel.rs
@@ -10,7 +10,7 @@
 use snafu::{OptionExt, Snafu};
 use tokio::{sync::watch, task::JoinHandle};
 
-use crate::clock::Clock;
+use crate::{clock::Clock, panics::contain_future};
 
 /// An error in looking up a component in the registry.
 #[derive(Debug, Snafu)]
@@ -65,6 +65,8 @@
     components: Mutex<HashMap<&'static str, Component>>,
     stop_sender: Mutex<Option<watch::Sender<()>>>,
     stop_signal: StopSignal,
+    /// Whether a task has panicked.
+    failed: watch::Sender<bool>,
     tasks: Mutex<Vec<JoinHandle<()>>>,
 }
 
@@ -83,6 +85,7 @@
             components: Mutex::default(),
             stop_sender: Mutex::new(Some(sender)),
             stop_signal: StopSignal(receiver),
+            failed: watch::Sender::new(false),
             tasks: Mutex::default(),
         }
     }
@@ -120,16 +123,27 @@
         component.downcast().ok().context(WrongTypeSnafu { name })
     }
 
+    /// Waits until a task has panicked. The process lacks a component then and has to start again.
+    pub async fn task_failed(&self) {
+        // The sender is a field, so the wait ends only with a panic.
+        let _ = self.failed.subscribe().wait_for(|failed| *failed).await;
+    }
+
     /// Spawns a task, which is dropped when the kernel stops.
     pub fn spawn<F>(&self, task: F)
     where
         F: Future<Output = ()> + Send + 'static,
     {
         let mut signal = self.stop_signal();
+        let failed = self.failed.clone();
         let handle = tokio::spawn(async move {
             tokio::select! {
                 () = signal.stopped() => {}
-                () = task => {}
+                ended = contain_future("task", task) => {
+                    if ended.is_none() {
+                        failed.send_replace(true);
+                    }
+                }
             }
         });
         self.tasks.lock().expect("task lock").push(handle);
--- a/core/src/l4/agent.rs
+++ b/core/src/l4/agent.rs
@@ -102,6 +102,8 @@
     metrics: AgentMetrics,
     /// When the flows of a backend server that has left are reset.
     reset_at: Option<Time>,
+    /// Whether the agent is stopping and takes no new flows.
+    stopping: bool,
     /// Opening timeouts, one for each delivery of an opening segment, in the order of time.
     opening_timeouts: VecDeque<(Time, FlowKey)>,
     next_runs: NextRuns,
@@ -143,6 +145,7 @@
             outlier: OutlierDetector::default(),
             metrics: AgentMetrics::default(),
             reset_at: None,
+            stopping: false,
             opening_timeouts: VecDeque::new(),
             next_runs: NextRuns {
                 load_report: now,
@@ -252,6 +255,13 @@
         Ok(())
     }
 
+    /// Returns the flows that wait to their balancers, which place them on other agents, and refuses new
+    /// ones from now on. Flows that are opening or open go on.
+    pub fn stop_admission(&mut self, now: Time, out: &mut impl Outbox) {
+        self.stopping = true;
+        self.serve_waiting(now, out);
+    }
+
     /// Records that the backend server leaves, and schedules the resets of its flows.
     ///
     /// # Errors
--- a/core/src/l4/agent/opening.rs
+++ b/core/src/l4/agent/opening.rs
@@ -49,6 +49,9 @@
         if entry.is_some_and(|entry| entry.state != FlowState::Ended) {
             return None;
         }
+        if self.stopping {
+            return Some(Refusal::Draining);
+        }
         match self.server.state(now) {
             None => return Some(Refusal::NoServer),
             Some(ServerState::Draining) => return Some(Refusal::Draining),
@@ -137,7 +140,7 @@
         while let Some(expired) = self.waiting.pop_expired(now) {
             self.refuse(expired.balancer, Refusal::Full, &expired.datagram, out);
         }
-        if self.server.state(now) != Some(ServerState::Ready) {
+        if self.stopping || self.server.state(now) != Some(ServerState::Ready) {
             for waiting in self.waiting.take_all() {
                 let refusal = Refusal::Draining;
                 self.refuse(waiting.balancer, refusal, &waiting.datagram, out);
--- a/core/src/l4/daemon.rs
+++ b/core/src/l4/daemon.rs
@@ -13,7 +13,10 @@
     sync::mpsc,
 };
 
-pub use self::agent_loop::{AgentHandle, ServerUpdate};
+pub use self::{
+    agent_loop::{AgentHandle, ServerUpdate},
+    sockets::receive_pending,
+};
 use super::{
     agent::AgentOptions,
     balancer::BalancerOptions,
@@ -203,6 +206,9 @@
         if self.role == Role::Balancer {
             tokio::time::sleep(BALANCER_DRAIN_PERIOD).await;
         }
+        if let Ok(handle) = self.kernel.find::<AgentHandle>(AgentHandle::NAME) {
+            handle.stop_admission().await;
+        }
         let state = match self.server_is_alive() {
             true => MemberState::Draining,
             false => MemberState::Left,
--- a/core/src/l4/daemon/agent_loop.rs
+++ b/core/src/l4/daemon/agent_loop.rs
@@ -23,10 +23,11 @@
     member::{Directory, MemberState},
     membership::LocalRecord,
     metrics::Metrics,
+    panics::contain,
 };
 
-/// Limit of updates that are queued for the event loop.
-const MAX_PENDING_UPDATES: usize = 16;
+/// Limit of commands that are queued for the event loop.
+const MAX_PENDING_COMMANDS: usize = 16;
 
 /// An update that the backend server sends about itself.
 #[derive(Clone, Debug)]
@@ -37,7 +38,14 @@
     Leave(String),
 }
 
-type PendingUpdate = (ServerUpdate, oneshot::Sender<Result<(), ServerUpdateError>>);
+/// A request to the event loop.
+#[derive(Debug)]
+enum Command {
+    /// Apply an update and send the result.
+    Update(ServerUpdate, oneshot::Sender<Result<(), ServerUpdateError>>),
+    /// Take no new flows and return those that wait.
+    Stop,
+}
 
 /// Handle that passes updates of the backend server to its agent, published as
 /// [`AgentHandle::NAME`].
@@ -45,7 +53,7 @@
 pub struct AgentHandle {
     /// Whether the backend server reports and has not left.
     server_alive: Arc<AtomicBool>,
-    updates: mpsc::Sender<PendingUpdate>,
+    commands: mpsc::Sender<Command>,
 }
 
 impl AgentHandle {
@@ -60,12 +68,19 @@
     /// has stopped.
     pub async fn send(&self, update: ServerUpdate) -> Result<(), ServerUpdateError> {
         let (sender, answer) = oneshot::channel();
-        if self.updates.send((update, sender)).await.is_err() {
+        let command = Command::Update(update, sender);
+        if self.commands.send(command).await.is_err() {
             return Err(ServerUpdateError::Unknown);
         }
         answer.await.unwrap_or(Err(ServerUpdateError::Unknown))
     }
 
+    /// Makes the agent return the flows that wait to their balancers, and refuse new ones.
+    pub async fn stop_admission(&self) {
+        // Without a receiver, the event loop has ended and admits nothing.
+        let _ = self.commands.send(Command::Stop).await;
+    }
+
     /// Returns whether the backend server reports and has not left.
     pub fn server_is_alive(&self) -> bool {
         self.server_alive.load(Ordering::Relaxed)
@@ -83,11 +98,11 @@
     options: AgentOptions,
     sockets: Sockets,
 ) -> Result<AgentHandle, KernelError> {
-    let (sender, updates) = mpsc::channel(MAX_PENDING_UPDATES);
+    let (sender, commands) = mpsc::channel(MAX_PENDING_COMMANDS);
     let server_alive = Arc::new(AtomicBool::new(false));
     let handle = AgentHandle {
         server_alive: server_alive.clone(),
-        updates: sender,
+        commands: sender,
     };
     kernel.publish(AgentHandle::NAME, Arc::new(handle.clone()));
     let clock = kernel.clock();
@@ -104,7 +119,7 @@
     };
     let metrics_registry: Arc<Metrics> = kernel.find(Metrics::NAME)?;
     event_loop.agent.metrics().register(&metrics_registry);
-    kernel.spawn(event_loop.run(updates));
+    kernel.spawn(event_loop.run(commands));
     Ok(handle)
 }
 
@@ -122,7 +137,7 @@
 }
 
 impl<C: Codec> AgentLoop<C> {
-    async fn run(mut self, mut updates: mpsc::Receiver<PendingUpdate>) {
+    async fn run(mut self, mut commands: mpsc::Receiver<Command>) {
         let mut buffer = Box::new([0; MAX_DATAGRAM_BYTES]);
         let mut view_changes = self.directory.changes();
         loop {
@@ -131,21 +146,38 @@
                 biased;
                 Ok(()) = self.sockets.segments.readable() => self.read_server(&mut buffer),
                 Ok(()) = self.sockets.peers.readable() => self.read_peers(&mut buffer),
-                Some((update, answer)) = updates.recv() => {
-                    let _ = answer.send(self.apply_update(update));
-                }
+                Some(command) = commands.recv() => self.handle_command(command),
                 () = tokio::time::sleep_until(due) => {}
-                Ok(()) = view_changes.changed() => self.agent.apply_view(&self.directory.view()),
+                Ok(()) = view_changes.changed() => {
+                    let view = self.directory.view();
+                    contain("view", || self.agent.apply_view(&view));
+                }
                 else => return,
             }
             let now = self.clock.now();
             if now >= self.agent.due() {
-                self.agent.tick(now, &mut &self.sockets);
+                contain("tick", || self.agent.tick(now, &mut &self.sockets));
                 self.announce_state();
             }
         }
     }
 
+    fn handle_command(&mut self, command: Command) {
+        let now = self.clock.now();
+        match command {
+            Command::Update(update, answer) => {
+                let result = contain("server update", || self.apply_update(update));
+                // The sender of the update may have gone away.
+                let _ = answer.send(result.unwrap_or(Err(ServerUpdateError::Unknown)));
+            }
+            Command::Stop => {
+                contain("stop", || {
+                    self.agent.stop_admission(now, &mut &self.sockets)
+                });
+            }
+        }
+    }
+
     fn read_peers(&mut self, buffer: &mut [u8; MAX_DATAGRAM_BYTES]) {
         let now = self.clock.now();
         let agent = &mut self.agent;
--- a/core/src/l4/daemon/balancer_loop.rs
+++ b/core/src/l4/daemon/balancer_loop.rs
@@ -19,6 +19,7 @@
     },
     member::Directory,
     metrics::Metrics,
+    panics::contain,
 };
 
 /// Starts the event loop of a balancer.
@@ -80,7 +81,7 @@
             }
             let now = self.clock.now();
             if now >= self.balancer.due() {
-                self.balancer.tick(now, &mut &self.sockets);
+                contain("tick", || self.balancer.tick(now, &mut &self.sockets));
             }
             self.report_ready_once(now);
             self.pause_while_isolated(now);
@@ -113,7 +114,9 @@
     fn apply_view(&mut self) {
         let now: Time = self.clock.now();
         let view = self.directory.view();
-        self.balancer.apply_view(&view, now, &mut &self.sockets);
+        contain("view", || {
+            self.balancer.apply_view(&view, now, &mut &self.sockets);
+        });
     }
 
     fn apply_routes(&mut self) {
--- a/core/src/l4/daemon/sockets.rs
+++ b/core/src/l4/daemon/sockets.rs
@@ -5,7 +5,10 @@
 use prometheus_client::metrics::counter::Counter;
 use tokio::net::UdpSocket;
 
-use crate::{consts::MAX_DATAGRAM_BYTES, kernel::Kernel, l4::outbox::Outbox, metrics::Metrics};
+use crate::{
+    consts::MAX_DATAGRAM_BYTES, kernel::Kernel, l4::outbox::Outbox, metrics::Metrics,
+    panics::contain,
+};
 
 /// Limit of datagrams that are read from a socket before the event loop handles other events.
 const MAX_BURST_DATAGRAMS: usize = 64;
@@ -72,7 +75,8 @@
     }
 }
 
-/// Reads the datagrams that are pending in a socket, up to a limit, and calls `handle` for each.
+/// Reads the datagrams that are pending in a socket, up to a limit, and calls `handle` for each. A
+/// datagram whose handler panics is dropped.
 pub fn receive_pending(
     socket: &UdpSocket,
     buffer: &mut [u8; MAX_DATAGRAM_BYTES],
@@ -80,7 +84,9 @@
 ) {
     for _ in 0..MAX_BURST_DATAGRAMS {
         match socket.try_recv_from(buffer) {
-            Ok((length, std::net::SocketAddr::V4(from))) => handle(from, &buffer[..length]),
+            Ok((length, std::net::SocketAddr::V4(from))) => {
+                contain("datagram", || handle(from, &buffer[..length]));
+            }
             Ok(_) => continue,
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
             // A read may return the error of an earlier send, such as to a closed port.
--- a/core/src/l4/route_sync/service.rs
+++ b/core/src/l4/route_sync/service.rs
@@ -22,6 +22,7 @@
     member::Directory,
     membership::LocalRecord,
     metrics::Metrics,
+    panics::contain_future,
     store::{Consistency, Position, Store, StoreError},
 };
 
@@ -126,14 +127,24 @@
 
     fn run_action(&mut self, action: Action) {
         match action {
-            Action::Read(consistency) => drop(tokio::spawn(self.calls.clone().read(consistency))),
+            Action::Read(consistency) => self.calls.spawn(
+                "read of routes",
+                self.calls.clone().read(consistency),
+                Event::ReadFailed,
+            ),
             Action::Watch(since) => {
                 let (stop, stopped) = oneshot::channel();
                 self.watch_stop = Some(stop);
-                tokio::spawn(self.calls.clone().watch(since, stopped));
+                let watch = self.calls.clone().watch(since, stopped);
+                self.calls
+                    .spawn("watch of routes", watch, Event::WatchEnded);
             }
             Action::StopWatch => self.watch_stop = None,
-            Action::Pull(peer) => drop(tokio::spawn(self.calls.clone().pull(peer))),
+            Action::Pull(peer) => {
+                let pull = self.calls.clone().pull(peer);
+                self.calls
+                    .spawn("pull of routes", pull, Event::PullEnded(None));
+            }
             Action::Publish(table) => self.publish(table),
             Action::ReportOlder(version) => {
                 let in_use = self.sync.table().version;
@@ -173,6 +184,22 @@
 }
 
 impl Calls {
+    /// Spawns a call; `failure` is its result if it panics.
+    fn spawn(
+        &self,
+        name: &'static str,
+        call: impl Future<Output = ()> + Send + 'static,
+        failure: Event,
+    ) {
+        let events = self.events.clone();
+        tokio::spawn(async move {
+            if contain_future(name, call).await.is_none() {
+                // Without a receiver, the daemon is stopping.
+                let _ = events.send(failure).await;
+            }
+        });
+    }
+
     async fn read(self, consistency: Consistency) {
         self.store_calls.inc();
         let read = self
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod membership;
 pub mod metrics;
 pub mod owner_id;
+pub mod panics;
 pub mod placement;
 pub mod seeds;
 pub mod store;
--- a/core/src/membership/udp_loop.rs
+++ b/core/src/membership/udp_loop.rs
@@ -14,6 +14,7 @@
     clock::Clock,
     kernel::{Kernel, KernelError},
     member::{Directory, MemberState, Record},
+    panics::contain,
 };
 
 /// Lists of discovered seeds that may wait for the UDP loop.
@@ -107,9 +108,12 @@
 
     async fn tick(&mut self) {
         let now = self.clock.now();
-        let mut actions = self.swim.apply_local(&self.local.get(), now);
-        actions.extend(self.swim.tick(now));
-        self.execute(actions).await;
+        let actions = contain("membership tick", || {
+            let mut actions = self.swim.apply_local(&self.local.get(), now);
+            actions.extend(self.swim.tick(now));
+            actions
+        });
+        self.execute(actions.unwrap_or_default()).await;
         if !self.is_joined && self.swim.is_joined() {
             self.is_joined = true;
             self.directory.set_joined();
@@ -124,8 +128,9 @@
                 return;
             }
         };
-        let actions = self.swim.receive(&message, self.clock.now());
-        self.execute(actions).await;
+        let now = self.clock.now();
+        let actions = contain("membership message", || self.swim.receive(&message, now));
+        self.execute(actions.unwrap_or_default()).await;
     }
 
     async fn execute(&mut self, actions: Vec<Action>) {
--- a/core/tests/l4/agent.rs
+++ b/core/tests/l4/agent.rs
@@ -352,3 +352,25 @@
     let register = Message::Register { flow: flow(1) };
     assert!(harness.sent.messages.contains(&register));
 }
+
+/// Guards against flows that were accepted just before a planned stop and end with the process, without
+/// an answer.
+#[test]
+fn stopping_agent_returns_waiting_flows_and_takes_no_new_ones() {
+    let mut harness = Harness::new(1);
+    for port in 1..=5 {
+        harness.open("desk", true, port);
+    }
+    harness.sent.messages.clear();
+    harness.agent.stop_admission(harness.now, &mut harness.sent);
+    assert_eq!(harness.refusal(), Some(Refusal::Draining), "flow 5 waited");
+    harness.open("desk", true, 6);
+    assert_eq!(harness.refusal(), Some(Refusal::Draining));
+    harness.sent.messages.clear();
+    harness.open("desk", true, 1);
+    assert_eq!(
+        harness.refusal(),
+        None,
+        "a repeated opening of an admitted flow"
+    );
+}
--- a/src/agent/upstream.rs
+++ b/src/agent/upstream.rs
@@ -3,7 +3,9 @@
 //! A request is written at most once, on an established connection and after a check of the
 //! deadline. An error tells whether it was written. Cancelling a request closes its connection, so
 //! that the backend server can detect it and a late response is not taken for that of another
-//! request.
+//! request. A connection is reused only if the response names its request: a server that sends a
+//! response twice may send the second copy when the next request is already on its way, and only the
+//! id tells them apart.
 
 use std::{
     net::SocketAddr,
@@ -30,7 +32,7 @@
 
 use crate::{
     clock::{Clock, Time},
-    consts::TIMEOUT_HEADER,
+    consts::{REQUEST_ID_HEADER, TIMEOUT_HEADER},
 };
 
 /// Time after which an idle connection is not reused.
@@ -93,6 +95,7 @@
 pub struct ResponseBody {
     body: Incoming,
     connection: Option<Connection>,
+    is_reusable: bool,
     pool: Arc<Pool>,
 }
 
@@ -107,6 +110,7 @@
         let polled = Pin::new(&mut self.body).poll_frame(cx);
         if let Poll::Ready(None) = &polled
             && let Some(connection) = self.connection.take()
+            && self.is_reusable
         {
             self.pool.release(connection);
         }
@@ -204,11 +208,15 @@
         let left = deadline.since(now).as_millis() as u64;
         request.headers_mut().insert(TIMEOUT_HEADER, left.into());
         match connection.sender.try_send_request(request).await {
-            Ok(response) => Ok(response.map(|body| ResponseBody {
-                body,
-                connection: Some(connection),
-                pool: self.pool.clone(),
-            })),
+            Ok(response) => {
+                let is_reusable = response.headers().contains_key(REQUEST_ID_HEADER);
+                Ok(response.map(|body| ResponseBody {
+                    body,
+                    connection: Some(connection),
+                    is_reusable,
+                    pool: self.pool.clone(),
+                }))
+            }
             Err(mut error) => Err(match error.take_message() {
                 Some(request) => SendFailure::Unsent(Box::new(request)),
                 None => SendFailure::Final(UpstreamError::Indeterminate),
