Be certain of a server that starts before its agent, and serve the newest first under overload

Cause: after a loss of power all 57 servers had sent two or three reports in 41 to 113 ms before their agents ran, so no agent saw a first report. All stayed unsure for 60 s: each search of a dead flow ended in a trial delivery to all agents of the service, and no caller of a dead flow could be told. And a second report, up to its interval later, counted as a first one. Change: sequence 0, or an age below 300 ms by the VM's own clock, is a first report: a report that was acknowledged, or not answered, is followed later. In overload, flows in time are served newest first (adaptive LIFO).

--- a/core/src/l4/agent.rs
+++ b/core/src/l4/agent.rs
@@ -212,8 +212,9 @@
         }
     }
 
-    /// Applies a status report of the backend server. If it is the first report that a new instance
-    /// has sent, the open flows of the earlier instance are reset.
+    /// Applies a status report of the backend server that is received at `unix_ms` by the VM's clock. If
+    /// no earlier report of a new instance was acknowledged, the open flows of the earlier instance are
+    /// reset.
     ///
     /// # Errors
     ///
@@ -221,10 +222,11 @@
     pub fn apply_report(
         &mut self,
         report: &ServerReport,
+        unix_ms: u64,
         now: Time,
         out: &mut impl Outbox,
     ) -> Result<(), ServerUpdateError> {
-        let change = self.server.apply_report(report, now)?;
+        let change = self.server.apply_report(report, unix_ms, now)?;
         self.workload.set_slots(report.slots);
         match change {
             ServerChange::NewInstance { is_first_report } => {
--- a/core/src/l4/agent/opening.rs
+++ b/core/src/l4/agent/opening.rs
@@ -148,7 +148,8 @@
         }
         while self.workload.can_start(false) {
             let include_late = self.workload.can_start(true);
-            let Some(next) = self.waiting.pop_next(include_late, now) else {
+            let interval = self.workload.answer_interval();
+            let Some(next) = self.waiting.pop_next(include_late, interval, now) else {
                 break;
             };
             self.deliver_opening(next.flow, next.balancer, &next.datagram, now, out);
--- a/core/src/l4/daemon/agent_loop.rs
+++ b/core/src/l4/daemon/agent_loop.rs
@@ -10,7 +10,7 @@
 
 use super::sockets::{Sockets, receive_pending};
 use crate::{
-    clock::Clock,
+    clock::{Clock, unix_ms},
     consts::MAX_DATAGRAM_BYTES,
     control::ControlServer,
     kernel::{Kernel, KernelError},
@@ -205,7 +205,8 @@
         let now = self.clock.now();
         let result = match &update {
             ServerUpdate::Report(report) => {
-                self.agent.apply_report(report, now, &mut &self.sockets)
+                let out = &mut &self.sockets;
+                self.agent.apply_report(report, unix_ms(), now, out)
             }
             ServerUpdate::Leave(id) => self.agent.record_leave(id, now),
         };
--- a/core/src/l4/server.rs
+++ b/core/src/l4/server.rs
@@ -64,8 +64,8 @@
 pub enum ServerChange {
     /// A new instance reports, or this is the first report that is applied.
     NewInstance {
-        /// Whether this is the first report that the instance sent, so that it holds no flow that
-        /// the agent has not seen.
+        /// Whether no agent has acknowledged an earlier report of the instance, so that it holds no
+        /// flow that this agent has not seen.
         is_first_report: bool,
     },
     /// The state changed.
@@ -111,7 +111,8 @@
         self.service
     }
 
-    /// Applies a report.
+    /// Applies a report that is received at `unix_ms` by the VM's clock, in milliseconds since the Unix
+    /// epoch.
     ///
     /// Instances are ordered by the server's clock, which may be set back. So any other instance
     /// replaces the current one once that is silent or has left.
@@ -122,6 +123,7 @@
     pub fn apply_report(
         &mut self,
         report: &ServerReport,
+        unix_ms: u64,
         now: Time,
     ) -> Result<ServerChange, ServerUpdateError> {
         if report.service != self.service {
@@ -134,7 +136,7 @@
         let Some(instance) = &mut self.instance else {
             self.instance = Some(ServerInstance::from_report(report, silent_at));
             return Ok(ServerChange::NewInstance {
-                is_first_report: is_first_report(report),
+                is_first_report: is_first_report(report, unix_ms),
             });
         };
         let is_same = instance.id == report.id && instance.started_ms == report.started_ms;
@@ -147,7 +149,7 @@
             }
             *instance = ServerInstance::from_report(report, silent_at);
             return Ok(ServerChange::NewInstance {
-                is_first_report: is_first_report(report),
+                is_first_report: is_first_report(report, unix_ms),
             });
         }
         if report.sequence <= instance.sequence || instance.left {
@@ -213,9 +215,18 @@
     }
 }
 
-/// Highest sequence number of an instance's first report: sequences start at 0 or 1.
-const MAX_FIRST_SEQUENCE: u64 = 1;
+/// Lowest sequence number. A server may start at 1 instead; its first report is known by its age then.
+const FIRST_SEQUENCE: u64 = 0;
 
-fn is_first_report(report: &ServerReport) -> bool {
-    report.sequence <= MAX_FIRST_SEQUENCE
+/// Age of an instance below which no earlier report of it was acknowledged. A server whose report was
+/// acknowledged sends the next one after its interval, and one whose report is not answered after a
+/// second. Only a report that found no process at its address is followed by another one at once, as
+/// after a loss of power, where the server starts before its agent.
+const UNACKNOWLEDGED_AGE_MS: u64 = 300;
+
+/// Returns whether no agent has acknowledged an earlier report of the instance.
+fn is_first_report(report: &ServerReport, unix_ms: u64) -> bool {
+    // `None` if a clock was set back.
+    let age_ms = unix_ms.checked_sub(report.started_ms);
+    report.sequence == FIRST_SEQUENCE || age_ms.is_some_and(|age| age < UNACKNOWLEDGED_AGE_MS)
 }
--- a/core/src/l4/waiting.rs
+++ b/core/src/l4/waiting.rs
@@ -132,12 +132,37 @@
         Some(self.flows.swap_remove(last))
     }
 
-    /// Removes and returns the flow that is served next: one that is not late before the late ones,
-    /// then the highest priority, then the earliest `latest_start`. Late flows are returned only if
-    /// `include_late` is set.
-    pub fn pop_next(&mut self, include_late: bool, now: Time) -> Option<WaitingFlow> {
+    /// Removes and returns the flow that is served next if one is delivered every `interval`: one that
+    /// is not late before the late ones, then the highest priority, then the earliest `latest_start`.
+    /// Late flows are returned only if `include_late` is set.
+    ///
+    /// If not all flows in time can be served in time, the latest `latest_start` comes first instead, as
+    /// in adaptive LIFO queueing: with the earliest first, each flow would be served when it is about
+    /// to be late, and a little more work than expected would make all of them late.
+    pub fn pop_next(
+        &mut self,
+        include_late: bool,
+        interval: Duration,
+        now: Time,
+    ) -> Option<WaitingFlow> {
+        let in_time = self.flows.iter().filter(|waiting| !waiting.is_late(now));
+        let (mut count, mut last_start) = (0, now);
+        for waiting in in_time {
+            count += 1;
+            last_start = last_start.max(waiting.latest_start);
+        }
+        let is_overloaded = now + interval * count > last_start;
+        let order = |waiting: &WaitingFlow| {
+            let (is_late, priority, latest_start) = waiting.order(now);
+            let slack = latest_start.since(now);
+            let rank = match is_overloaded {
+                true => Duration::MAX - slack,
+                false => slack,
+            };
+            (is_late, priority, rank)
+        };
         let flows = self.flows.iter().enumerate();
-        let (index, next) = flows.min_by_key(|(_, waiting)| waiting.order(now))?;
+        let (index, next) = flows.min_by_key(|(_, waiting)| order(waiting))?;
         if next.is_late(now) && !include_late {
             return None;
         }
--- a/core/tests/l4/agent.rs
+++ b/core/tests/l4/agent.rs
@@ -20,6 +20,9 @@
 
 use crate::codec::{self, ACCEPT, ANSWER, BOUNCED, DATA, FINISH, OPENING, RESET, TestCodec, flow};
 
+/// Time of the VM's clock, long after the servers of the tests have started.
+const UNIX_MS: u64 = 100_000;
+
 const SLOTS: u16 = 2;
 const SERVER: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(10, 0, 1, 1), 8080);
 const BALANCER: SocketAddrV4 = SocketAddrV4::new(codec::BALANCER_IP, 7001);
@@ -58,7 +61,7 @@
 }
 
 impl Harness {
-    /// Returns an agent that has applied one report of its server, with the given sequence number: 1 for
+    /// Returns an agent that has applied one report of its server, with the given sequence number: 0 for
     /// a server that has just started.
     fn new(sequence: u64) -> Self {
         let options = AgentOptions {
@@ -90,7 +93,9 @@
             state,
             slots: SLOTS,
         };
-        let result = self.agent.apply_report(&report, self.now, &mut self.sent);
+        let result = self
+            .agent
+            .apply_report(&report, UNIX_MS, self.now, &mut self.sent);
         result.unwrap();
     }
 
@@ -166,7 +171,7 @@
 
 #[test]
 fn draining_server_gets_no_new_flow_and_keeps_its_open_flows() {
-    let mut harness = Harness::new(1);
+    let mut harness = Harness::new(0);
     harness.establish(1, 5);
     harness.report("a", 1, 2, ServerState::Draining);
     harness.sent = RecordingOutbox::default();
@@ -179,7 +184,7 @@
 
 #[test]
 fn opening_of_another_service_never_reaches_the_server() {
-    let mut harness = Harness::new(1);
+    let mut harness = Harness::new(0);
     harness.open("maps", true, 1);
     assert_eq!(harness.refusal(), Some(Refusal::OtherService));
     assert!(harness.sent.delivered.is_empty());
@@ -187,7 +192,7 @@
 
 #[test]
 fn opening_without_a_free_slot_is_refused_unless_it_is_forced() {
-    let mut harness = Harness::new(1);
+    let mut harness = Harness::new(0);
     for port in 1..=SLOTS as u8 {
         harness.open("desk", false, port);
     }
@@ -202,7 +207,7 @@
 /// openings: beyond the server's queue they wait, and each answer admits the next.
 #[test]
 fn forced_openings_wait_until_answers_free_the_queue() {
-    let mut harness = Harness::new(1);
+    let mut harness = Harness::new(0);
     for port in 1..=10 {
         harness.open("desk", true, port);
     }
@@ -221,7 +226,7 @@
 /// balancer never searches for the owner.
 #[test]
 fn bounced_segment_is_returned_as_unknown_and_its_flow_removed() {
-    let mut harness = Harness::new(1);
+    let mut harness = Harness::new(0);
     harness.open("desk", true, 1);
     harness.receive_from_server(BOUNCED, 1, 0);
     assert_eq!(harness.sent.messages.pop(), Some(Message::Unknown));
@@ -232,7 +237,7 @@
 /// caller acknowledges only one of them.
 #[test]
 fn segment_that_acknowledges_another_server_is_returned_as_unknown() {
-    let mut harness = Harness::new(1);
+    let mut harness = Harness::new(0);
     harness.open("desk", true, 1);
     harness.receive_from_server(ACCEPT, 1, 200);
     harness.sent = RecordingOutbox::default();
@@ -261,7 +266,7 @@
             ..
         })
     ));
-    let mut fresh = Harness::new(1);
+    let mut fresh = Harness::new(0);
     assert_eq!(fresh.ownership(1, 0), Ownership::NotHeld);
 }
 
@@ -269,16 +274,16 @@
 /// another server.
 #[test]
 fn only_open_flows_are_reset_when_the_server_restarts() {
-    let mut harness = Harness::new(1);
+    let mut harness = Harness::new(0);
     harness.establish(1, 5);
     harness.open("desk", true, 2);
-    harness.report("b", 2, 1, ServerState::Ready);
+    harness.report("b", 2, 0, ServerState::Ready);
     assert_eq!(harness.sent.reset_ports, [1]);
 }
 
 #[test]
 fn openings_are_refused_while_the_server_is_unresponsive_and_retried_later() {
-    let mut harness = Harness::new(1);
+    let mut harness = Harness::new(0);
     harness.open("desk", true, 1);
     harness.now = harness.now + Duration::from_millis(50);
     harness.agent.tick(harness.now, &mut harness.sent);
@@ -291,14 +296,14 @@
 
 #[test]
 fn home_reports_the_address_that_registered_a_flow() {
-    let mut harness = Harness::new(1);
+    let mut harness = Harness::new(0);
     harness.send(Message::Register { flow: flow(7) }, &[]);
     assert_eq!(harness.ownership(7, 0), Ownership::HeldBy(BALANCER));
 }
 
 #[test]
 fn half_closed_flow_is_still_held() {
-    let mut harness = Harness::new(1);
+    let mut harness = Harness::new(0);
     harness.establish(1, 5);
     harness.send(Message::Forward, &[FINISH, 1, 5]);
     assert_eq!(harness.ownership(1, 50), Ownership::Held);
@@ -308,7 +313,7 @@
 /// already. Without a reply, it takes the agent for silent and places the flow on another one too.
 #[test]
 fn repeated_opening_of_a_waiting_flow_is_answered() {
-    let mut harness = Harness::new(1);
+    let mut harness = Harness::new(0);
     for port in 1..=5 {
         harness.open("desk", true, port);
     }
@@ -322,7 +327,7 @@
 /// those who come after it.
 #[test]
 fn late_opening_waits_for_a_free_slot_and_lets_one_in_time_pass() {
-    let mut harness = Harness::new(1);
+    let mut harness = Harness::new(0);
     harness.open("desk", true, 1);
     harness.open("desk", true, 2);
     let late = Message::Open {
@@ -344,7 +349,7 @@
 /// Between the acceptance of a flow and its first segment, the fabric may change the balancer.
 #[test]
 fn accepted_flow_is_registered_at_its_first_home_before_its_caller_learns_of_it() {
-    let mut harness = Harness::new(1);
+    let mut harness = Harness::new(0);
     harness.know_peer(2);
     harness.open("desk", true, 1);
     harness.sent.messages.clear();
@@ -357,7 +362,7 @@
 /// an answer.
 #[test]
 fn stopping_agent_returns_waiting_flows_and_takes_no_new_ones() {
-    let mut harness = Harness::new(1);
+    let mut harness = Harness::new(0);
     for port in 1..=5 {
         harness.open("desk", true, port);
     }
--- a/core/tests/l4_server.rs
+++ b/core/tests/l4_server.rs
@@ -14,6 +14,9 @@
 };
 
 const ADDRESS: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 9), 8080);
+/// Time of the VM's clock long after the servers of the tests have started.
+const LATER_MS: u64 = 100_000;
+
 const INTERVAL: Duration = Duration::from_millis(700);
 
 fn server() -> Server {
@@ -37,7 +40,7 @@
     let mut server = server();
     assert_eq!(server.state(Time::default()), None);
     server
-        .apply_report(&report("a", 5, 0), Time::default())
+        .apply_report(&report("a", 5, 0), LATER_MS, Time::default())
         .unwrap();
     assert_eq!(
         server.state(Time::from_millis(2_099)),
@@ -52,12 +55,16 @@
 fn late_report_of_an_earlier_instance_is_stale() {
     let mut server = server();
     let now = Time::default();
-    server.apply_report(&report("a", 5, 7), now).unwrap();
-    server.apply_report(&report("b", 9, 0), now).unwrap();
+    server
+        .apply_report(&report("a", 5, 7), LATER_MS, now)
+        .unwrap();
+    server
+        .apply_report(&report("b", 9, 0), LATER_MS, now)
+        .unwrap();
     let mut late = report("a", 5, 8);
     late.state = ServerState::Draining;
     assert_eq!(
-        server.apply_report(&late, now),
+        server.apply_report(&late, LATER_MS, now),
         Err(ServerUpdateError::Stale)
     );
     assert_eq!(server.state(now), Some(ServerState::Ready));
@@ -69,9 +76,9 @@
     let now = Time::default();
     let mut draining = report("a", 5, 8);
     draining.state = ServerState::Draining;
-    server.apply_report(&draining, now).unwrap();
+    server.apply_report(&draining, LATER_MS, now).unwrap();
     assert_eq!(
-        server.apply_report(&report("a", 5, 7), now),
+        server.apply_report(&report("a", 5, 7), LATER_MS, now),
         Err(ServerUpdateError::Stale)
     );
     assert_eq!(server.state(now), Some(ServerState::Draining));
@@ -81,8 +88,10 @@
 fn later_start_with_the_same_id_is_a_new_instance() {
     let mut server = server();
     let now = Time::default();
-    server.apply_report(&report("a", 5, 40), now).unwrap();
-    let change = server.apply_report(&report("a", 6, 0), now);
+    server
+        .apply_report(&report("a", 5, 40), LATER_MS, now)
+        .unwrap();
+    let change = server.apply_report(&report("a", 6, 0), LATER_MS, now);
     assert_eq!(
         change,
         Ok(ServerChange::NewInstance {
@@ -96,16 +105,16 @@
 fn instance_with_an_earlier_clock_is_accepted_once_the_other_is_silent() {
     let mut server = server();
     server
-        .apply_report(&report("a", 5_000, 3), Time::default())
+        .apply_report(&report("a", 5_000, 3), LATER_MS, Time::default())
         .unwrap();
     let restarted = report("b", 2_600, 0);
     assert_eq!(
-        server.apply_report(&restarted, Time::from_millis(700)),
+        server.apply_report(&restarted, LATER_MS, Time::from_millis(700)),
         Err(ServerUpdateError::Stale)
     );
     assert!(
         server
-            .apply_report(&restarted, Time::from_millis(2_100))
+            .apply_report(&restarted, LATER_MS, Time::from_millis(2_100))
             .is_ok()
     );
 }
@@ -116,14 +125,41 @@
     let mut other = report("a", 5, 0);
     other.service = ServiceKey::of("maps");
     assert_eq!(
-        server.apply_report(&other, Time::default()),
+        server.apply_report(&other, LATER_MS, Time::default()),
         Err(ServerUpdateError::OtherService)
     );
     let mut other = report("a", 5, 0);
     other.address.set_port(1);
     assert_eq!(
-        server.apply_report(&other, Time::default()),
+        server.apply_report(&other, LATER_MS, Time::default()),
         Err(ServerUpdateError::OtherAddress)
     );
     assert_eq!(server.record_leave("a"), Err(ServerUpdateError::Unknown));
 }
+
+/// After a loss of power a server starts before its agent, and its first reports find no process. Its
+/// agent must still learn that no earlier agent has delivered flows to it.
+#[test]
+fn young_server_has_no_flows_that_its_agent_has_not_seen() {
+    let is_first = |sequence, unix_ms| match server()
+        .apply_report(&report("a", 50_000, sequence), unix_ms, Time::default())
+        .unwrap()
+    {
+        ServerChange::NewInstance { is_first_report } => is_first_report,
+        other => panic!("{other:?}"),
+    };
+    assert!(
+        is_first(3, 50_112),
+        "three reports in 112 ms: none was acknowledged"
+    );
+    assert!(is_first(0, 70_000));
+    assert!(
+        !is_first(1, 50_700),
+        "the first one may have been acknowledged"
+    );
+    assert!(
+        !is_first(3, 51_100),
+        "a report that is not answered is followed after a second"
+    );
+    assert!(!is_first(3, 49_000), "a clock was set back");
+}
--- a/core/tests/l4_waiting.rs
+++ b/core/tests/l4_waiting.rs
@@ -53,7 +53,7 @@
 
 fn pop_ports(waiting: &mut WaitingFlows, now_ms: u64) -> Vec<u16> {
     let mut ports = Vec::new();
-    while let Some(next) = waiting.pop_next(true, Time::from_millis(now_ms)) {
+    while let Some(next) = waiting.pop_next(true, Duration::ZERO, Time::from_millis(now_ms)) {
         ports.push(next.flow.caller.port());
     }
     ports
@@ -98,7 +98,7 @@
             let arrived = match is_fifo {
                 true => queue.pop_front(),
                 false => waiting
-                    .pop_next(true, Time::from_millis(now))
+                    .pop_next(true, Duration::ZERO, Time::from_millis(now))
                     .map(|next| u64::from(next.flow.caller.port()) - 1),
             };
             let took = arrived.map(|arrived| now - arrived + WORK_TIME.as_millis() as u64);
@@ -131,7 +131,11 @@
 fn late_flow_waits_for_a_free_slot_and_expires_by_its_age() {
     let mut waiting = WaitingFlows::default();
     add_aged(&mut waiting, 1, 1, 600, 0);
-    assert!(waiting.pop_next(false, Time::from_millis(1)).is_none());
+    assert!(
+        waiting
+            .pop_next(false, Duration::ZERO, Time::from_millis(1))
+            .is_none()
+    );
     assert!(waiting.pop_expired(Time::from_millis(599)).is_none());
     assert!(waiting.pop_expired(Time::from_millis(600)).is_some());
 }
@@ -197,7 +201,7 @@
                 continue;
             }
             while waiting.pop_expired(Time::from_millis(now)).is_some() {}
-            let Some(next) = waiting.pop_next(true, Time::from_millis(now)) else {
+            let Some(next) = waiting.pop_next(true, Duration::ZERO, Time::from_millis(now)) else {
                 continue;
             };
             let started = u64::from(next.flow.caller.port()) - 1;
@@ -213,3 +217,42 @@
     );
     assert!(without_age < 80, "{without_age}% in time without the age");
 }
+
+/// Load pattern: twice what the server can carry. One caller comes every 10 ms, and the server, which is
+/// believed to answer a request every 16 ms, takes 20 ms while it is cold.
+#[test]
+fn lasting_overload_leaves_those_in_time_that_are_served() {
+    const ARRIVAL_MS: u64 = 10;
+    const SERVED_MS: u64 = 20;
+    let served_in_time = |interval_ms: u64| {
+        let mut waiting = WaitingFlows::default();
+        let (mut served, mut in_time) = (0, 0);
+        for now in 0..4_000 {
+            if now % ARRIVAL_MS == 0 {
+                add(&mut waiting, now as u16 + 1, 1, now);
+            }
+            if now % SERVED_MS != 0 {
+                continue;
+            }
+            let interval = Duration::from_millis(interval_ms);
+            let next = waiting.pop_next(false, interval, Time::from_millis(now));
+            let Some(next) = next else {
+                continue;
+            };
+            let started = u64::from(next.flow.caller.port()) - 1;
+            served += 1;
+            // The server takes longer than the work time from which the latest start was computed.
+            in_time += u64::from(now - started + 3 * WORK_TIME.as_millis() as u64 <= 100);
+        }
+        in_time * 100 / served
+    };
+    let (adaptive, earliest_first) = (served_in_time(16), served_in_time(0));
+    assert!(
+        adaptive >= 90,
+        "{adaptive}% in time, {earliest_first}% with the earliest first"
+    );
+    assert!(
+        earliest_first < 30,
+        "{earliest_first}% in time with the earliest first"
+    );
+}
--- a/src/trial/segments/world/members.rs
+++ b/src/trial/segments/world/members.rs
@@ -14,19 +14,24 @@
 };
 use berylvalve_core::l4::routes::ServiceKey;
 
+/// Time of all clocks, long after the starts of all servers: only the sequence of a report tells whether
+/// it is the first one.
+const UNIX_MS: u64 = 1 << 40;
+
 impl World {
     pub(super) fn report(&mut self, index: usize, life: u64) {
         let server = &mut self.servers[index];
         if !server.alive || server.life != life {
             return;
         }
+        let sequence = server.sequence;
         server.sequence += 1;
         let report = ServerReport {
             id: format!("server-{index}-{life}"),
             service: service(index),
             address: SocketAddrV4::new(*address(Place::Agent(index)).ip(), SERVER_PORT),
             started_ms: life,
-            sequence: server.sequence,
+            sequence,
             state: match server.draining {
                 true => ServerState::Draining,
                 false => ServerState::Ready,
@@ -39,7 +44,7 @@
             return;
         }
         let mut sent = Sent::default();
-        let taken = self.agents[index].apply_report(&report, self.now, &mut sent);
+        let taken = self.agents[index].apply_report(&report, UNIX_MS, self.now, &mut sent);
         if taken.is_err() {
             self.broke("a report of a live server was refused");
         }
