Let searches prove that a flow is lost while agents leave

About 1,700 feeds ended at their deadline instead of being told. Change: an agent that has left neither restarts the 0.9 s nor makes a peer that still counts it know more. One that was declared dead does both, as before. Test: flow_that_no_agent_holds_is_reset_while_agents_leave_and_not_while_one_is_dead (failed before for Left).

--- a/core/src/l4/balancer/fleet.rs
+++ b/core/src/l4/balancer/fleet.rs
@@ -54,6 +54,15 @@
     }
 }
 
+/// Changes of the agents between two views.
+#[derive(Clone, Debug, Default)]
+pub struct AgentChanges {
+    /// Agents that have left, were declared dead or have disappeared.
+    pub gone: Vec<SocketAddrV4>,
+    /// Whether an agent has appeared, or come back.
+    pub has_new: bool,
+}
+
 /// All agents of the view, and the balancers of this failure domain.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
@@ -66,10 +75,9 @@
 }
 
 impl Fleet {
-    /// Updates the members from a view; returns the agents that have left, were declared dead or have
-    /// disappeared since the last view.
-    pub fn apply_view(&mut self, view: &View, domain: &str) -> Vec<SocketAddrV4> {
-        let mut gone = Vec::new();
+    /// Updates the members from a view; returns the changes since the last one.
+    pub fn apply_view(&mut self, view: &View, domain: &str) -> AgentChanges {
+        let mut changes = AgentChanges::default();
         self.local_balancers.clear();
         self.update_services(view);
         for (address, record) in &view.members {
@@ -78,6 +86,15 @@
                 self.local_balancers.extend(is_local.then_some(*address));
                 continue;
             }
+            let is_gone = record.state.is_gone();
+            let was_live = self
+                .agents
+                .get(address)
+                .is_some_and(|agent| !agent.state.is_gone());
+            changes.has_new |= !is_gone && !was_live;
+            if is_gone && was_live {
+                changes.gone.push(*address);
+            }
             let agent = self.agents.entry(*address).or_insert_with(|| AgentEntry {
                 service: record.service,
                 state: record.state,
@@ -87,22 +104,18 @@
                 backoff_until: Time::default(),
                 unanswered_since: None,
             });
-            let is_newly_gone = record.state.is_gone() && !agent.state.is_gone();
             agent.state = record.state;
             agent.service = record.service;
-            if is_newly_gone {
-                gone.push(*address);
-            }
         }
         let members = &view.members;
         self.agents.retain(|address, agent| {
             let known = members.contains_key(address);
             if !known && !agent.state.is_gone() {
-                gone.push(*address);
+                changes.gone.push(*address);
             }
             known
         });
-        gone
+        changes
     }
 
     /// Returns the agent at a data address, or `None` if the last view does not have it.
--- a/core/src/l4/balancer/search.rs
+++ b/core/src/l4/balancer/search.rs
@@ -242,11 +242,11 @@
         now: Time,
         out: &mut impl Outbox,
     ) {
-        let known_agents = self.known_agents;
+        let knows_all = self.knows_all_of(&agents);
         let Some(FlowState::Searching(search)) = self.flows.get_mut(flow) else {
             return;
         };
-        search.is_conclusive &= known_agents.may_include(&agents);
+        search.is_conclusive &= knows_all;
         match ownership {
             Ownership::Held => self.end_found(flow, from, now, out),
             Ownership::HeldBy(agent) if search.may_be_owner(agent) => {
--- a/core/tests/l4/balancer.rs
+++ b/core/tests/l4/balancer.rs
@@ -376,6 +376,23 @@
     }
 }
 
+/// While servers are replaced one after the other, some agent has always just left, and the processes do
+/// not learn of it at the same time. A flow that nobody holds must be reset nevertheless. An agent that
+/// was declared dead may still hold the flow, so a process that knows it keeps the flow from a reset.
+#[test]
+fn flow_that_no_agent_holds_is_reset_while_agents_leave_and_not_while_one_is_dead() {
+    for (state, resets) in [(MemberState::Left, 1), (MemberState::Dead, 0)] {
+        let mut harness = Harness::new(3);
+        let before = known_agents(3);
+        let ready = MemberState::Ready;
+        harness.apply_view(&[(1, ready), (2, ready), (3, state)]);
+        harness.advance(10);
+        harness.receive_from_caller(DATA, 1);
+        harness.deny_all_queries(before);
+        assert_eq!(harness.sent.resets, resets, "{state:?}");
+    }
+}
+
 #[test]
 fn flow_is_not_reset_while_one_agent_has_not_replied() {
     let mut harness = Harness::new(3);
