Compare the agents of processes by what explains the difference

Change: a set is included here if it counts fewer, or if one or two agents explain the difference: known ones that it lacks, or ones that have left. Test: set_of_another_process_is_included_only_if_it_has_no_agent_that_is_unknown_here.

--- a/core/src/l4/balancer.rs
+++ b/core/src/l4/balancer.rs
@@ -6,6 +6,7 @@
 
 mod dead_agents;
 pub mod fleet;
+pub mod known_agents;
 mod opening;
 mod reachability;
 pub mod reply_time;
@@ -13,7 +14,7 @@
 
 use std::{
     cmp::Reverse,
-    collections::{BinaryHeap, HashMap, VecDeque, binary_heap::PeekMut},
+    collections::{BinaryHeap, HashMap, binary_heap::PeekMut},
     net::SocketAddrV4,
     sync::Arc,
     time::Duration,
@@ -25,6 +26,7 @@
 use self::{
     dead_agents::DeadAgents,
     fleet::{AgentChanges, Fleet},
+    known_agents::AgentSet,
     opening::Opening,
     reachability::Reachability,
     reply_time::ReplyTime,
@@ -40,7 +42,7 @@
 };
 use crate::{
     clock::Time,
-    member::{KnownAgents, MemberState, View},
+    member::{MemberState, View},
 };
 
 /// Time without a segment after which a flow is removed, if the routes set no idle timeout.
@@ -63,10 +65,6 @@
 /// all processes within this time.
 const STABILIZATION_WINDOW: Duration = Duration::from_millis(900);
 
-/// Number of earlier views whose agents are remembered: those of some seconds in which servers are
-/// replaced one after the other.
-const MAX_EARLIER_VIEWS: usize = 16;
-
 /// Largest number of entries in the flow table. When it is full, no entry is added for a new flow,
 /// be it opened, searched for or reset. In the largest fleet, 72 flows a second open at each
 /// balancer, and entries expire after the idle timeout.
@@ -118,12 +116,8 @@
     fleet: Fleet,
     routes: Arc<RouteTable>,
     view_version: u64,
-    /// Summary of the agents in the last view.
-    known_agents: KnownAgents,
-    /// Summaries of earlier views, the latest first, since the last one in which an agent was declared
-    /// dead. A process that replies with one of them knows no agent but those that are known here and
-    /// those that have left.
-    earlier_agents: VecDeque<KnownAgents>,
+    /// Agents in the last view.
+    known_agents: AgentSet,
     /// When `known_agents` counts as complete, unless another process knows more.
     stable_at: Time,
     /// Whether the members that the seeds know have been fetched, see [`View::joined`].
@@ -159,8 +153,7 @@
             fleet: Fleet::default(),
             routes: Arc::default(),
             view_version: 0,
-            known_agents: KnownAgents::default(),
-            earlier_agents: VecDeque::new(),
+            known_agents: AgentSet::default(),
             stable_at: Time::default(),
             joined: false,
             join_deadline: None,
@@ -211,9 +204,8 @@
     /// have disappeared from the view.
     pub fn apply_view(&mut self, view: &View, now: Time, out: &mut impl Outbox) {
         self.view_version = view.version;
-        let agents = view.known_agents();
         let changes = self.fleet.apply_view(view, &self.domain);
-        self.update_known_agents(agents, &changes, view, now);
+        self.update_known_agents(&changes, view, now);
         self.joined = view.joined;
         if self.fleet.has_ready() {
             self.join_deadline.get_or_insert(now + JOIN_TIMEOUT);
@@ -225,34 +217,20 @@
         self.handle_gone_agents(&changes.gone, view, now, out);
     }
 
-    /// Updates the summaries of the known agents. An agent that has left makes no difference to what a
-    /// search can prove. One that was declared dead may be alive, and a process that still knows it may
-    /// be right.
-    fn update_known_agents(
-        &mut self,
-        agents: KnownAgents,
-        changes: &AgentChanges,
-        view: &View,
-        now: Time,
-    ) {
-        if agents == self.known_agents {
-            return;
-        }
+    /// Updates the known agents. An agent that has left makes no difference to what a search can prove.
+    /// One that was declared dead may be alive, and a process that still knows it may be right.
+    fn update_known_agents(&mut self, changes: &AgentChanges, view: &View, now: Time) {
         let has_left = |agent: &SocketAddrV4| {
             let record = view.members.get(agent);
             record.is_some_and(|record| record.state == MemberState::Left)
         };
         let only_left = changes.gone.iter().all(has_left);
-        if only_left {
-            self.earlier_agents.truncate(MAX_EARLIER_VIEWS - 1);
-            self.earlier_agents.push_front(self.known_agents);
-        } else {
-            self.earlier_agents.clear();
-        }
         if changes.has_new || !only_left {
             self.stable_at = now + STABILIZATION_WINDOW;
         }
-        self.known_agents = agents;
+        if changes.has_new || !changes.gone.is_empty() {
+            self.known_agents.update(view);
+        }
     }
 
     /// Handles a datagram of a caller; one that is not a segment is dropped.
@@ -375,7 +353,7 @@
         let found = Message::Found {
             flow: *flow,
             ownership,
-            agents: self.known_agents,
+            agents: self.known_agents.summary(),
         };
         self.send(to, &found, &[], out);
     }
@@ -457,12 +435,6 @@
         out.to_peer(peer, &self.buffer);
     }
 
-    /// Returns whether all agents that another process knows were known here, in this view or an earlier
-    /// one.
-    fn knows_all_of(&self, agents: &KnownAgents) -> bool {
-        self.known_agents.may_include(agents) || self.earlier_agents.contains(agents)
-    }
-
     fn random(&mut self) -> u64 {
         self.rng.random()
     }
--- a/core/src/l4/balancer/search.rs
+++ b/core/src/l4/balancer/search.rs
@@ -242,7 +242,7 @@
         now: Time,
         out: &mut impl Outbox,
     ) {
-        let knows_all = self.knows_all_of(&agents);
+        let knows_all = self.known_agents.includes(&agents);
         let Some(FlowState::Searching(search)) = self.flows.get_mut(flow) else {
             return;
         };
@@ -366,7 +366,7 @@
         now: Time,
         out: &mut impl Outbox,
     ) {
-        let knows_members = self.joined && self.known_agents.count > 0;
+        let knows_members = self.joined && self.known_agents.summary().count > 0;
         if is_conclusive && knows_members && now >= self.stable_at {
             self.reset_flow(flow, acknowledged, "not_held", now, out);
             return;
@@ -377,7 +377,7 @@
             conclusive = is_conclusive,
             joined = self.joined,
             stable = now >= self.stable_at,
-            agents = self.known_agents.count,
+            agents = self.known_agents.summary().count,
             view = self.view_version,
         );
         self.metrics.count_search("not_found");
--- a/core/src/member.rs
+++ b/core/src/member.rs
@@ -165,15 +165,19 @@
         let mut digest = 0;
         let mut count = 0;
         for record in self.agents() {
-            let ip = u64::from(record.address.ip().to_bits());
-            let bytes = (ip << 16 | u64::from(record.address.port())).to_be_bytes();
-            digest ^= xxh3_64(&bytes);
+            digest ^= address_hash(record.address);
             count += 1;
         }
         KnownAgents { count, digest }
     }
 }
 
+/// Returns the hash of a data address in [`KnownAgents::digest`].
+pub fn address_hash(address: SocketAddrV4) -> u64 {
+    let ip = u64::from(address.ip().to_bits());
+    xxh3_64(&(ip << 16 | u64::from(address.port())).to_be_bytes())
+}
+
 /// Returns the services whose candidates differ between two sets of members.
 fn changed_services(
     old: &BTreeMap<SocketAddrV4, Record>,
