Never count a flow of a route without a target as late

Found by reading the diff: a route without a target latency (0) made all of its flows late, so they got only free slots and were evicted first. Also, the daemon of the QUIC plane stops gracefully when one of its tasks panics. Test: opening_tells_the_time_left_until_the_target_and_a_route_without_one_is_never_late.

--- a/core/src/l4/balancer/opening.rs
+++ b/core/src/l4/balancer/opening.rs
@@ -26,6 +26,9 @@
 /// asked: the queue of its backend server is full too.
 const SATURATED_PER_SLOT: u16 = 2;
 
+/// Time until the target latency for a route without one: its flows are never late.
+const NO_TARGET_MS: u32 = u32::MAX;
+
 /// Largest number of tries for one opening segment of a caller; each try sends it to an agent.
 const MAX_TRIES: usize = 6;
 
@@ -134,7 +137,10 @@
             service: route.service(flow)?,
             forced,
             priority: route.priority,
-            target_ms: route.target_ms.saturating_sub(age_ms),
+            target_ms: match route.target_ms {
+                0 => NO_TARGET_MS,
+                target_ms => target_ms.saturating_sub(age_ms),
+            },
         })
     }
 
--- a/core/tests/l4/balancer.rs
+++ b/core/tests/l4/balancer.rs
@@ -89,6 +89,10 @@
 
 impl Harness {
     fn new(agents: u8) -> Self {
+        Self::with_target(agents, 100)
+    }
+
+    fn with_target(agents: u8, target_ms: u32) -> Self {
         let options = BalancerOptions {
             address: SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 1), 7001),
             domain: "a".into(),
@@ -98,7 +102,7 @@
             name: "r".into(),
             idempotent: true,
             priority: 1,
-            target_ms: 100,
+            target_ms,
             targets: vec![Target {
                 service: ServiceKey::of("desk"),
                 weight: 1,
@@ -194,6 +198,29 @@
     }
 }
 
+/// The number in an opening segment is its age in hundreds of milliseconds.
+#[test]
+fn opening_tells_the_time_left_until_the_target_and_a_route_without_one_is_never_late() {
+    for (target_ms, age_hundreds, left_ms) in [(900, 0, 900), (900, 2, 700), (100, 2, 0)] {
+        assert_eq!(target_left(target_ms, age_hundreds), left_ms);
+    }
+    assert_eq!(target_left(0, 2), u32::MAX);
+}
+
+fn target_left(target_ms: u32, age_hundreds: u8) -> u32 {
+    let mut harness = Harness::with_target(1, target_ms);
+    let datagram = [OPENING, 1, age_hundreds];
+    harness
+        .balancer
+        .receive_from_caller(&datagram, harness.now, &mut harness.sent);
+    let sent = harness.sent.messages.iter();
+    let mut targets = sent.filter_map(|(_, message)| match message {
+        Message::Open { target_ms, .. } => Some(*target_ms),
+        _ => None,
+    });
+    targets.next().expect("the opening is sent to the agent")
+}
+
 #[test]
 fn refused_opening_goes_to_another_agent_at_once() {
     let mut harness = Harness::new(3);
--- a/src/bin/berylvalved.rs
+++ b/src/bin/berylvalved.rs
@@ -46,13 +46,14 @@
     ) else {
         return fail(EXIT_FAILURE, &"signals can't be handled");
     };
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-        () = daemon.drain_requested() => {}
-    }
+    let code = tokio::select! {
+        _ = terminate.recv() => ExitCode::SUCCESS,
+        _ = interrupt.recv() => ExitCode::SUCCESS,
+        () = daemon.drain_requested() => ExitCode::SUCCESS,
+        () = daemon.kernel.task_failed() => ExitCode::from(EXIT_FAILURE),
+    };
     daemon.shut_down().await;
-    ExitCode::SUCCESS
+    code
 }
 
 fn fail(code: u8, error: &dyn std::fmt::Display) -> ExitCode {
