--- a/core/tests/l4/balancer.rs
+++ b/core/tests/l4/balancer.rs
@@ -420,6 +420,20 @@
     }
 }
 
+/// The membership may be wrong about an agent that was declared dead, and its record may return.
+#[test]
+fn balancer_that_has_just_lost_an_agent_resets_no_flow() {
+    for (waited_ms, resets) in [(10, 0), (1_000, 1)] {
+        let mut harness = Harness::new(3);
+        let ready = MemberState::Ready;
+        harness.apply_view(&[(1, ready), (2, ready), (3, MemberState::Dead)]);
+        harness.advance(waited_ms);
+        harness.receive_from_caller(DATA, 1);
+        harness.deny_all_queries(known_agents(2));
+        assert_eq!(harness.sent.resets, resets, "after {waited_ms} ms");
+    }
+}
+
 #[test]
 fn flow_is_not_reset_while_one_agent_has_not_replied() {
     let mut harness = Harness::new(3);
