Keep the full number of transmissions at the start of a small fleet

A third of the transmissions while starting is one in a fleet of a dozen, so news of a death reached some members only by a comparison. Change: the third applies to fleets of more than 128 processes.

--- a/core/src/membership/update_queue.rs
+++ b/core/src/membership/update_queue.rs
@@ -16,8 +16,12 @@
     Weight,
 }
 
-/// Divisor of the transmissions by a process that is starting. Most go to members that know the update
-/// already, since all others gossip the same ones; fetches complete the lists for fewer bytes.
+/// Largest fleet in which the budget of a start suffices for the full number of transmissions.
+const MAX_SMALL_FLEET: usize = 128;
+
+/// Divisor of the transmissions in a larger fleet by a process that is starting. Most go to members that
+/// know the update already, since all others gossip the same ones; comparisons complete the lists for
+/// fewer bytes.
 const STARTING_SENDS_DIVISOR: u32 = 3;
 
 /// Transmissions of a state or liveness update beyond the bit length of the fleet size.
@@ -116,7 +120,10 @@
     let size_bits = usize::BITS - fleet_size.leading_zeros();
     match class {
         UpdateClass::State | UpdateClass::Liveness if is_starting => {
-            size_bits / STARTING_SENDS_DIVISOR
+            match fleet_size > MAX_SMALL_FLEET {
+                true => size_bits / STARTING_SENDS_DIVISOR,
+                false => size_bits,
+            }
         }
         UpdateClass::State | UpdateClass::Liveness => size_bits + EXTRA_SENDS,
         UpdateClass::Weight => WEIGHT_SENDS,
