--- a/core/src/membership/update_queue.rs
+++ b/core/src/membership/update_queue.rs
@@ -16,13 +16,10 @@
     Weight,
 }
 
-/// Largest fleet in which the budget of a start suffices for the full number of transmissions.
-const MAX_SMALL_FLEET: usize = 128;
-
-/// Divisor of the transmissions in a larger fleet by a process that is starting. Most go to members that
-/// know the update already, since all others gossip the same ones; comparisons complete the lists for
-/// fewer bytes.
-const STARTING_SENDS_DIVISOR: u32 = 3;
+/// Transmissions of a state or liveness update by a process that is starting. With more, a large fleet
+/// that starts at once spends its budgets on members that know the update already; with fewer, an update
+/// misses members of a small one.
+const STARTING_SENDS: u32 = 3;
 
 /// Transmissions of a state or liveness update beyond the bit length of the fleet size.
 const EXTRA_SENDS: u32 = 4;
@@ -119,12 +116,7 @@
 pub fn transmit_limit(class: UpdateClass, fleet_size: usize, is_starting: bool) -> u32 {
     let size_bits = usize::BITS - fleet_size.leading_zeros();
     match class {
-        UpdateClass::State | UpdateClass::Liveness if is_starting => {
-            match fleet_size > MAX_SMALL_FLEET {
-                true => size_bits / STARTING_SENDS_DIVISOR,
-                false => size_bits,
-            }
-        }
+        UpdateClass::State | UpdateClass::Liveness if is_starting => STARTING_SENDS,
         UpdateClass::State | UpdateClass::Liveness => size_bits + EXTRA_SENDS,
         UpdateClass::Weight => WEIGHT_SENDS,
     }
