--- a/core/src/l4.rs
+++ b/core/src/l4.rs
@@ -16,6 +16,7 @@
 pub mod balancer;
 pub mod choice;
 pub mod daemon;
+pub mod directives;
 pub mod homes;
 pub mod message;
 pub mod metrics;
--- a/core/src/l4/balancer.rs
+++ b/core/src/l4/balancer.rs
@@ -307,7 +307,13 @@
             }
             Message::LoadReport(load) => self.fleet.update_load(from, load),
             Message::Find { flow, .. } => self.reply_to_query(from, &flow, out),
-            Message::Open { .. } | Message::Forward | Message::Register { .. } => {}
+            Message::Open { .. }
+            | Message::Forward
+            | Message::Register { .. }
+            | Message::ListFlows { .. }
+            | Message::HeldFlows { .. }
+            | Message::Directives { .. }
+            | Message::Demand(_) => {}
         }
     }
 
--- a/core/src/l4/message.rs
+++ b/core/src/l4/message.rs
@@ -6,10 +6,15 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{routes::ServiceKey, segment::FlowKey, workload::Load};
+use super::{
+    routes::ServiceKey,
+    segment::FlowKey,
+    workload::{Demand, Load},
+};
 use crate::{
     frame::{self, FrameError},
     member::KnownAgents,
+    store::Position,
 };
 
 /// Why an agent refuses a new flow.
@@ -137,6 +142,30 @@
     /// To a balancer: periodic report of the backend server's load.
     #[serde(rename = "Carries")]
     LoadReport(Load),
+    /// To an agent: asks for a filter of all flows that it holds; the reply is
+    /// [`Message::HeldFlows`].
+    ListFlows {
+        /// Number of the round of questions, which the reply repeats.
+        round: u32,
+    },
+    /// Reply to [`Message::ListFlows`], with an encoded filter of the flows in the place of the segment.
+    HeldFlows {
+        /// Round of the question.
+        round: u32,
+        /// Whether the agent knows all flows of its backend server: false while the server may hold
+        /// flows from before the agent's start.
+        sure: bool,
+        /// Summary of the agents that the replying agent knows.
+        agents: KnownAgents,
+    },
+    /// To any process: position of the sender's directives, with the encoded directives in the place of
+    /// the segment if the receiver may lack them.
+    Directives {
+        /// Position of the directives.
+        position: Position,
+    },
+    /// To a balancer, beside the load report: the demand that the flows of the backend server bring.
+    Demand(Demand),
 }
 
 /// A received message with its sender and the segment in its frame.
--- a/core/src/store.rs
+++ b/core/src/store.rs
@@ -7,6 +7,7 @@
 
 use ::http::StatusCode;
 use futures::{future::BoxFuture, stream::BoxStream};
+use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 use tokio::sync::watch;
 
@@ -51,7 +52,9 @@
 ///
 /// A store that is restored from an older copy starts a new era. Revisions go back then and are
 /// assigned again, so revisions of two eras can't be compared.
-#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
 pub struct Position {
     /// Number of times that the store was restored; 0 for a store that does not count them.
     pub era: u64,
