Prove lost flows by rounds of filters instead of queries for each flow

Cause: after a loss of power each search asked all agents for its own flow, and postponed searches asked the homes again every 50 ms outside the budget. That filled the 10 Mbit/s link of a small balancer. Searches decided before the agents were stable waited for the caller's next retransmission, up to 1.6 s. Change: one round asks each agent for a Bloom filter of its flows on behalf of all searches that wait; only agents that may hold a flow, or sent no filter, are asked for it. Decided searches are kept until the agents are stable. In a fleet that has just started as a whole, with all agents sure, the agents are stable after 300 ms.

--- a/core/src/l4.rs
+++ b/core/src/l4.rs
@@ -17,6 +17,7 @@
 pub mod choice;
 pub mod daemon;
 pub mod directives;
+pub mod flow_set;
 pub mod homes;
 pub mod message;
 pub mod metrics;
--- a/core/src/l4/agent.rs
+++ b/core/src/l4/agent.rs
@@ -2,6 +2,7 @@
 //! holds, and forwards segments in both directions.
 
 pub mod flows;
+mod held_flows;
 mod opening;
 
 use std::{
@@ -314,6 +315,7 @@
                 let ownership = self.ownership(&flow, acknowledged);
                 self.send_ownership(from, flow, ownership, out);
             }
+            Message::ListFlows { round } => self.send_held_flows(from, round, out),
             _ => {}
         }
     }
--- a/core/src/l4/agent/flows.rs
+++ b/core/src/l4/agent/flows.rs
@@ -120,6 +120,11 @@
         self.entries.get(flow)
     }
 
+    /// Returns all flows with their entries, including expired ones that are not removed yet.
+    pub fn iter(&self) -> impl Iterator<Item = (&FlowKey, &FlowEntry)> {
+        self.entries.iter()
+    }
+
     /// Records an opening segment that is delivered to the backend server.
     pub fn record_opening(
         &mut self,
--- a/core/src/l4/balancer.rs
+++ b/core/src/l4/balancer.rs
@@ -11,6 +11,7 @@
 mod reachability;
 pub mod reply_time;
 mod search;
+mod stability;
 
 use std::{
     cmp::Reverse,
@@ -30,7 +31,8 @@
     opening::Opening,
     reachability::Reachability,
     reply_time::ReplyTime,
-    search::{Search, budget::SearchBudget},
+    search::{Search, budget::SearchBudget, round::Rounds},
+    stability::Stability,
 };
 use super::{
     choice::AgentCandidate,
@@ -42,7 +44,7 @@
 };
 use crate::{
     clock::Time,
-    member::{MemberState, View},
+    member::{KnownAgents, MemberState, View},
 };
 
 /// Time without a segment after which a flow is removed, if the routes set no idle timeout.
@@ -61,10 +63,6 @@
 /// [`Balancer::can_serve`] is still false.
 const START_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Time without a new agent after which the known agents count as complete. A membership update reaches
-/// all processes within this time.
-const STABILIZATION_WINDOW: Duration = Duration::from_millis(900);
-
 /// Largest number of entries in the flow table. When it is full, no entry is added for a new flow,
 /// be it opened, searched for or reset. In the largest fleet, 72 flows a second open at each
 /// balancer, and entries expire after the idle timeout.
@@ -111,7 +109,6 @@
 pub struct Balancer<C> {
     codec: C,
     domain: String,
-    address: SocketAddrV4,
     flows: HashMap<FlowKey, FlowState, FxBuildHasher>,
     fleet: Fleet,
     routes: Arc<RouteTable>,
@@ -119,7 +116,9 @@
     /// Agents in the last view.
     known_agents: AgentSet,
     /// When `known_agents` counts as complete, unless another process knows more.
-    stable_at: Time,
+    stability: Stability,
+    /// Agent to fetch members from, as it knows agents that are unknown here.
+    better_informed: Option<SocketAddrV4>,
     /// Whether the members that the seeds know have been fetched, see [`View::joined`].
     joined: bool,
     /// When a balancer that knows a ready agent stops waiting for the others.
@@ -130,6 +129,7 @@
     opening_timers: Timers,
     search_timers: Timers,
     budget: SearchBudget,
+    rounds: Rounds,
     metrics: BalancerMetrics,
     reachability: Reachability,
     reply_time: ReplyTime,
@@ -145,16 +145,17 @@
 impl<C: Codec> Balancer<C> {
     /// Returns a balancer that knows no routes and no agents.
     pub fn new(codec: C, options: &BalancerOptions, seed: u64) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
         Self {
             codec,
-            address: options.address,
             domain: options.domain.clone(),
             flows: HashMap::default(),
             fleet: Fleet::default(),
             routes: Arc::default(),
             view_version: 0,
             known_agents: AgentSet::default(),
-            stable_at: Time::default(),
+            stability: Stability::default(),
+            better_informed: None,
             joined: false,
             join_deadline: None,
             starting: true,
@@ -162,12 +163,13 @@
             opening_timers: Timers::new(),
             search_timers: Timers::new(),
             budget: SearchBudget::new(options.link_rate),
+            rounds: Rounds::new(rng.random()),
             metrics: BalancerMetrics::default(),
             reachability: Reachability::default(),
             reply_time: ReplyTime::default(),
             dead_agents: DeadAgents::default(),
             next_expiry: Time::default(),
-            rng: SmallRng::seed_from_u64(seed),
+            rng,
             buffer: Vec::new(),
             candidates: Vec::new(),
         }
@@ -199,6 +201,28 @@
         }
     }
 
+    /// Sets the VM's clock, from which the ages of other processes are computed. Without it, no fleet counts
+    /// as just started.
+    pub fn set_unix_ms(&mut self, unix_ms: u64, now: Time) {
+        self.stability.set_unix_ms(unix_ms, now);
+    }
+
+    /// Returns an agent that has replied with agents that are unknown here since the last call, to fetch
+    /// its members.
+    pub fn take_better_informed(&mut self) -> Option<SocketAddrV4> {
+        self.better_informed.take()
+    }
+
+    /// Returns whether all agents that another process knows are known here, and remembers the process
+    /// if not.
+    fn compare_known_agents(&mut self, from: SocketAddrV4, agents: &KnownAgents) -> bool {
+        let knows_all = self.known_agents.includes(agents);
+        if !knows_all {
+            self.better_informed = Some(from);
+        }
+        knows_all
+    }
+
     /// Updates the agents from a view of the membership and retries the openings that wait for agents.
     /// Resets the flows of agents that have left, and starts to probe those that were declared dead or
     /// have disappeared from the view.
@@ -206,6 +230,7 @@
         self.view_version = view.version;
         let changes = self.fleet.apply_view(view, &self.domain);
         self.update_known_agents(&changes, view, now);
+        self.stability.apply_view(view, now);
         self.joined = view.joined;
         if self.fleet.has_ready() {
             self.join_deadline.get_or_insert(now + JOIN_TIMEOUT);
@@ -226,7 +251,7 @@
         };
         let only_left = changes.gone.iter().all(has_left);
         if changes.has_new || !only_left {
-            self.stable_at = now + STABILIZATION_WINDOW;
+            self.stability.record_change(now);
         }
         if changes.has_new || !changes.gone.is_empty() {
             self.known_agents.update(view);
@@ -257,7 +282,7 @@
             Some(FlowState::Opening(_)) => {
                 self.complete_opening(&flow, &segment, datagram, now, out)
             }
-            Some(FlowState::Searching(search)) => search.push_segment(datagram),
+            Some(FlowState::Searching(search)) => search.push_segment(&segment, datagram, now),
             Some(FlowState::Reset { expires }) if now < *expires => {
                 self.send_reset(&flow, segment.acknowledged, out);
             }
@@ -306,12 +331,19 @@
                 self.handle_waits(&flow, from, now);
             }
             Message::LoadReport(load) => self.fleet.update_load(from, load),
+            Message::HeldFlows {
+                round,
+                sure,
+                agents,
+            } => {
+                let reply = (round, sure, agents);
+                self.handle_held_flows(from, reply, received.datagram, now, out);
+            }
             Message::Find { flow, .. } => self.reply_to_query(from, &flow, out),
             Message::Open { .. }
             | Message::Forward
             | Message::Register { .. }
             | Message::ListFlows { .. }
-            | Message::HeldFlows { .. }
             | Message::Directives { .. }
             | Message::Demand(_) => {}
         }
@@ -325,6 +357,7 @@
         while let Some(flow) = pop_due(&mut self.search_timers, now) {
             self.handle_search_timeout(&flow, now, out);
         }
+        self.run_rounds(now, out);
         let first_tick = *self.first_tick.get_or_insert(now);
         let has_timed_out = now.since(first_tick) >= START_TIMEOUT;
         if self.starting && (has_timed_out || self.can_serve(now)) {
@@ -344,6 +377,7 @@
         let opening = self.opening_timers.peek().map(|Reverse((due, _))| *due);
         let search = self.search_timers.peek().map(|Reverse((due, _))| *due);
         let next = opening.into_iter().chain(search);
+        let next = next.chain(self.rounds.due());
         let next = next.chain(self.dead_agents.due()).min();
         next.map_or(self.next_expiry, |next| next.min(self.next_expiry))
     }
--- a/core/src/l4/balancer/fleet.rs
+++ b/core/src/l4/balancer/fleet.rs
@@ -63,12 +63,10 @@
     pub has_new: bool,
 }
 
-/// All agents of the view, and the balancers of this failure domain.
+/// All agents of the view.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
     agents: BTreeMap<SocketAddrV4, AgentEntry>,
-    /// Balancers of this failure domain: callers of the domain may have used them before.
-    local_balancers: Vec<SocketAddrV4>,
     homes: HashMap<ServiceTag, Homes>,
     /// Agents of each service that are not gone, in the order of their addresses.
     service_agents: HashMap<ServiceTag, Vec<SocketAddrV4>>,
@@ -78,12 +76,9 @@
     /// Updates the members from a view; returns the changes since the last one.
     pub fn apply_view(&mut self, view: &View, domain: &str) -> AgentChanges {
         let mut changes = AgentChanges::default();
-        self.local_balancers.clear();
         self.update_services(view);
         for (address, record) in &view.members {
             if record.role != Role::Agent {
-                let is_local = record.domain == domain && !record.state.is_gone();
-                self.local_balancers.extend(is_local.then_some(*address));
                 continue;
             }
             let is_gone = record.state.is_gone();
@@ -193,12 +188,6 @@
         homes.into_iter().flatten().flatten().collect()
     }
 
-    /// Returns the balancers of this failure domain, which may have forwarded its callers' segments
-    /// before.
-    pub fn local_balancers(&self) -> &[SocketAddrV4] {
-        &self.local_balancers
-    }
-
     /// Returns whether any agent of any service is ready.
     pub fn has_ready(&self) -> bool {
         self.agents
--- a/core/src/l4/balancer/search/budget.rs
+++ b/core/src/l4/balancer/search/budget.rs
@@ -1,18 +1,18 @@
-//! Rate limit of the queries that searches broadcast.
+//! Rate limit of the queries of searches and their replies.
 
 use std::time::Duration;
 
 use crate::clock::Time;
 
-/// Divisor of the link's bandwidth that gives the share for broadcast queries. Only queries are
-/// counted, as replies use the other direction of the link.
+/// Divisor of the link's bandwidth that gives the share for the queries of searches and for the replies
+/// to rounds, which are larger than the queries.
 const LINK_DIVISOR: u64 = 10;
 
 /// Capacity of the bucket, as the time in which it fills. A burst must not hold up the segments that are
 /// behind it in the link's queue: with a tenth of the link, it takes 20 ms to send.
 const BURST_WINDOW: Duration = Duration::from_millis(200);
 
-/// A token bucket of bytes for broadcast queries. It may go below zero by one broadcast, which can be
+/// A token bucket of bytes for queries and replies. It may go below zero by one round, which can be
 /// larger than the bucket.
 #[derive(Clone, Copy, Debug)]
 pub(in crate::l4::balancer) struct SearchBudget {
@@ -35,17 +35,37 @@
 
     /// Removes bytes from the bucket; returns whether it held any, and removes none if not.
     pub(super) fn try_consume(&mut self, bytes: u64, now: Time) -> bool {
+        self.refill(now);
+        let has_bytes = self.bytes > 0;
+        if has_bytes {
+            self.charge(bytes);
+        }
+        has_bytes
+    }
+
+    /// Removes bytes that are sent or received in any case.
+    pub(super) fn charge(&mut self, bytes: u64) {
+        let bytes = i64::try_from(bytes).unwrap_or(i64::MAX);
+        self.bytes = self.bytes.saturating_sub(bytes);
+    }
+
+    /// Returns when the bucket holds bytes, which is `now` if it holds some.
+    pub(super) fn available_at(&mut self, now: Time) -> Time {
+        self.refill(now);
+        if self.bytes > 0 {
+            return now;
+        }
+        let missing_ms = self.bytes.saturating_neg().saturating_mul(1000) / self.rate.max(1) + 1;
+        now + Duration::from_millis(missing_ms.unsigned_abs())
+    }
+
+    fn refill(&mut self, now: Time) {
         let millis = now.since(self.refilled_at).as_millis() as i64;
         if millis > 0 {
             let earned = millis.saturating_mul(self.rate) / 1000;
             self.bytes = capacity(self.rate).min(self.bytes.saturating_add(earned));
             self.refilled_at = now;
         }
-        let has_bytes = self.bytes > 0;
-        if has_bytes {
-            self.bytes -= i64::try_from(bytes).unwrap_or(i64::MAX);
-        }
-        has_bytes
     }
 }
 
--- /dev/null
+++ b/core/src/l4/balancer/search/query.rs
@@ -0,0 +1,91 @@
+//! Queries for one flow to the agents that may hold it after a round.
+
+use std::time::Duration;
+
+use super::{Balancer, Stage};
+use crate::{
+    clock::Time,
+    l4::{
+        balancer::FlowState,
+        message::Ownership,
+        outbox::Outbox,
+        segment::{Codec, FlowKey},
+    },
+};
+
+/// Time after which agents that have not replied are queried again.
+pub(super) const QUERY_TIMEOUT: Duration = Duration::from_millis(25);
+
+/// Size of a query on the wire, with all headers.
+pub(super) const QUERY_BYTES: u64 = 100;
+
+/// Number of times that an agent is queried, for a round as for one flow.
+pub(super) const MAX_TRIES: u8 = 3;
+
+/// Time after which a search that exceeded the budget is continued.
+const POSTPONE_INTERVAL: Duration = Duration::from_millis(50);
+
+impl<C: Codec> Balancer<C> {
+    /// Queries the agents that have not replied, or ends the search if that was done often enough.
+    /// Postpones the queries if the budget is spent.
+    pub(super) fn query_agents(&mut self, flow: &FlowKey, now: Time, out: &mut impl Outbox) {
+        let Some(FlowState::Searching(search)) = self.flows.get_mut(flow) else {
+            return;
+        };
+        let silent = search.agents_with(None);
+        if search.tries >= MAX_TRIES {
+            tracing::info!(event = "flow_search_replies_missing", %flow, silent = ?silent);
+            self.metrics.count_search("silence");
+            // Missing replies are set to `NotHeld` only to complete the search, so that unsure agents get
+            // a trial delivery. An agent that has not replied may hold the flow, so the flow is not
+            // reset.
+            search.is_conclusive = false;
+            for (_, reply) in &mut search.queried {
+                reply.get_or_insert(Ownership::NotHeld);
+            }
+            let has_unsure = !search.agents_with(Some(Ownership::Unsure)).is_empty();
+            for agent in silent {
+                self.fleet.record_unanswered(agent, now);
+            }
+            match has_unsure {
+                true => self.advance_if_complete(flow, now, out),
+                false => drop(self.flows.remove(flow)),
+            }
+            return;
+        }
+        let bytes = silent.len() as u64 * QUERY_BYTES;
+        if !self.budget.try_consume(bytes, now) {
+            if !search.is_postponed {
+                tracing::info!(event = "flow_search_postponed", %flow, asked = silent.len());
+                self.metrics.count_search("postponed");
+            }
+            search.is_postponed = true;
+            self.set_due(flow, now + POSTPONE_INTERVAL);
+            return;
+        }
+        search.tries += 1;
+        let acknowledged = search.acknowledged;
+        self.set_due(flow, now + QUERY_TIMEOUT);
+        self.send_queries(flow, acknowledged, &silent, out);
+    }
+
+    /// Sends the first buffered segment to the agents that are unsure.
+    pub(super) fn start_trial(
+        &mut self,
+        flow: &FlowKey,
+        timeout: Duration,
+        now: Time,
+        out: &mut impl Outbox,
+    ) {
+        let Some(FlowState::Searching(search)) = self.flows.get_mut(flow) else {
+            return;
+        };
+        search.stage = Stage::Trial;
+        let unsure_agents = search.agents_with(Some(Ownership::Unsure));
+        let datagram = search.buffered.first().cloned().unwrap_or_default();
+        self.set_due(flow, now + timeout);
+        for agent in unsure_agents {
+            self.forward(agent, &datagram, out);
+        }
+    }
+}
--- a/core/src/l4/daemon/balancer_loop.rs
+++ b/core/src/l4/daemon/balancer_loop.rs
@@ -7,7 +7,7 @@
 
 use super::sockets::{Sockets, receive_pending};
 use crate::{
-    clock::{Clock, Time},
+    clock::{Clock, Time, unix_ms},
     consts::MAX_DATAGRAM_BYTES,
     control::ControlServer,
     kernel::{Kernel, KernelError},
@@ -115,6 +115,7 @@
         let now: Time = self.clock.now();
         let view = self.directory.view();
         contain("view", || {
+            self.balancer.set_unix_ms(unix_ms(), now);
             self.balancer.apply_view(&view, now, &mut &self.sockets);
         });
     }
--- a/core/tests/l4/balancer.rs
+++ b/core/tests/l4/balancer.rs
@@ -10,6 +10,7 @@
     clock::Time,
     l4::{
         balancer::{Balancer, BalancerOptions},
+        flow_set::{self, FlowHash},
         message::{self, Message, Ownership, Received, Refusal},
         outbox::Outbox,
         routes::{Route, RouteTable, ServiceKey, Target},
@@ -186,7 +187,21 @@
     fn answer_queries(&mut self, ownership: Ownership, agents: KnownAgents) {
         let sent = std::mem::take(&mut self.sent.messages);
         for (peer, message) in sent {
-            if let Message::Find { flow, .. } = message {
+            self.answer(peer, message, ownership, agents);
+        }
+    }
+
+    /// Answers a query for a flow, and a round as an agent with no flows that is sure unless
+    /// `ownership` is [`Ownership::Unsure`].
+    fn answer(
+        &mut self,
+        peer: SocketAddrV4,
+        message: Message,
+        ownership: Ownership,
+        agents: KnownAgents,
+    ) {
+        match message {
+            Message::Find { flow, .. } => {
                 let found = Message::Found {
                     flow,
                     ownership,
@@ -194,10 +209,30 @@
                 };
                 self.receive_from_peer(peer, found, &[]);
             }
+            Message::ListFlows { round } => {
+                let held = Message::HeldFlows {
+                    round,
+                    sure: ownership != Ownership::Unsure,
+                    agents,
+                };
+                self.receive_from_peer(peer, held, &filter(&[], round));
+            }
+            _ => {}
         }
     }
 }
 
+/// Returns the encoded filter of the flows of some callers' ports.
+fn filter(ports: &[u8], round: u32) -> Vec<u8> {
+    let mut hashes = Vec::new();
+    for port in ports {
+        hashes.push(FlowHash::new(&flow(*port), round));
+    }
+    let mut buffer = Vec::new();
+    flow_set::encode(&hashes, &mut buffer);
+    buffer
+}
+
 /// The number in an opening segment is its age in hundreds of milliseconds.
 #[test]
 fn opening_tells_the_time_left_until_the_target_and_a_route_without_one_is_never_late() {
@@ -442,15 +477,8 @@
     for _ in 0..30 {
         let sent = std::mem::take(&mut harness.sent.messages);
         for (peer, message) in sent {
-            if let Message::Find { flow, .. } = message
-                && peer != agent(3)
-            {
-                let found = Message::Found {
-                    flow,
-                    ownership: Ownership::NotHeld,
-                    agents: known,
-                };
-                harness.receive_from_peer(peer, found, &[]);
+            if peer != agent(3) {
+                harness.answer(peer, message, Ownership::NotHeld, known);
             }
         }
         harness.advance(10);
@@ -474,18 +502,10 @@
                 _ => continue,
             };
             match message {
-                Message::Find { flow, .. } => {
-                    let found = Message::Found {
-                        flow,
-                        ownership,
-                        agents: known,
-                    };
-                    harness.receive_from_peer(peer, found, &[]);
-                }
                 Message::Forward => {
                     harness.receive_from_peer(peer, Message::Unknown, &[DATA, 1, ACKNOWLEDGED_TENS])
                 }
-                _ => {}
+                _ => harness.answer(peer, message, ownership, known),
             }
         }
         harness.advance(5);
--- a/core/tests/l4/codec.rs
+++ b/core/tests/l4/codec.rs
@@ -1,6 +1,6 @@
 //! Wire format for tests, of three bytes: kind, port of the caller, and a number in tens that is both
 //! the sequence and the acknowledgement number. In an opening segment the number is its age in hundreds
-//! of milliseconds.
+//! of milliseconds. An optional fourth byte is the high byte of the port.
 
 use std::{
     net::{Ipv4Addr, SocketAddrV4},
@@ -31,10 +31,15 @@
 /// Kind of a reset that [`Codec::reset`] encodes.
 pub const RESET: u8 = b'R';
 
-/// Returns the key of the flow from a caller's port.
+/// Returns the key of the flow from a caller's port below 256.
 pub fn flow(port: u8) -> FlowKey {
+    flow_from(port.into())
+}
+
+/// Returns the key of the flow from a caller's port.
+pub fn flow_from(port: u16) -> FlowKey {
     FlowKey {
-        caller: SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, 1), port.into()),
+        caller: SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, 1), port),
         address: SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443),
     }
 }
@@ -44,8 +49,10 @@
         let [kind, port, tens, ..] = *datagram else {
             return None;
         };
+        let high = datagram.get(3).copied().unwrap_or_default();
+        let flow = flow_from(u16::from_be_bytes([high, port]));
         let from_server = matches!(kind, ACCEPT | ANSWER);
-        let (caller, address) = (flow(port).caller, flow(port).address);
+        let (caller, address) = (flow.caller, flow.address);
         Some(Segment {
             source: if from_server { address } else { caller },
             destination: if from_server { caller } else { address },
@@ -70,7 +77,8 @@
     fn mark(&self, _: &mut [u8], _: u32) {}
 
     fn reset(&self, flow: &FlowKey, _: u32, buffer: &mut Vec<u8>) {
-        *buffer = vec![RESET, flow.caller.port() as u8, 0];
+        let [high, low] = flow.caller.port().to_be_bytes();
+        *buffer = vec![RESET, low, 0, high];
     }
 
     fn reports_failure(&self, _: &[u8]) -> Option<bool> {
--- a/core/tests/l4/main.rs
+++ b/core/tests/l4/main.rs
@@ -3,3 +3,5 @@
 mod agent;
 mod balancer;
 mod codec;
+mod flow_set;
+mod lost_flows;
