--- a/core/tests/l4/agent.rs
+++ b/core/tests/l4/agent.rs
@@ -9,6 +9,7 @@
     clock::Time,
     l4::{
         agent::{Agent, AgentOptions},
+        flow_set::{FlowHash, FlowSet},
         message::{self, Message, Ownership, Received, Refusal},
         outbox::Outbox,
         routes::ServiceKey,
@@ -30,6 +31,8 @@
 #[derive(Default)]
 struct RecordingOutbox {
     messages: Vec<Message>,
+    /// Filters of the flows that the agent holds, with whether it is sure.
+    filters: Vec<(bool, Vec<u8>)>,
     /// Ports of the callers that were sent a reset.
     reset_ports: Vec<u8>,
     delivered: Vec<Vec<u8>>,
@@ -38,6 +41,9 @@
 impl Outbox for RecordingOutbox {
     fn to_peer(&mut self, peer: SocketAddrV4, frame: &[u8]) {
         let received = message::decode(peer, frame).unwrap();
+        if let Message::HeldFlows { sure, .. } = received.message {
+            self.filters.push((sure, received.datagram.to_vec()));
+        }
         if !matches!(received.message, Message::LoadReport(_)) {
             self.messages.push(received.message);
         }
@@ -379,3 +385,39 @@
         "a repeated opening of an admitted flow"
     );
 }
+
+/// Returns whether the agent is sure, and which of the callers' ports 1 to 9 its filter contains.
+fn held_ports(harness: &mut Harness) -> (bool, Vec<u8>) {
+    let round = 3;
+    harness.send(Message::ListFlows { round }, &[]);
+    let (sure, filter) = harness.sent.filters.pop().expect("a reply with a filter");
+    let held = FlowSet::decode(&filter).expect("a valid filter");
+    let ports = (1..=9).filter(|port| held.contains(FlowHash::new(&flow(*port), round)));
+    (sure, ports.collect())
+}
+
+/// Guards against resets of live flows: the filter must contain each flow for which a query gets another
+/// reply than that it is not held.
+#[test]
+fn filter_contains_accepted_open_and_ended_flows_and_none_that_were_only_delivered() {
+    let mut harness = Harness::new(0);
+    harness.open("desk", true, 1);
+    harness.open("desk", true, 2);
+    harness.receive_from_server(ACCEPT, 2, 5);
+    harness.establish(3, 5);
+    harness.establish(4, 5);
+    harness.send(Message::Forward, &[FINISH, 4, 5]);
+    harness.receive_from_server(FINISH, 4, 5);
+    assert_eq!(held_ports(&mut harness), (true, vec![2, 3, 4]));
+}
+
+/// Guards against the proof that a flow is lost by an agent that has not seen all flows of its server.
+#[test]
+fn agent_that_starts_after_its_server_is_unsure_in_a_round() {
+    let mut harness = Harness::new(40);
+    assert_eq!(held_ports(&mut harness), (false, vec![]));
+    harness.send(Message::Forward, &[DATA, 1, 5]);
+    assert_eq!(held_ports(&mut harness), (false, vec![1]));
+    harness.report("b", 2, 0, ServerState::Ready);
+    assert_eq!(held_ports(&mut harness), (true, vec![]));
+}
--- a/core/tests/l4/balancer.rs
+++ b/core/tests/l4/balancer.rs
@@ -28,9 +28,9 @@
 const LINK_RATE: u64 = 1_250_000;
 
 #[derive(Default)]
-struct RecordingOutbox {
-    messages: Vec<(SocketAddrV4, Message)>,
-    resets: usize,
+pub(crate) struct RecordingOutbox {
+    pub(crate) messages: Vec<(SocketAddrV4, Message)>,
+    pub(crate) resets: usize,
 }
 
 impl Outbox for RecordingOutbox {
@@ -46,11 +46,11 @@
     fn to_server(&mut self, _: &[u8]) {}
 }
 
-fn agent(index: u8) -> SocketAddrV4 {
+pub(crate) fn agent(index: u8) -> SocketAddrV4 {
     SocketAddrV4::new(Ipv4Addr::new(10, 0, 1, index), 7001)
 }
 
-fn view(agents: &[(u8, MemberState)]) -> View {
+pub(crate) fn view(agents: &[(u8, MemberState)]) -> View {
     let agents: Vec<_> = agents
         .iter()
         .map(|(i, state)| (*i, *state, "desk"))
@@ -82,14 +82,14 @@
     base.next(members)
 }
 
-struct Harness {
-    balancer: Balancer<TestCodec>,
-    sent: RecordingOutbox,
-    now: Time,
+pub(crate) struct Harness {
+    pub(crate) balancer: Balancer<TestCodec>,
+    pub(crate) sent: RecordingOutbox,
+    pub(crate) now: Time,
 }
 
 impl Harness {
-    fn new(agents: u8) -> Self {
+    pub(crate) fn new(agents: u8) -> Self {
         Self::with_target(agents, 100)
     }
 
@@ -126,12 +126,12 @@
         harness
     }
 
-    fn apply_view(&mut self, agents: &[(u8, MemberState)]) {
+    pub(crate) fn apply_view(&mut self, agents: &[(u8, MemberState)]) {
         let view = view(agents);
         self.balancer.apply_view(&view, self.now, &mut self.sent);
     }
 
-    fn receive_from_caller(&mut self, kind: u8, port: u8) {
+    pub(crate) fn receive_from_caller(&mut self, kind: u8, port: u8) {
         self.balancer.receive_from_caller(
             &[kind, port, ACKNOWLEDGED_TENS],
             self.now,
@@ -139,7 +139,12 @@
         );
     }
 
-    fn receive_from_peer(&mut self, from: SocketAddrV4, message: Message, datagram: &[u8]) {
+    pub(crate) fn receive_from_peer(
+        &mut self,
+        from: SocketAddrV4,
+        message: Message,
+        datagram: &[u8],
+    ) {
         let received = Received {
             from,
             message,
@@ -149,7 +154,7 @@
             .receive_from_peer(&received, self.now, &mut self.sent);
     }
 
-    fn advance(&mut self, millis: u64) {
+    pub(crate) fn advance(&mut self, millis: u64) {
         let end = self.now + std::time::Duration::from_millis(millis);
         while self.now < end {
             self.now = self.now + std::time::Duration::from_millis(1);
@@ -177,14 +182,14 @@
     }
 
     /// Answers all queries with [`Ownership::NotHeld`] until the search has ended.
-    fn deny_all_queries(&mut self, agents: KnownAgents) {
+    pub(crate) fn deny_all_queries(&mut self, agents: KnownAgents) {
         for _ in 0..3 {
             self.answer_queries(Ownership::NotHeld, agents);
             self.advance(10);
         }
     }
 
-    fn answer_queries(&mut self, ownership: Ownership, agents: KnownAgents) {
+    pub(crate) fn answer_queries(&mut self, ownership: Ownership, agents: KnownAgents) {
         let sent = std::mem::take(&mut self.sent.messages);
         for (peer, message) in sent {
             self.answer(peer, message, ownership, agents);
@@ -193,7 +198,7 @@
 
     /// Answers a query for a flow, and a round as an agent with no flows that is sure unless
     /// `ownership` is [`Ownership::Unsure`].
-    fn answer(
+    pub(crate) fn answer(
         &mut self,
         peer: SocketAddrV4,
         message: Message,
@@ -223,7 +228,7 @@
 }
 
 /// Returns the encoded filter of the flows of some callers' ports.
-fn filter(ports: &[u8], round: u32) -> Vec<u8> {
+pub(crate) fn filter(ports: &[u8], round: u32) -> Vec<u8> {
     let mut hashes = Vec::new();
     for port in ports {
         hashes.push(FlowHash::new(&flow(*port), round));
@@ -513,7 +518,7 @@
     assert_eq!(harness.sent.resets, 0);
 }
 
-fn known_agents(count: u8) -> KnownAgents {
+pub(crate) fn known_agents(count: u8) -> KnownAgents {
     let ready: Vec<_> = (1..=count).map(|i| (i, MemberState::Ready)).collect();
     view(&ready).known_agents()
 }
--- a/core/tests/l4/main.rs
+++ b/core/tests/l4/main.rs
@@ -5,3 +5,4 @@
 mod codec;
 mod flow_set;
 mod lost_flows;
+mod search;
--- /dev/null
+++ b/core/tests/l4/search.rs
@@ -0,0 +1,360 @@
+//! Searches for the owners of flows by rounds, through the failures of messages and agents.
+
+use std::net::SocketAddrV4;
+
+use berylvalve_core::{
+    l4::message::{Message, Ownership},
+    member::{KnownAgents, MemberState, View},
+    owner_id::Incarnation,
+};
+
+use crate::{
+    balancer::{Harness, agent, filter, known_agents, view},
+    codec::{DATA, OPENING, flow},
+};
+
+/// Unix time in the tests of a fleet that has just started.
+const UNIX_MS: u64 = 1_700_000_000_000;
+
+/// Sends a segment of an unknown flow and lets the homes deny it. Returns the queries of the round.
+fn start_round(harness: &mut Harness, port: u8, known: KnownAgents) -> Vec<(SocketAddrV4, u32)> {
+    harness.receive_from_caller(DATA, port);
+    harness.answer_queries(Ownership::NotHeld, known);
+    harness.advance(15);
+    take_round(harness)
+}
+
+/// Returns the queries of rounds among the messages that were sent, which are cleared.
+fn take_round(harness: &mut Harness) -> Vec<(SocketAddrV4, u32)> {
+    let mut queries = Vec::new();
+    for (peer, message) in std::mem::take(&mut harness.sent.messages) {
+        if let Message::ListFlows { round } = message {
+            queries.push((peer, round));
+        }
+    }
+    queries
+}
+
+/// Returns the agents that were sent a query for a flow since the messages were last taken; clears
+/// the messages.
+fn take_queried(harness: &mut Harness) -> Vec<SocketAddrV4> {
+    let sent = std::mem::take(&mut harness.sent.messages);
+    let finds = sent.into_iter();
+    let finds = finds.filter(|(_, message)| matches!(message, Message::Find { .. }));
+    finds.map(|(peer, _)| peer).collect()
+}
+
+/// Replies to a round as an agent that holds the flows of some ports.
+fn reply(
+    harness: &mut Harness,
+    (peer, round): (SocketAddrV4, u32),
+    (sure, ports): (bool, &[u8]),
+    agents: KnownAgents,
+) {
+    let held = Message::HeldFlows {
+        round,
+        sure,
+        agents,
+    };
+    harness.receive_from_peer(peer, held, &filter(ports, round));
+}
+
+/// Guards against queries for each flow, which fill the link of a small balancer.
+#[test]
+fn one_query_to_each_agent_serves_all_searches_that_wait() {
+    let mut harness = Harness::new(3);
+    let known = known_agents(3);
+    for port in 1..=100 {
+        harness.receive_from_caller(DATA, port);
+    }
+    harness.answer_queries(Ownership::NotHeld, known);
+    harness.advance(1);
+    let queries = take_round(&mut harness);
+    assert_eq!(queries.len(), 3);
+    for query in queries {
+        reply(&mut harness, query, (true, &[]), known);
+    }
+    assert_eq!(harness.sent.resets, 100);
+}
+
+/// Guards against the reset of a flow that an agent holds, and against queries to all agents for it.
+#[test]
+fn only_the_agent_whose_filter_contains_the_flow_is_queried_for_it() {
+    let mut harness = Harness::new(3);
+    let known = known_agents(3);
+    for query in start_round(&mut harness, 1, known) {
+        let ports: &[u8] = if query.0 == agent(2) { &[1] } else { &[] };
+        reply(&mut harness, query, (true, ports), known);
+    }
+    assert_eq!(take_queried(&mut harness), [agent(2)]);
+    let found = Message::Found {
+        flow: flow(1),
+        ownership: Ownership::Held,
+        agents: known,
+    };
+    harness.receive_from_peer(agent(2), found, &[]);
+    assert_eq!(harness.sent.messages, [(agent(2), Message::Forward)]);
+    assert_eq!(harness.sent.resets, 0);
+}
+
+/// Guards against a search that ends without a verdict when a datagram is lost.
+#[test]
+fn lost_queries_and_replies_of_a_round_are_repeated() {
+    let mut harness = Harness::new(3);
+    let known = known_agents(3);
+    let queries = start_round(&mut harness, 1, known);
+    reply(&mut harness, queries[0], (true, &[]), known);
+    harness.advance(26);
+    let repeated = take_round(&mut harness);
+    assert_eq!(repeated, queries[1..]);
+    for query in repeated {
+        reply(&mut harness, query, (true, &[]), known);
+    }
+    assert_eq!(harness.sent.resets, 1);
+}
+
+/// Guards against resets of flows that an agent of an older build holds, which does not know rounds, and
+/// against flows that are never reset in a fleet with such an agent.
+#[test]
+fn agent_that_ignores_rounds_is_queried_for_each_flow() {
+    for (ownership, resets) in [(Ownership::Held, 0), (Ownership::NotHeld, 1)] {
+        let mut harness = Harness::new(3);
+        let known = known_agents(3);
+        let old_build = agent(3);
+        for query in start_round(&mut harness, 1, known) {
+            if query.0 != old_build {
+                reply(&mut harness, query, (true, &[]), known);
+            }
+        }
+        harness.advance(80);
+        assert_eq!(harness.sent.resets, 0);
+        assert_eq!(take_queried(&mut harness), [old_build]);
+        let found = Message::Found {
+            flow: flow(1),
+            ownership,
+            agents: known,
+        };
+        harness.receive_from_peer(old_build, found, &[]);
+        assert_eq!(harness.sent.resets, resets, "{ownership:?}");
+    }
+}
+
+/// Guards against the reset of a flow from before the start of an agent, which its server still holds.
+#[test]
+fn unsure_agent_gets_a_trial_delivery_before_the_flow_is_reset() {
+    for (is_returned, resets) in [(false, 0), (true, 1)] {
+        let mut harness = Harness::new(3);
+        let known = known_agents(3);
+        for query in start_round(&mut harness, 1, known) {
+            reply(&mut harness, query, (query.0 != agent(2), &[]), known);
+        }
+        assert_eq!(harness.sent.messages, [(agent(2), Message::Forward)]);
+        assert_eq!(harness.sent.resets, 0);
+        if is_returned {
+            harness.receive_from_peer(agent(2), Message::Unknown, &[DATA, 1, 10]);
+        }
+        harness.advance(100);
+        assert_eq!(harness.sent.resets, resets, "returned: {is_returned}");
+    }
+}
+
+/// Guards against proof by replies from before the segment that is searched for: its flow may have been
+/// opened at an agent after that agent replied.
+#[test]
+fn flow_that_was_opened_between_a_round_and_its_replies_takes_part_in_the_next_round() {
+    let mut harness = Harness::new(2);
+    let known = known_agents(2);
+    let queries = start_round(&mut harness, 1, known);
+    harness.receive_from_caller(DATA, 2);
+    harness.answer_queries(Ownership::NotHeld, known);
+    for query in queries {
+        reply(&mut harness, query, (true, &[]), known);
+    }
+    assert_eq!(harness.sent.resets, 1, "the first flow only");
+    harness.advance(15);
+    for query in take_round(&mut harness) {
+        let ports: &[u8] = if query.0 == agent(2) { &[2] } else { &[] };
+        reply(&mut harness, query, (true, ports), known);
+    }
+    assert_eq!(take_queried(&mut harness), [agent(2)]);
+    assert_eq!(harness.sent.resets, 1);
+}
+
+/// Guards against proof by a reply to another round, as of an earlier process of this balancer, or by a
+/// damaged one.
+#[test]
+fn replies_to_other_rounds_and_damaged_ones_prove_nothing() {
+    let mut harness = Harness::new(2);
+    let known = known_agents(2);
+    for (peer, round) in start_round(&mut harness, 1, known) {
+        reply(
+            &mut harness,
+            (peer, round.wrapping_sub(1)),
+            (true, &[]),
+            known,
+        );
+        let held = Message::HeldFlows {
+            round,
+            sure: true,
+            agents: known,
+        };
+        harness.receive_from_peer(peer, held, &[]);
+        harness.receive_from_peer(peer, held, &filter(&[2], round)[..4]);
+    }
+    harness.advance(2_000);
+    assert_eq!(harness.sent.resets, 0);
+}
+
+/// Guards against a verdict that waits for the caller's next retransmission, up to 1.6 s later.
+#[test]
+fn search_is_kept_until_the_agents_are_stable() {
+    let mut harness = Harness::new(2);
+    let known = known_agents(3);
+    harness.apply_view(&[1, 2, 3].map(|index| (index, MemberState::Ready)));
+    harness.receive_from_caller(DATA, 1);
+    for waited_ms in 0..890 {
+        harness.answer_queries(Ownership::NotHeld, known);
+        harness.advance(1);
+        assert_eq!(harness.sent.resets, 0, "after {waited_ms} ms");
+    }
+    for _ in 0..40 {
+        harness.answer_queries(Ownership::NotHeld, known);
+        harness.advance(1);
+    }
+    assert_eq!(harness.sent.resets, 1);
+}
+
+/// Guards against the reset of a flow at an agent that other processes know, and against a search that
+/// is not decided once the agent is known here too.
+#[test]
+fn search_is_kept_until_the_agents_of_other_processes_are_known() {
+    let mut harness = Harness::new(2);
+    let known = known_agents(3);
+    harness.receive_from_caller(DATA, 1);
+    for _ in 0..500 {
+        harness.answer_queries(Ownership::NotHeld, known);
+        harness.advance(1);
+    }
+    assert_eq!(harness.sent.resets, 0);
+    assert!(harness.balancer.take_better_informed().is_some());
+    harness.apply_view(&[1, 2, 3].map(|index| (index, MemberState::Ready)));
+    for _ in 0..1_050 {
+        harness.answer_queries(Ownership::NotHeld, known);
+        harness.advance(1);
+    }
+    assert_eq!(harness.sent.resets, 1);
+}
+
+/// Guards against searches for callers that have given up.
+#[test]
+fn kept_search_ends_3_s_after_the_last_segment() {
+    let mut harness = Harness::new(2);
+    let unknown = known_agents(3);
+    harness.receive_from_caller(DATA, 1);
+    for _ in 0..3_300 {
+        harness.answer_queries(Ownership::NotHeld, unknown);
+        harness.advance(1);
+    }
+    harness.sent.messages.clear();
+    harness.advance(500);
+    assert!(harness.sent.messages.is_empty());
+    assert_eq!(harness.sent.resets, 0);
+}
+
+/// Guards against the proof by a round from before the caller opened the flow again, through another
+/// balancer, while the search was kept.
+#[test]
+fn round_from_before_a_new_acknowledgement_proves_nothing() {
+    let mut harness = Harness::new(2);
+    let known = known_agents(2);
+    let queries = start_round(&mut harness, 1, known);
+    harness.advance(1);
+    harness
+        .balancer
+        .receive_from_caller(&[DATA, 1, 99], harness.now, &mut harness.sent);
+    for query in queries {
+        reply(&mut harness, query, (true, &[]), known);
+    }
+    assert_eq!(harness.sent.resets, 0);
+    harness.advance(15);
+    for query in take_round(&mut harness) {
+        reply(&mut harness, query, (true, &[]), known);
+    }
+    assert_eq!(harness.sent.resets, 1);
+}
+
+/// Returns how many of the searches at one time after the agents became known have reset their flow.
+/// The agents started `ages` tenths of a second before they became known.
+fn resets_after(waited_ms: u64, ages: [i64; 2], state: MemberState, ownership: Ownership) -> usize {
+    let mut harness = Harness::new(0);
+    let agents = [(1, MemberState::Ready), (2, state)];
+    let mut members = view(&agents).members;
+    for (record, age) in members.values_mut().zip(ages) {
+        record.incarnation = Incarnation((UNIX_MS as i64 / 100 - age) as u32);
+    }
+    let base = View {
+        joined: true,
+        ..View::default()
+    };
+    let view = base.next(members);
+    harness.balancer.set_unix_ms(UNIX_MS, harness.now);
+    harness
+        .balancer
+        .apply_view(&view, harness.now, &mut harness.sent);
+    harness.advance(waited_ms);
+    harness.receive_from_caller(DATA, 1);
+    for _ in 0..20 {
+        for (peer, message) in std::mem::take(&mut harness.sent.messages) {
+            if message == Message::Forward {
+                harness.receive_from_peer(peer, Message::Unknown, &[DATA, 1, 10]);
+            }
+            harness.answer(peer, message, ownership, view.known_agents());
+        }
+        harness.advance(1);
+    }
+    harness.sent.resets
+}
+
+/// Guards against late resets when a whole fleet has started, and against the shorter window where a
+/// process of before can know another agent, an agent may hold flows from before, an agent that
+/// started with the others may not have joined yet, or the clock is wrong.
+#[test]
+fn window_is_shorter_only_if_the_whole_fleet_has_just_started_and_is_sure() {
+    let (ready, dead) = (MemberState::Ready, MemberState::Dead);
+    let (sure, unsure) = (Ownership::NotHeld, Ownership::Unsure);
+    assert_eq!(resets_after(310, [12, 15], ready, sure), 1);
+    assert_eq!(resets_after(200, [12, 15], ready, sure), 0, "too early");
+    assert_eq!(resets_after(310, [3, 15], ready, sure), 0, "just started");
+    assert_eq!(resets_after(310, [12, 60], ready, sure), 0, "an old agent");
+    assert_eq!(
+        resets_after(310, [12, 60], dead, sure),
+        0,
+        "a dead old agent"
+    );
+    assert_eq!(
+        resets_after(310, [12, 15], ready, unsure),
+        0,
+        "unsure agents"
+    );
+    assert_eq!(
+        resets_after(310, [12, -600], ready, sure),
+        0,
+        "clock set back"
+    );
+    assert_eq!(resets_after(950, [12, 60], ready, sure), 1);
+    assert_eq!(resets_after(950, [12, 15], ready, unsure), 1);
+}
+
+/// Guards against a search that a later opening of the same flow leaves behind.
+#[test]
+fn opening_of_a_flow_that_is_searched_for_ends_in_no_reset_by_the_search() {
+    let mut harness = Harness::new(2);
+    let known = known_agents(2);
+    let queries = start_round(&mut harness, 1, known);
+    harness.receive_from_caller(OPENING, 1);
+    for query in queries {
+        reply(&mut harness, query, (true, &[]), known);
+    }
+    harness.advance(10);
+    assert_eq!(harness.sent.resets, 0);
+}
