--- a/core/tests/l4/search.rs
+++ b/core/tests/l4/search.rs
@@ -9,7 +9,7 @@
 };
 
 use crate::{
-    balancer::{Harness, agent, filter, known_agents, view},
+    balancer::{ACKNOWLEDGED_TENS, Harness, agent, filter, known_agents, view},
     codec::{DATA, OPENING, flow},
 };
 
@@ -358,3 +358,156 @@
     harness.advance(10);
     assert_eq!(harness.sent.resets, 0);
 }
+
+#[test]
+fn flow_that_no_agent_holds_is_reset_only_if_no_process_knows_more_agents() {
+    let known = view(&[(1, MemberState::Ready), (2, MemberState::Ready)]).known_agents();
+    let more = KnownAgents {
+        count: 3,
+        digest: 7,
+    };
+    for (agents, resets) in [(known, 1), (more, 0)] {
+        let mut harness = Harness::new(2);
+        harness.receive_from_caller(DATA, 1);
+        harness.deny_all_queries(agents);
+        assert_eq!(harness.sent.resets, resets, "{agents:?}");
+    }
+}
+
+/// A process that starts without seeds counts as joined and knows no agent, so that a search without
+/// replies shows nothing about the flow.
+#[test]
+fn balancer_that_knows_no_agent_resets_no_flow() {
+    let mut harness = Harness::new(0);
+    harness.advance(2_000);
+    harness.receive_from_caller(DATA, 1);
+    harness.advance(2_000);
+    assert_eq!(harness.sent.resets, 0);
+}
+
+/// Until a balancer has fetched the members that its seeds know, an agent that it does not know may
+/// hold the flow.
+#[test]
+fn balancer_that_has_not_joined_resets_no_flow() {
+    for (joined, resets) in [(false, 0), (true, 1)] {
+        let mut harness = Harness::new(0);
+        let agents = [(1, MemberState::Ready), (2, MemberState::Ready)];
+        let view = View {
+            joined,
+            ..view(&agents)
+        };
+        harness
+            .balancer
+            .apply_view(&view, harness.now, &mut harness.sent);
+        harness.advance(2_000);
+        harness.receive_from_caller(DATA, 1);
+        harness.deny_all_queries(view.known_agents());
+        assert_eq!(harness.sent.resets, resets, "joined: {joined}");
+    }
+}
+
+/// Shortly after one agent has become known, membership updates about others may still be under way.
+#[test]
+fn balancer_that_has_just_learned_of_an_agent_resets_no_flow() {
+    for (waited_ms, resets) in [(300, 0), (1_000, 1)] {
+        let mut harness = Harness::new(2);
+        let known = known_agents(3);
+        let agents = [1, 2, 3].map(|index| (index, MemberState::Ready));
+        harness.apply_view(&agents);
+        harness.advance(waited_ms);
+        harness.receive_from_caller(DATA, 1);
+        harness.deny_all_queries(known);
+        assert_eq!(harness.sent.resets, resets, "after {waited_ms} ms");
+    }
+}
+
+/// While servers are replaced one after the other, some agent has always just left, and the processes do
+/// not learn of it at the same time. A flow that nobody holds must be reset nevertheless. An agent that
+/// was declared dead may still hold the flow, so a process that knows it keeps the flow from a reset.
+#[test]
+fn flow_that_no_agent_holds_is_reset_while_agents_leave_and_not_while_one_is_dead() {
+    for (state, resets) in [(MemberState::Left, 1), (MemberState::Dead, 0)] {
+        let mut harness = Harness::new(3);
+        let before = known_agents(3);
+        let ready = MemberState::Ready;
+        harness.apply_view(&[(1, ready), (2, ready), (3, state)]);
+        harness.advance(10);
+        harness.receive_from_caller(DATA, 1);
+        harness.deny_all_queries(before);
+        assert_eq!(harness.sent.resets, resets, "{state:?}");
+    }
+}
+
+/// The membership may be wrong about an agent that was declared dead, and its record may return.
+#[test]
+fn balancer_that_has_just_lost_an_agent_resets_no_flow() {
+    for (waited_ms, resets) in [(10, 0), (1_000, 1)] {
+        let mut harness = Harness::new(3);
+        let ready = MemberState::Ready;
+        harness.apply_view(&[(1, ready), (2, ready), (3, MemberState::Dead)]);
+        harness.advance(waited_ms);
+        harness.receive_from_caller(DATA, 1);
+        harness.deny_all_queries(known_agents(2));
+        assert_eq!(harness.sent.resets, resets, "after {waited_ms} ms");
+    }
+}
+
+#[test]
+fn flow_is_not_reset_while_one_agent_has_not_replied() {
+    let mut harness = Harness::new(3);
+    let known = known_agents(3);
+    harness.receive_from_caller(DATA, 1);
+    for _ in 0..30 {
+        let sent = std::mem::take(&mut harness.sent.messages);
+        for (peer, message) in sent {
+            if peer != agent(3) {
+                harness.answer(peer, message, Ownership::NotHeld, known);
+            }
+        }
+        harness.advance(10);
+    }
+    assert_eq!(harness.sent.resets, 0);
+}
+
+/// One agent does not hold the flow, one is unsure and its server returns the segment, and one does not
+/// reply: the missing reply does not show that no agent holds the flow.
+#[test]
+fn flow_is_not_reset_after_a_trial_delivery_while_one_agent_has_not_replied() {
+    let mut harness = Harness::new(3);
+    let known = known_agents(3);
+    harness.receive_from_caller(DATA, 1);
+    for _ in 0..60 {
+        let sent = std::mem::take(&mut harness.sent.messages);
+        for (peer, message) in sent {
+            let ownership = match peer.ip().octets()[3] {
+                1 => Ownership::NotHeld,
+                2 => Ownership::Unsure,
+                _ => continue,
+            };
+            match message {
+                Message::Forward => {
+                    harness.receive_from_peer(peer, Message::Unknown, &[DATA, 1, ACKNOWLEDGED_TENS])
+                }
+                _ => harness.answer(peer, message, ownership, known),
+            }
+        }
+        harness.advance(5);
+    }
+    assert_eq!(harness.sent.resets, 0);
+}
+
+#[test]
+fn segments_of_an_unknown_flow_are_forwarded_once_its_owner_is_found() {
+    let mut harness = Harness::new(3);
+    harness.receive_from_caller(DATA, 1);
+    harness.receive_from_caller(DATA, 1);
+    let flow = flow(1);
+    let found = Message::Found {
+        flow,
+        ownership: Ownership::Held,
+        agents: KnownAgents::default(),
+    };
+    harness.sent.messages.clear();
+    harness.receive_from_peer(agent(2), found, &[]);
+    assert_eq!(harness.sent.messages, [(agent(2), Message::Forward); 2]);
+}
