--- a/core/tests/l4/balancer.rs
+++ b/core/tests/l4/balancer.rs
@@ -10,6 +10,7 @@
     clock::Time,
     l4::{
         balancer::{Balancer, BalancerOptions},
+        flow_set::{self, FlowHash},
         message::{self, Message, Ownership, Received, Refusal},
         outbox::Outbox,
         routes::{Route, RouteTable, ServiceKey, Target},
@@ -22,14 +23,14 @@
 use crate::codec::{DATA, OPENING, RESET, TestCodec, flow};
 
 /// Sequence number that callers acknowledge, in tens.
-const ACKNOWLEDGED_TENS: u8 = 10;
+pub(crate) const ACKNOWLEDGED_TENS: u8 = 10;
 
 const LINK_RATE: u64 = 1_250_000;
 
 #[derive(Default)]
-struct RecordingOutbox {
-    messages: Vec<(SocketAddrV4, Message)>,
-    resets: usize,
+pub(crate) struct RecordingOutbox {
+    pub(crate) messages: Vec<(SocketAddrV4, Message)>,
+    pub(crate) resets: usize,
 }
 
 impl Outbox for RecordingOutbox {
@@ -45,11 +46,11 @@
     fn to_server(&mut self, _: &[u8]) {}
 }
 
-fn agent(index: u8) -> SocketAddrV4 {
+pub(crate) fn agent(index: u8) -> SocketAddrV4 {
     SocketAddrV4::new(Ipv4Addr::new(10, 0, 1, index), 7001)
 }
 
-fn view(agents: &[(u8, MemberState)]) -> View {
+pub(crate) fn view(agents: &[(u8, MemberState)]) -> View {
     let agents: Vec<_> = agents
         .iter()
         .map(|(i, state)| (*i, *state, "desk"))
@@ -81,14 +82,14 @@
     base.next(members)
 }
 
-struct Harness {
-    balancer: Balancer<TestCodec>,
-    sent: RecordingOutbox,
-    now: Time,
+pub(crate) struct Harness {
+    pub(crate) balancer: Balancer<TestCodec>,
+    pub(crate) sent: RecordingOutbox,
+    pub(crate) now: Time,
 }
 
 impl Harness {
-    fn new(agents: u8) -> Self {
+    pub(crate) fn new(agents: u8) -> Self {
         Self::with_target(agents, 100)
     }
 
@@ -125,12 +126,12 @@
         harness
     }
 
-    fn apply_view(&mut self, agents: &[(u8, MemberState)]) {
+    pub(crate) fn apply_view(&mut self, agents: &[(u8, MemberState)]) {
         let view = view(agents);
         self.balancer.apply_view(&view, self.now, &mut self.sent);
     }
 
-    fn receive_from_caller(&mut self, kind: u8, port: u8) {
+    pub(crate) fn receive_from_caller(&mut self, kind: u8, port: u8) {
         self.balancer.receive_from_caller(
             &[kind, port, ACKNOWLEDGED_TENS],
             self.now,
@@ -138,7 +139,12 @@
         );
     }
 
-    fn receive_from_peer(&mut self, from: SocketAddrV4, message: Message, datagram: &[u8]) {
+    pub(crate) fn receive_from_peer(
+        &mut self,
+        from: SocketAddrV4,
+        message: Message,
+        datagram: &[u8],
+    ) {
         let received = Received {
             from,
             message,
@@ -148,7 +154,7 @@
             .receive_from_peer(&received, self.now, &mut self.sent);
     }
 
-    fn advance(&mut self, millis: u64) {
+    pub(crate) fn advance(&mut self, millis: u64) {
         let end = self.now + std::time::Duration::from_millis(millis);
         while self.now < end {
             self.now = self.now + std::time::Duration::from_millis(1);
@@ -176,17 +182,31 @@
     }
 
     /// Answers all queries with [`Ownership::NotHeld`] until the search has ended.
-    fn deny_all_queries(&mut self, agents: KnownAgents) {
+    pub(crate) fn deny_all_queries(&mut self, agents: KnownAgents) {
         for _ in 0..3 {
             self.answer_queries(Ownership::NotHeld, agents);
             self.advance(10);
         }
     }
 
-    fn answer_queries(&mut self, ownership: Ownership, agents: KnownAgents) {
+    pub(crate) fn answer_queries(&mut self, ownership: Ownership, agents: KnownAgents) {
         let sent = std::mem::take(&mut self.sent.messages);
         for (peer, message) in sent {
-            if let Message::Find { flow, .. } = message {
+            self.answer(peer, message, ownership, agents);
+        }
+    }
+
+    /// Answers a query for a flow, and a round as an agent with no flows that is sure unless
+    /// `ownership` is [`Ownership::Unsure`].
+    pub(crate) fn answer(
+        &mut self,
+        peer: SocketAddrV4,
+        message: Message,
+        ownership: Ownership,
+        agents: KnownAgents,
+    ) {
+        match message {
+            Message::Find { flow, .. } => {
                 let found = Message::Found {
                     flow,
                     ownership,
@@ -194,10 +214,30 @@
                 };
                 self.receive_from_peer(peer, found, &[]);
             }
+            Message::ListFlows { round } => {
+                let held = Message::HeldFlows {
+                    round,
+                    sure: ownership != Ownership::Unsure,
+                    agents,
+                };
+                self.receive_from_peer(peer, held, &filter(&[], round));
+            }
+            _ => {}
         }
     }
 }
 
+/// Returns the encoded filter of the flows of some callers' ports.
+pub(crate) fn filter(ports: &[u8], round: u32) -> Vec<u8> {
+    let mut hashes = Vec::new();
+    for port in ports {
+        hashes.push(FlowHash::new(&flow(*port), round));
+    }
+    let mut buffer = Vec::new();
+    flow_set::encode(&hashes, &mut buffer);
+    buffer
+}
+
 /// The number in an opening segment is its age in hundreds of milliseconds.
 #[test]
 fn opening_tells_the_time_left_until_the_target_and_a_route_without_one_is_never_late() {
@@ -325,175 +365,7 @@
     assert_eq!(harness.sent.messages, [(second, Message::Forward)]);
 }
 
-#[test]
-fn segments_of_an_unknown_flow_are_forwarded_once_its_owner_is_found() {
-    let mut harness = Harness::new(3);
-    harness.receive_from_caller(DATA, 1);
-    harness.receive_from_caller(DATA, 1);
-    let flow = flow(1);
-    let found = Message::Found {
-        flow,
-        ownership: Ownership::Held,
-        agents: KnownAgents::default(),
-    };
-    harness.sent.messages.clear();
-    harness.receive_from_peer(agent(2), found, &[]);
-    assert_eq!(harness.sent.messages, [(agent(2), Message::Forward); 2]);
-}
-
-#[test]
-fn flow_that_no_agent_holds_is_reset_only_if_no_process_knows_more_agents() {
-    let known = view(&[(1, MemberState::Ready), (2, MemberState::Ready)]).known_agents();
-    let more = KnownAgents {
-        count: 3,
-        digest: 7,
-    };
-    for (agents, resets) in [(known, 1), (more, 0)] {
-        let mut harness = Harness::new(2);
-        harness.receive_from_caller(DATA, 1);
-        harness.deny_all_queries(agents);
-        assert_eq!(harness.sent.resets, resets, "{agents:?}");
-    }
-}
-
-/// A process that starts without seeds counts as joined and knows no agent, so that a search without
-/// replies shows nothing about the flow.
-#[test]
-fn balancer_that_knows_no_agent_resets_no_flow() {
-    let mut harness = Harness::new(0);
-    harness.advance(2_000);
-    harness.receive_from_caller(DATA, 1);
-    harness.advance(2_000);
-    assert_eq!(harness.sent.resets, 0);
-}
-
-/// Until a balancer has fetched the members that its seeds know, an agent that it does not know may
-/// hold the flow.
-#[test]
-fn balancer_that_has_not_joined_resets_no_flow() {
-    for (joined, resets) in [(false, 0), (true, 1)] {
-        let mut harness = Harness::new(0);
-        let agents = [(1, MemberState::Ready), (2, MemberState::Ready)];
-        let view = View {
-            joined,
-            ..view(&agents)
-        };
-        harness
-            .balancer
-            .apply_view(&view, harness.now, &mut harness.sent);
-        harness.advance(2_000);
-        harness.receive_from_caller(DATA, 1);
-        harness.deny_all_queries(view.known_agents());
-        assert_eq!(harness.sent.resets, resets, "joined: {joined}");
-    }
-}
-
-/// Shortly after one agent has become known, membership updates about others may still be under way.
-#[test]
-fn balancer_that_has_just_learned_of_an_agent_resets_no_flow() {
-    for (waited_ms, resets) in [(300, 0), (1_000, 1)] {
-        let mut harness = Harness::new(2);
-        let known = known_agents(3);
-        let agents = [1, 2, 3].map(|index| (index, MemberState::Ready));
-        harness.apply_view(&agents);
-        harness.advance(waited_ms);
-        harness.receive_from_caller(DATA, 1);
-        harness.deny_all_queries(known);
-        assert_eq!(harness.sent.resets, resets, "after {waited_ms} ms");
-    }
-}
-
-/// While servers are replaced one after the other, some agent has always just left, and the processes do
-/// not learn of it at the same time. A flow that nobody holds must be reset nevertheless. An agent that
-/// was declared dead may still hold the flow, so a process that knows it keeps the flow from a reset.
-#[test]
-fn flow_that_no_agent_holds_is_reset_while_agents_leave_and_not_while_one_is_dead() {
-    for (state, resets) in [(MemberState::Left, 1), (MemberState::Dead, 0)] {
-        let mut harness = Harness::new(3);
-        let before = known_agents(3);
-        let ready = MemberState::Ready;
-        harness.apply_view(&[(1, ready), (2, ready), (3, state)]);
-        harness.advance(10);
-        harness.receive_from_caller(DATA, 1);
-        harness.deny_all_queries(before);
-        assert_eq!(harness.sent.resets, resets, "{state:?}");
-    }
-}
-
-/// The membership may be wrong about an agent that was declared dead, and its record may return.
-#[test]
-fn balancer_that_has_just_lost_an_agent_resets_no_flow() {
-    for (waited_ms, resets) in [(10, 0), (1_000, 1)] {
-        let mut harness = Harness::new(3);
-        let ready = MemberState::Ready;
-        harness.apply_view(&[(1, ready), (2, ready), (3, MemberState::Dead)]);
-        harness.advance(waited_ms);
-        harness.receive_from_caller(DATA, 1);
-        harness.deny_all_queries(known_agents(2));
-        assert_eq!(harness.sent.resets, resets, "after {waited_ms} ms");
-    }
-}
-
-#[test]
-fn flow_is_not_reset_while_one_agent_has_not_replied() {
-    let mut harness = Harness::new(3);
-    let known = known_agents(3);
-    harness.receive_from_caller(DATA, 1);
-    for _ in 0..30 {
-        let sent = std::mem::take(&mut harness.sent.messages);
-        for (peer, message) in sent {
-            if let Message::Find { flow, .. } = message
-                && peer != agent(3)
-            {
-                let found = Message::Found {
-                    flow,
-                    ownership: Ownership::NotHeld,
-                    agents: known,
-                };
-                harness.receive_from_peer(peer, found, &[]);
-            }
-        }
-        harness.advance(10);
-    }
-    assert_eq!(harness.sent.resets, 0);
-}
-
-/// One agent does not hold the flow, one is unsure and its server returns the segment, and one does not
-/// reply: the missing reply does not show that no agent holds the flow.
-#[test]
-fn flow_is_not_reset_after_a_trial_delivery_while_one_agent_has_not_replied() {
-    let mut harness = Harness::new(3);
-    let known = known_agents(3);
-    harness.receive_from_caller(DATA, 1);
-    for _ in 0..60 {
-        let sent = std::mem::take(&mut harness.sent.messages);
-        for (peer, message) in sent {
-            let ownership = match peer.ip().octets()[3] {
-                1 => Ownership::NotHeld,
-                2 => Ownership::Unsure,
-                _ => continue,
-            };
-            match message {
-                Message::Find { flow, .. } => {
-                    let found = Message::Found {
-                        flow,
-                        ownership,
-                        agents: known,
-                    };
-                    harness.receive_from_peer(peer, found, &[]);
-                }
-                Message::Forward => {
-                    harness.receive_from_peer(peer, Message::Unknown, &[DATA, 1, ACKNOWLEDGED_TENS])
-                }
-                _ => {}
-            }
-        }
-        harness.advance(5);
-    }
-    assert_eq!(harness.sent.resets, 0);
-}
-
-fn known_agents(count: u8) -> KnownAgents {
+pub(crate) fn known_agents(count: u8) -> KnownAgents {
     let ready: Vec<_> = (1..=count).map(|i| (i, MemberState::Ready)).collect();
     view(&ready).known_agents()
 }
--- a/core/tests/l4/main.rs
+++ b/core/tests/l4/main.rs
@@ -3,3 +3,6 @@
 mod agent;
 mod balancer;
 mod codec;
+mod flow_set;
+mod lost_flows;
+mod search;
