Fetch the members of a process that knows more agents at once

Cause: a balancer that lacks an agent which others know can't prove that a flow is lost, and learned of the agent at the next comparison, up to 10 s later outside a start. Change: a reply that lists unknown agents makes the membership compare its members with those of the sender, over the channel that takes seeds, at most every 100 ms and within the send budget. The channel carries `Discovery`, as seeds that are known members cause no message.

--- a/core/src/l4/balancer.rs
+++ b/core/src/l4/balancer.rs
@@ -7,6 +7,7 @@
 mod dead_agents;
 pub mod fleet;
 pub mod known_agents;
+mod member_fetch;
 mod opening;
 mod reachability;
 pub mod reply_time;
@@ -28,6 +29,7 @@
     dead_agents::DeadAgents,
     fleet::{AgentChanges, Fleet},
     known_agents::AgentSet,
+    member_fetch::MemberFetch,
     opening::Opening,
     reachability::Reachability,
     reply_time::ReplyTime,
@@ -117,8 +119,7 @@
     known_agents: AgentSet,
     /// When `known_agents` counts as complete, unless another process knows more.
     stability: Stability,
-    /// Agent to fetch members from, as it knows agents that are unknown here.
-    better_informed: Option<SocketAddrV4>,
+    member_fetch: MemberFetch,
     /// Whether the members that the seeds know have been fetched, see [`View::joined`].
     joined: bool,
     /// When a balancer that knows a ready agent stops waiting for the others.
@@ -155,7 +156,7 @@
             view_version: 0,
             known_agents: AgentSet::default(),
             stability: Stability::default(),
-            better_informed: None,
+            member_fetch: MemberFetch::default(),
             joined: false,
             join_deadline: None,
             starting: true,
@@ -207,10 +208,10 @@
         self.stability.set_unix_ms(unix_ms, now);
     }
 
-    /// Returns an agent that has replied with agents that are unknown here since the last call, to fetch
-    /// its members.
-    pub fn take_better_informed(&mut self) -> Option<SocketAddrV4> {
-        self.better_informed.take()
+    /// Returns a process that has replied with agents that are unknown here since the last call, to fetch
+    /// its members; at most every 100 ms.
+    pub fn take_member_fetch(&mut self, now: Time) -> Option<SocketAddrV4> {
+        self.member_fetch.take(now)
     }
 
     /// Returns whether all agents that another process knows are known here, and remembers the process
@@ -218,7 +219,7 @@
     fn compare_known_agents(&mut self, from: SocketAddrV4, agents: &KnownAgents) -> bool {
         let knows_all = self.known_agents.includes(agents);
         if !knows_all {
-            self.better_informed = Some(from);
+            self.member_fetch.request(from);
         }
         knows_all
     }
--- a/core/src/l4/daemon.rs
+++ b/core/src/l4/daemon.rs
@@ -28,7 +28,7 @@
     control::{self, ControlClient, ControlServer},
     kernel::{Kernel, KernelError},
     member::{Directory, MemberState, Record, Role, View},
-    membership::{self, LocalRecord, Signer},
+    membership::{self, Discovery, LocalRecord, Signer},
     metrics::Metrics,
     owner_id::{FleetKey, Incarnation, ServiceTag},
     placement::relays,
@@ -138,7 +138,7 @@
         store: Arc<dyn Store>,
     ) -> Result<Self, StartError> {
         let role = Role::Balancer;
-        let (kernel, client) =
+        let (kernel, client, discoveries) =
             start_shared_components(options, role, ServiceTag(0), &store).await?;
         let routes = route_sync::start(
             &kernel,
@@ -161,8 +161,15 @@
             domain: options.domain.clone(),
             link_rate: options.link_rate,
         };
-        balancer_loop::start(&kernel, codec, &balancer_options, sockets, routes)
-            .context(KernelSnafu)?;
+        balancer_loop::start(
+            &kernel,
+            codec,
+            &balancer_options,
+            sockets,
+            routes,
+            discoveries,
+        )
+        .context(KernelSnafu)?;
         log_start(options, role);
         Ok(Self { kernel, role })
     }
@@ -181,7 +188,7 @@
     ) -> Result<(Self, AgentHandle), StartError> {
         let role = Role::Agent;
         let tag = agent_options.service.tag();
-        let (kernel, _) = start_shared_components(options, role, tag, &store).await?;
+        let (kernel, _, _) = start_shared_components(options, role, tag, &store).await?;
         let sockets = sockets::Sockets::new(
             bind(options.address).await?,
             bind(agent_daemon_options.outbound).await?,
@@ -246,7 +253,7 @@
     role: Role,
     service: ServiceTag,
     store: &Arc<dyn Store>,
-) -> Result<(Kernel, ControlClient), StartError> {
+) -> Result<(Kernel, ControlClient, mpsc::Sender<Discovery>), StartError> {
     let kernel = Kernel::new();
     let listener = TcpListener::bind(options.control).await;
     let listener = listener.context(BindSnafu {
@@ -276,13 +283,19 @@
     let signer = Signer::new(&options.keys);
     control::start(&kernel, listener, signer.clone()).context(KernelSnafu)?;
     let seeds = options.seeds.clone();
-    let seed_sender =
+    let discoveries =
         membership::start_when_ready(&kernel, socket, signer.clone(), seeds, FIRST_REPORT_TIMEOUT);
-    let seed_sender = seed_sender.context(KernelSnafu)?;
+    let discoveries = discoveries.context(KernelSnafu)?;
     let directory: Arc<Directory> = kernel.find(Directory::NAME).context(KernelSnafu)?;
-    let discovery = discover_seeds(store.clone(), options.clone(), role, directory, seed_sender);
+    let discovery = discover_seeds(
+        store.clone(),
+        options.clone(),
+        role,
+        directory,
+        discoveries.clone(),
+    );
     kernel.spawn(discovery);
-    Ok((kernel, ControlClient::new(signer)))
+    Ok((kernel, ControlClient::new(signer), discoveries))
 }
 
 /// Registers this balancer as a seed in the store while it is a relay of its failure domain.
@@ -328,7 +341,7 @@
     options: DaemonOptions,
     role: Role,
     directory: Arc<Directory>,
-    seed_sender: mpsc::Sender<Vec<SocketAddrV4>>,
+    discoveries: mpsc::Sender<Discovery>,
 ) {
     let mut checks = 0;
     loop {
@@ -341,7 +354,7 @@
         if is_needed {
             checks = 0;
             let seeds = find_seeds(store.as_ref(), &options.seed_prefix).await;
-            if seed_sender.send(seeds).await.is_err() {
+            if discoveries.send(Discovery::Seeds(seeds)).await.is_err() {
                 return;
             }
         }
--- a/core/src/l4/daemon/balancer_loop.rs
+++ b/core/src/l4/daemon/balancer_loop.rs
@@ -3,7 +3,7 @@
 
 use std::sync::Arc;
 
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 
 use super::sockets::{Sockets, receive_pending};
 use crate::{
@@ -18,6 +18,7 @@
         segment::Codec,
     },
     member::Directory,
+    membership::Discovery,
     metrics::Metrics,
     panics::contain,
 };
@@ -33,12 +34,14 @@
     options: &BalancerOptions,
     sockets: Sockets,
     routes: watch::Receiver<Arc<RouteTable>>,
+    discoveries: mpsc::Sender<Discovery>,
 ) -> Result<(), KernelError> {
     let event_loop = BalancerLoop {
         balancer: Balancer::new(codec, options, rand::random()),
         clock: kernel.clock(),
         control: kernel.find(ControlServer::NAME)?,
         directory: kernel.find(Directory::NAME)?,
+        discoveries,
         routes,
         reported_ready: false,
         paused: false,
@@ -55,6 +58,7 @@
     clock: Clock,
     control: Arc<ControlServer>,
     directory: Arc<Directory>,
+    discoveries: mpsc::Sender<Discovery>,
     routes: watch::Receiver<Arc<RouteTable>>,
     /// Whether the balancer has been reported as ready.
     reported_ready: bool,
@@ -83,6 +87,7 @@
             if now >= self.balancer.due() {
                 contain("tick", || self.balancer.tick(now, &mut &self.sockets));
             }
+            self.fetch_members(now);
             self.report_ready_once(now);
             self.pause_while_isolated(now);
         }
@@ -125,6 +130,18 @@
         self.balancer.apply_routes(routes);
     }
 
+    /// Fetches the members of a process that knows agents which are unknown here. A fetch that finds the
+    /// channel full is left out, as a later reply causes another one.
+    fn fetch_members(&mut self, now: Time) {
+        let Some(peer) = self.balancer.take_member_fetch(now) else {
+            return;
+        };
+        if let Some(record) = self.directory.view().members.get(&peer) {
+            let discovery = Discovery::BetterInformed(record.control);
+            let _ = self.discoveries.try_send(discovery);
+        }
+    }
+
     /// Reports the balancer as not ready to the fabric while it reaches no agent.
     fn pause_while_isolated(&mut self, now: Time) {
         let is_isolated = self.balancer.is_isolated(now);
--- a/core/src/membership.rs
+++ b/core/src/membership.rs
@@ -19,7 +19,7 @@
 pub mod update_queue;
 
 pub use signer::{MessageError, Signer};
-pub use udp_loop::{start, start_when_ready};
+pub use udp_loop::{Discovery, start, start_when_ready};
 
 use crate::member::Record;
 
--- a/core/src/membership/swim.rs
+++ b/core/src/membership/swim.rs
@@ -204,6 +204,13 @@
         }
     }
 
+    /// Compares the members with those of one process now, as it is known to have others.
+    pub fn compare_with(&mut self, control: SocketAddrV4, now: Time) -> Vec<Action> {
+        self.refill_budget_and_handle_freeze(now);
+        self.send_digests_to(control, SendPriority::State);
+        self.take_actions(now)
+    }
+
     /// Returns the records of all members with their states in the view, by data address.
     pub fn members(&self) -> BTreeMap<SocketAddrV4, Record> {
         self.roster.view_records()
--- a/core/src/membership/sync.rs
+++ b/core/src/membership/sync.rs
@@ -346,13 +346,17 @@
             true => self.random_seed().or(member),
             false => member.or_else(|| self.random_seed()),
         };
-        let Some(to) = to else {
-            return;
-        };
+        if let Some(to) = to {
+            self.send_digests_to(to, self.comparison_priority());
+        }
+    }
+
+    /// Sends the digests of all shards to one process.
+    pub(super) fn send_digests_to(&mut self, to: SocketAddrV4, priority: SendPriority) {
         let shards = digest::shard_count(self.roster.live_count());
         let digests = digest::digests(&self.roster, shards);
         let message = self.message(Body::Digest { digests });
-        self.send(to, self.comparison_priority(), message);
+        self.send(to, priority, message);
     }
 
     /// Returns the priority of comparisons, which is higher while starting as they replace gossip.
--- a/core/src/membership/udp_loop.rs
+++ b/core/src/membership/udp_loop.rs
@@ -17,14 +17,22 @@
     panics::contain,
 };
 
-/// Lists of discovered seeds that may wait for the UDP loop.
-const SEED_CHANNEL_CAPACITY: usize = 4;
+/// Discoveries that may wait for the UDP loop.
+const DISCOVERY_CHANNEL_CAPACITY: usize = 4;
 
 /// Interval between two checks whether the local record is ready.
 const READY_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
-/// Starts the membership of a process; seeds that are discovered later are sent to the returned
-/// channel.
+/// What other parts of a process discover about the members.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Discovery {
+    /// Control addresses of seeds.
+    Seeds(Vec<SocketAddrV4>),
+    /// Control address of a member that knows members which are unknown here.
+    BetterInformed(SocketAddrV4),
+}
+
+/// Starts the membership of a process; what is discovered later is sent to the returned channel.
 ///
 /// # Errors
 ///
@@ -34,7 +42,7 @@
     socket: UdpSocket,
     signer: Signer,
     seeds: Vec<SocketAddrV4>,
-) -> Result<mpsc::Sender<Vec<SocketAddrV4>>, KernelError> {
+) -> Result<mpsc::Sender<Discovery>, KernelError> {
     start_when_ready(kernel, socket, signer, seeds, Duration::ZERO)
 }
 
@@ -52,8 +60,8 @@
     signer: Signer,
     seeds: Vec<SocketAddrV4>,
     ready_timeout: Duration,
-) -> Result<mpsc::Sender<Vec<SocketAddrV4>>, KernelError> {
-    let (sender, discovered) = mpsc::channel(SEED_CHANNEL_CAPACITY);
+) -> Result<mpsc::Sender<Discovery>, KernelError> {
+    let (sender, discovered) = mpsc::channel(DISCOVERY_CHANNEL_CAPACITY);
     let clock = kernel.clock();
     let local: Arc<LocalRecord> = kernel.find(LocalRecord::NAME)?;
     let directory: Arc<Directory> = kernel.find(Directory::NAME)?;
@@ -87,17 +95,14 @@
 }
 
 impl UdpLoop {
-    async fn run(mut self, mut discovered: mpsc::Receiver<Vec<SocketAddrV4>>) {
+    async fn run(mut self, mut discovered: mpsc::Receiver<Discovery>) {
         let mut ticks = tokio::time::interval(TICK_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut buffer = vec![0; 2 * MAX_MESSAGE_BYTES];
         loop {
             tokio::select! {
                 _ = ticks.tick() => self.tick().await,
-                Some(seeds) = discovered.recv() => {
-                    self.swim.add_seeds(&seeds);
-                    self.tick().await;
-                }
+                Some(discovery) = discovered.recv() => self.discover(discovery).await,
                 received = self.socket.recv_from(&mut buffer) => {
                     let Ok((length, _)) = received else { continue };
                     self.receive(&buffer[..length]).await;
@@ -106,6 +111,20 @@
         }
     }
 
+    async fn discover(&mut self, discovery: Discovery) {
+        match discovery {
+            Discovery::Seeds(seeds) => {
+                self.swim.add_seeds(&seeds);
+                self.tick().await;
+            }
+            Discovery::BetterInformed(control) => {
+                let now = self.clock.now();
+                let actions = contain("membership fetch", || self.swim.compare_with(control, now));
+                self.execute(actions.unwrap_or_default()).await;
+            }
+        }
+    }
+
     async fn tick(&mut self) {
         let now = self.clock.now();
         let actions = contain("membership tick", || {
--- a/core/tests/l4/search.rs
+++ b/core/tests/l4/search.rs
@@ -236,7 +236,13 @@
         harness.advance(1);
     }
     assert_eq!(harness.sent.resets, 0);
-    assert!(harness.balancer.take_better_informed().is_some());
+    let now = harness.now;
+    assert!(harness.balancer.take_member_fetch(now).is_some());
+    harness.answer_queries(Ownership::NotHeld, known);
+    assert!(
+        harness.balancer.take_member_fetch(now).is_none(),
+        "too soon"
+    );
     harness.apply_view(&[1, 2, 3].map(|index| (index, MemberState::Ready)));
     for _ in 0..1_050 {
         harness.answer_queries(Ownership::NotHeld, known);
--- a/tests/membership/spread.rs
+++ b/tests/membership/spread.rs
@@ -1,10 +1,12 @@
 //! Tests of how fast joins, leaves, weights and revisions spread, within the send budget.
 
 use berylvalve::{
-    member::MemberState,
+    clock::Time,
+    member::{MemberState, Record},
     membership::{
         budget::{BURST_BYTES, RATE_BYTES_PER_S},
         message::MAX_MESSAGE_BYTES,
+        swim::{Action, Swim},
     },
     trial::membership::network::{Conditions, Network, record},
 };
@@ -125,6 +127,34 @@
     }
 }
 
+/// Guards against the 10 s until the next comparison, in which a balancer that lacks an agent can't prove
+/// that a flow is lost.
+#[test]
+fn comparison_with_a_better_informed_member_fetches_what_is_missing_at_once() {
+    let now = Time::from_millis(1_000);
+    let records: Vec<Record> = (0..3).map(|number| record(number, DOMAINS)).collect();
+    let mut swims = [
+        Swim::new(records[0].clone(), Vec::new(), now, 1),
+        Swim::new(records[1].clone(), Vec::new(), now, 2),
+    ];
+    swims[0].preload(&records[..2], now);
+    swims[1].preload(&records, now);
+    let mut actions = swims[0].compare_with(records[1].control, now);
+    for receiver in [1, 0, 1, 0] {
+        let mut replies = Vec::new();
+        for action in actions {
+            if let Action::Send { to, message } = action
+                && to == records[receiver].control
+            {
+                replies.extend(swims[receiver].receive(&message, now));
+            }
+        }
+        actions = replies;
+    }
+    let state = swims[0].state_of(records[2].address);
+    assert_eq!(state, Some(MemberState::Ready));
+}
+
 #[test]
 fn weight_change_reaches_all_members() {
     let mut network = fleet(100, 5);
