Read the operator's directives and spread them among all processes

Cause: evacuations and the rates of cold servers have to reach all balancers and agents within the bounds of docs/design/hard-load.md, also while the store is down or was restored from an older copy.

Change: where the settings ask for directives, the single read and watch of the routes cover the prefix of all keys of the operator, and a linearizable read yields the directives. A balancer is ready once it has a document, or 3 s after its routes. Without these settings, keys, calls and messages are those of before.

--- a/core/src/l4/agent.rs
+++ b/core/src/l4/agent.rs
@@ -1,6 +1,7 @@
 //! The agent of one backend server: admits or refuses new flows, tracks the flows that the server
 //! holds, and forwards segments in both directions.
 
+mod directives;
 mod evacuation;
 pub mod flows;
 mod opening;
@@ -14,7 +15,7 @@
 
 use self::flows::{FlowEntry, FlowState, FlowTable, SegmentEffect};
 use super::{
-    directives::Directives,
+    directives::{Directives, gossip::Gossip},
     homes::{Homes, REGISTRATION_TTL, Registry},
     message::{self, Message, Ownership, Received, Refusal},
     metrics::AgentMetrics,
@@ -83,6 +84,8 @@
     options: AgentOptions,
     server: Server,
     directives: Arc<Directives>,
+    /// Spread of the directives; `None` if the settings do not ask for them.
+    gossip: Option<Gossip>,
     flows: FlowTable,
     workload: Workload,
     /// Time until which the backend server may hold prior flows: those from before the agent's
@@ -137,6 +140,7 @@
                 options.report_interval,
             ),
             directives: Arc::default(),
+            gossip: None,
             flows: FlowTable::new(options.idle_timeout),
             workload: Workload::default(),
             prior_until: Some(now + options.max_lifetime),
@@ -176,6 +180,9 @@
 
     /// Applies a membership view, and recomputes the homes if the agents have changed.
     pub fn apply_view(&mut self, view: &View) {
+        self.gossip
+            .iter_mut()
+            .for_each(|gossip| gossip.apply_view(view));
         let agents = view.known_agents();
         if agents == self.known_agents {
             return;
@@ -285,9 +292,13 @@
         Ok(())
     }
 
-    /// Handles a frame of a balancer, or a registration by another agent.
+    /// Handles a frame of a balancer, or a registration or directives of any process.
     pub fn receive_from_peer(&mut self, received: &Received<'_>, now: Time, out: &mut impl Outbox) {
         let from = received.from;
+        if matches!(received.message, Message::Directives { .. }) {
+            self.receive_directives(received, now, out);
+            return;
+        }
         let is_registration = matches!(received.message, Message::Register { .. });
         if !is_registration {
             self.balancers.insert(from, now + BALANCER_TTL);
@@ -388,6 +399,7 @@
         while let Some((_, flow)) = self.opening_timeouts.pop_front_if(|(due, _)| *due <= now) {
             self.expire_opening(&flow, now);
         }
+        self.tick_directives(now, out);
         self.serve_waiting(now, out);
         self.workload.set_failing(self.outlier.is_ejected(now));
         if now >= self.next_runs.load_report {
@@ -405,9 +417,9 @@
             .load_report
             .min(self.next_runs.expire)
             .min(self.next_runs.register);
-        self.opening_timeouts
-            .front()
-            .map_or(next, |(due, _)| next.min(*due))
+        let opening = self.opening_timeouts.front().map(|(due, _)| *due);
+        let gossip = self.gossip.as_ref().and_then(Gossip::due);
+        opening.into_iter().chain(gossip).fold(next, Time::min)
     }
 
     fn report_load(&mut self, out: &mut impl Outbox) {
--- a/core/src/l4/balancer.rs
+++ b/core/src/l4/balancer.rs
@@ -5,6 +5,7 @@
 //! can query them for the owner of any flow, and any balancer can take over any flow.
 
 mod dead_agents;
+mod directives;
 mod evacuation;
 pub mod fleet;
 pub mod known_agents;
@@ -35,7 +36,7 @@
 };
 use super::{
     choice::AgentCandidate,
-    directives::Directives,
+    directives::{Directives, gossip::Gossip},
     message::{self, Message, Ownership, Received},
     metrics::BalancerMetrics,
     outbox::Outbox,
@@ -118,6 +119,10 @@
     fleet: Fleet,
     routes: Arc<RouteTable>,
     directives: Arc<Directives>,
+    /// Spread of the directives; `None` if the settings do not ask for them.
+    gossip: Option<Gossip>,
+    /// When a balancer that has routes stops waiting for directives.
+    directives_deadline: Option<Time>,
     view_version: u64,
     /// Agents in the last view.
     known_agents: AgentSet,
@@ -156,6 +161,8 @@
             fleet: Fleet::default(),
             routes: Arc::default(),
             directives: Arc::default(),
+            gossip: None,
+            directives_deadline: None,
             view_version: 0,
             known_agents: AgentSet::default(),
             stable_at: Time::default(),
@@ -183,12 +190,15 @@
     }
 
     /// Returns whether the balancer may receive its share of the flows: it has routes, knows a ready
-    /// agent, and has fetched the members that its seeds know or has waited long enough for them.
+    /// agent, and has fetched the members that its seeds know and the directives, or has waited long
+    /// enough for them.
     pub fn can_serve(&self, now: Time) -> bool {
         let has_waited = self
             .join_deadline
             .is_some_and(|join_deadline| now >= join_deadline);
-        self.has_routes_and_ready_agent() && (self.joined || has_waited)
+        self.has_routes_and_ready_agent()
+            && (self.joined || has_waited)
+            && !self.awaits_directives(now)
     }
 
     /// Returns the metrics, to be registered once at the start.
@@ -208,6 +218,9 @@
     /// have disappeared from the view.
     pub fn apply_view(&mut self, view: &View, now: Time, out: &mut impl Outbox) {
         self.view_version = view.version;
+        if let Some(gossip) = &mut self.gossip {
+            gossip.apply_view(view);
+        }
         let changes = self.fleet.apply_view(view, &self.domain);
         self.update_known_agents(&changes, view, now);
         self.joined = view.joined;
@@ -316,13 +329,14 @@
             | Message::Register { .. }
             | Message::ListFlows { .. }
             | Message::HeldFlows { .. }
-            | Message::Directives { .. }
             | Message::Demand(_) => {}
+            Message::Directives { .. } => self.receive_directives(received, now, out),
         }
     }
 
     /// Handles the timeouts that have passed, sends probes and removes expired flows.
     pub fn tick(&mut self, now: Time, out: &mut impl Outbox) {
+        self.tick_directives(now, out);
         while let Some(flow) = pop_due(&mut self.opening_timers, now) {
             self.handle_opening_timeout(&flow, now, out);
         }
@@ -348,7 +362,8 @@
         let opening = self.opening_timers.peek().map(|Reverse((due, _))| *due);
         let search = self.search_timers.peek().map(|Reverse((due, _))| *due);
         let next = opening.into_iter().chain(search);
-        let next = next.chain(self.dead_agents.due()).min();
+        let gossip = self.gossip.as_ref().and_then(Gossip::due);
+        let next = next.chain(self.dead_agents.due()).chain(gossip).min();
         next.map_or(self.next_expiry, |next| next.min(self.next_expiry))
     }
 
--- a/core/src/l4/daemon.rs
+++ b/core/src/l4/daemon.rs
@@ -18,8 +18,8 @@
     sockets::receive_pending,
 };
 use super::{
-    agent::AgentOptions,
-    balancer::BalancerOptions,
+    agent::{Agent, AgentOptions},
+    balancer::{Balancer, BalancerOptions},
     route_sync::service::{self as route_sync, RouteSource},
     segment::Codec,
 };
@@ -102,7 +102,7 @@
 }
 
 /// Options of a balancer's daemon, besides [`DaemonOptions`].
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct BalancerDaemonOptions {
     /// Address to which the fabric delivers the callers' datagrams.
     pub ingress: SocketAddrV4,
@@ -115,6 +115,8 @@
 pub struct AgentDaemonOptions {
     /// Address to which the backend server sends its segments.
     pub outbound: SocketAddrV4,
+    /// Whether the agent takes part in the exchange of directives.
+    pub directives: bool,
 }
 
 /// A running daemon.
@@ -143,10 +145,10 @@
         let routes = route_sync::start(
             &kernel,
             store.clone(),
-            balancer_daemon_options.source,
+            balancer_daemon_options.source.clone(),
             client,
         );
-        let routes = routes.context(KernelSnafu)?;
+        let receivers = routes.context(KernelSnafu)?;
         let directory: Arc<Directory> = kernel.find(Directory::NAME).context(KernelSnafu)?;
         kernel.spawn(register_while_relay(store, options.clone(), directory));
         let sockets = sockets::Sockets::new(
@@ -161,8 +163,12 @@
             domain: options.domain.clone(),
             link_rate: options.link_rate,
         };
-        balancer_loop::start(&kernel, codec, &balancer_options, sockets, routes)
-            .context(KernelSnafu)?;
+        let balancer = Balancer::new(codec, &balancer_options, rand::random());
+        let balancer = match balancer_daemon_options.source.directives {
+            Some(_) => balancer.with_directives(),
+            None => balancer,
+        };
+        balancer_loop::start(&kernel, balancer, sockets, receivers).context(KernelSnafu)?;
         log_start(options, role);
         Ok(Self { kernel, role })
     }
@@ -189,8 +195,12 @@
             Some(agent_options.server_address),
             &kernel,
         );
-        let handle =
-            agent_loop::start(&kernel, codec, *agent_options, sockets).context(KernelSnafu)?;
+        let agent = Agent::new(codec, *agent_options, kernel.clock().now());
+        let agent = match agent_daemon_options.directives {
+            true => agent.with_directives(),
+            false => agent,
+        };
+        let handle = agent_loop::start(&kernel, agent, sockets).context(KernelSnafu)?;
         log_start(options, role);
         Ok((Self { kernel, role }, handle))
     }
--- a/core/src/l4/daemon/agent_loop.rs
+++ b/core/src/l4/daemon/agent_loop.rs
@@ -15,7 +15,7 @@
     control::ControlServer,
     kernel::{Kernel, KernelError},
     l4::{
-        agent::{Agent, AgentOptions},
+        agent::Agent,
         message,
         segment::Codec,
         server::{ServerReport, ServerState, ServerUpdateError},
@@ -94,8 +94,7 @@
 /// Fails if a kernel component that the loop needs is not published.
 pub fn start<C: Codec>(
     kernel: &Kernel,
-    codec: C,
-    options: AgentOptions,
+    agent: Agent<C>,
     sockets: Sockets,
 ) -> Result<AgentHandle, KernelError> {
     let (sender, commands) = mpsc::channel(MAX_PENDING_COMMANDS);
@@ -108,7 +107,7 @@
     let clock = kernel.clock();
     let control: Arc<ControlServer> = kernel.find(ControlServer::NAME)?;
     let event_loop = AgentLoop {
-        agent: Agent::new(codec, options, clock.now()),
+        agent,
         server_alive,
         clock,
         control,
--- a/core/src/l4/daemon/balancer_loop.rs
+++ b/core/src/l4/daemon/balancer_loop.rs
@@ -12,10 +12,8 @@
     control::ControlServer,
     kernel::{Kernel, KernelError},
     l4::{
-        balancer::{Balancer, BalancerOptions},
-        message,
-        routes::RouteTable,
-        segment::Codec,
+        balancer::Balancer, directives::StoredDirectives, message, route_sync::service::Receivers,
+        routes::RouteTable, segment::Codec,
     },
     member::Directory,
     metrics::Metrics,
@@ -29,17 +27,17 @@
 /// Fails if a kernel component that the loop needs is not published.
 pub fn start<C: Codec>(
     kernel: &Kernel,
-    codec: C,
-    options: &BalancerOptions,
+    balancer: Balancer<C>,
     sockets: Sockets,
-    routes: watch::Receiver<Arc<RouteTable>>,
+    receivers: Receivers,
 ) -> Result<(), KernelError> {
     let event_loop = BalancerLoop {
-        balancer: Balancer::new(codec, options, rand::random()),
+        balancer,
         clock: kernel.clock(),
         control: kernel.find(ControlServer::NAME)?,
         directory: kernel.find(Directory::NAME)?,
-        routes,
+        directives: receivers.directives,
+        routes: receivers.tables,
         reported_ready: false,
         paused: false,
         sockets,
@@ -54,6 +52,7 @@
     balancer: Balancer<C>,
     clock: Clock,
     control: Arc<ControlServer>,
+    directives: watch::Receiver<Arc<StoredDirectives>>,
     directory: Arc<Directory>,
     routes: watch::Receiver<Arc<RouteTable>>,
     /// Whether the balancer has been reported as ready.
@@ -67,6 +66,7 @@
     async fn run(mut self) {
         let mut view_changes = self.directory.changes();
         let mut routes = self.routes.clone();
+        let mut directives = self.directives.clone();
         let mut buffer = Box::new([0; MAX_DATAGRAM_BYTES]);
         loop {
             let due = self.clock.instant(self.balancer.due());
@@ -77,6 +77,7 @@
                 () = tokio::time::sleep_until(due) => {}
                 Ok(()) = view_changes.changed() => self.apply_view(),
                 Ok(()) = routes.changed() => self.apply_routes(),
+                Ok(()) = directives.changed() => self.apply_directives(),
                 else => return,
             }
             let now = self.clock.now();
@@ -124,6 +125,15 @@
         self.balancer.apply_routes(routes);
     }
 
+    fn apply_directives(&mut self) {
+        let now = self.clock.now();
+        let read = self.directives.borrow_and_update().clone();
+        contain("directives", || {
+            let out = &mut &self.sockets;
+            self.balancer.apply_stored_directives(&read, now, out);
+        });
+    }
+
     /// Reports the balancer as not ready to the fabric while it reaches no agent.
     fn pause_while_isolated(&mut self, now: Time) {
         let is_isolated = self.balancer.is_isolated(now);
--- a/core/src/l4/metrics.rs
+++ b/core/src/l4/metrics.rs
@@ -2,9 +2,11 @@
 
 use prometheus_client::metrics::{
     counter::Counter,
+    gauge::Gauge,
     histogram::{Histogram, exponential_buckets},
 };
 
+use super::directives::Directives;
 use crate::metrics::{CounterFamily, Metrics};
 
 /// Upper bound of the first bucket of answer times.
@@ -27,9 +29,16 @@
     pub searched: CounterFamily,
     /// Flows whose callers were sent a reset, by reason.
     pub reset: CounterFamily,
+    /// Failure domains that are evacuated.
+    pub evacuated: Gauge,
 }
 
 impl BalancerMetrics {
+    /// Sets the number of evacuated failure domains.
+    pub fn set_evacuated(&self, directives: &Directives) {
+        self.evacuated.set(directives.evacuated.len() as i64);
+    }
+
     /// Counts a search under its outcome, the value of the label `end`.
     pub fn count_search(&self, end: &'static str) {
         self.searched.get_or_create(&[("end", end)]).inc();
@@ -47,6 +56,7 @@
         metrics.register("flow_searches", help, self.searched.clone());
         let help = "Flows whose callers were sent a reset";
         metrics.register("flows_reset", help, self.reset.clone());
+        register_evacuated(metrics, &self.evacuated);
     }
 }
 
@@ -61,6 +71,8 @@
     pub waited: Counter,
     /// Times from a request to the first byte of its answer, in seconds.
     pub answer_times: Histogram,
+    /// Failure domains that are evacuated.
+    pub evacuated: Gauge,
 }
 
 impl Default for AgentMetrics {
@@ -71,11 +83,17 @@
             failures: Counter::default(),
             waited: Counter::default(),
             answer_times: Histogram::new(buckets),
+            evacuated: Gauge::default(),
         }
     }
 }
 
 impl AgentMetrics {
+    /// Sets the number of evacuated failure domains.
+    pub fn set_evacuated(&self, directives: &Directives) {
+        self.evacuated.set(directives.evacuated.len() as i64);
+    }
+
     /// Registers the metrics, to be called once per process.
     pub fn register(&self, metrics: &Metrics) {
         let help = "Requests that reached the backend server";
@@ -86,5 +104,11 @@
         metrics.register("flows_waited", help, self.waited.clone());
         let help = "Time from a request to the first byte of its answer";
         metrics.register("answer_seconds", help, self.answer_times.clone());
+        register_evacuated(metrics, &self.evacuated);
     }
 }
+
+fn register_evacuated(metrics: &Metrics, evacuated: &Gauge) {
+    let help = "Failure domains that are evacuated";
+    metrics.register("directives_evacuated", help, evacuated.clone());
+}
--- a/core/src/l4/route_sync.rs
+++ b/core/src/l4/route_sync.rs
@@ -9,7 +9,7 @@
 
 use std::{net::SocketAddrV4, sync::Arc, time::Duration};
 
-use super::routes::RouteTable;
+use super::{directives::StoredDirectives, routes::RouteTable};
 use crate::{
     clock::Time,
     member::{MemberState, Role, View},
@@ -40,6 +40,8 @@
     Tick,
     /// A read of the store succeeded: its position, and the table if there is a valid one.
     ReadSucceeded(Position, Option<RouteTable>),
+    /// A linearizable read of the store succeeded and returned these directives.
+    DirectivesRead(StoredDirectives),
     /// A read of the store failed.
     ReadFailed,
     /// The watch reported a change of the store.
@@ -65,6 +67,8 @@
     Pull(SocketAddrV4),
     /// Publish the table, which has replaced an older one.
     Publish(Arc<RouteTable>),
+    /// Publish the directives of a read of the store.
+    PublishDirectives(Arc<StoredDirectives>),
     /// Report that the store has become reachable (`true`) or unreachable.
     ReportStore(bool),
     /// Report that the store holds a table of this version, older than the one in use.
@@ -170,6 +174,13 @@
                     actions.push(Action::Watch(position));
                 }
             }
+            Event::DirectivesRead(mut directives) => {
+                // A store that was restored may hold older settings than those in use.
+                if directives.version < self.table.version {
+                    directives.cold_rates = None;
+                }
+                actions.push(Action::PublishDirectives(Arc::new(directives)));
+            }
             Event::ReadFailed => {
                 self.is_reading = false;
                 self.needs_latest = true;
--- a/core/src/l4/route_sync/service.rs
+++ b/core/src/l4/route_sync/service.rs
@@ -2,6 +2,7 @@
 //! current table.
 
 use std::{
+    collections::BTreeMap,
     net::SocketAddrV4,
     sync::{Arc, Mutex},
     time::Duration,
@@ -18,12 +19,15 @@
 use crate::{
     control::{ControlClient, ControlServer},
     kernel::{Kernel, KernelError},
-    l4::routes::RouteTable,
+    l4::{
+        directives::StoredDirectives,
+        routes::{RouteTable, ServiceKey},
+    },
     member::Directory,
     membership::LocalRecord,
     metrics::Metrics,
     panics::contain_future,
-    store::{Consistency, Position, Store, StoreError},
+    store::{Consistency, Position, Snapshot, Store, StoreError},
 };
 
 /// Path of the control message that returns the table of a process.
@@ -36,16 +40,56 @@
 
 const EVENT_QUEUE_CAPACITY: usize = 64;
 
+/// Limit of the refused keys that are remembered.
+const MAX_REFUSED_KEYS: usize = 256;
+
 /// Location and format of the route table in the store.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct RouteSource {
     /// Key in the store.
     pub key: &'static str,
     /// Decodes the value; the error says why it is invalid.
     pub decode: fn(&[u8]) -> Result<RouteTable, String>,
+    /// Location and format of the directives; `None` if they are not asked for.
+    pub directives: Option<DirectiveSource>,
+}
+
+impl RouteSource {
+    /// Returns the prefix of the keys that are read and watched.
+    fn prefix(&self) -> &'static str {
+        let directives = self.directives.as_ref();
+        directives.map_or(self.key, |directives| directives.prefix)
+    }
+}
+
+/// Requests a second that a cold backend server of each service bears.
+pub type ColdRates = BTreeMap<ServiceKey, u32>;
+
+/// Location and format of the operator's directives in the store.
+#[derive(Clone, Debug)]
+pub struct DirectiveSource {
+    /// Common prefix of the keys of the directives and of the route table.
+    pub prefix: &'static str,
+    /// Decodes a key and its value into the failure domain that is evacuated, or `None` if the key is
+    /// no directive; the error says why it is invalid.
+    pub decode: fn(&str, &[u8]) -> Result<Option<String>, String>,
+    /// Decodes the rates of cold backend servers from the value of the route table, with the reason for
+    /// each entry that is invalid.
+    pub decode_rates: fn(&[u8]) -> (ColdRates, Vec<String>),
+    /// Failure domains that can be evacuated; all if it is empty.
+    pub domains: Arc<[String]>,
 }
 
-/// Starts the synchronization of routes; the receiver holds the latest table.
+/// What the synchronization publishes.
+#[derive(Clone, Debug)]
+pub struct Receivers {
+    /// The latest route table.
+    pub tables: watch::Receiver<Arc<RouteTable>>,
+    /// The directives of the latest linearizable read of the store.
+    pub directives: watch::Receiver<Arc<StoredDirectives>>,
+}
+
+/// Starts the synchronization of routes and of the directives in the store.
 ///
 /// # Errors
 ///
@@ -55,7 +99,7 @@
     store: Arc<dyn Store>,
     source: RouteSource,
     client: ControlClient,
-) -> Result<watch::Receiver<Arc<RouteTable>>, KernelError> {
+) -> Result<Receivers, KernelError> {
     let local: Arc<LocalRecord> = kernel.find(LocalRecord::NAME)?;
     let control: Arc<ControlServer> = kernel.find(ControlServer::NAME)?;
     let metrics: Arc<Metrics> = kernel.find(Metrics::NAME)?;
@@ -66,12 +110,13 @@
         let table = current.borrow().clone();
         Box::pin(async move { table.as_ref().clone() })
     });
+    let (directives, directives_receiver) = watch::channel(Arc::default());
     let (sender, events) = mpsc::channel(EVENT_QUEUE_CAPACITY);
     let task = Task {
         calls: Calls {
             client,
             events: sender,
-            refused_position: Arc::new(Mutex::new(Position::START)),
+            refused: Arc::default(),
             source,
             store,
             store_calls: Counter::default(),
@@ -79,6 +124,7 @@
         sync: RouteSync::new(own.address, &own.domain),
         directory: kernel.find(Directory::NAME)?,
         clock: kernel.clock(),
+        directives,
         local,
         metrics: metrics.clone(),
         tables,
@@ -87,13 +133,17 @@
     let help = "Calls to the store for routes";
     metrics.register("route_store_calls", help, task.calls.store_calls.clone());
     kernel.spawn(task.run(events));
-    Ok(receiver)
+    Ok(Receivers {
+        tables: receiver,
+        directives: directives_receiver,
+    })
 }
 
 /// The task that runs [`RouteSync`].
 struct Task {
     calls: Calls,
     clock: crate::clock::Clock,
+    directives: watch::Sender<Arc<StoredDirectives>>,
     directory: Arc<Directory>,
     local: Arc<LocalRecord>,
     metrics: Arc<Metrics>,
@@ -146,6 +196,7 @@
                     .spawn("pull of routes", pull, Event::PullEnded(None));
             }
             Action::Publish(table) => self.publish(table),
+            Action::PublishDirectives(read) => drop(self.directives.send_replace(read)),
             Action::ReportOlder(version) => {
                 let in_use = self.sync.table().version;
                 tracing::warn!(event = "routes_older_in_store", version, in_use);
@@ -176,8 +227,8 @@
 struct Calls {
     client: ControlClient,
     events: mpsc::Sender<Event>,
-    /// Position of the last value that was invalid, so that each is logged once.
-    refused_position: Arc<Mutex<Position>>,
+    /// Positions of the keys whose last values were invalid, so that each is logged once.
+    refused: Arc<Mutex<BTreeMap<String, Position>>>,
     source: RouteSource,
     store: Arc<dyn Store>,
     store_calls: Counter,
@@ -204,32 +255,37 @@
         self.store_calls.inc();
         let read = self
             .store
-            .range(self.source.key, Position::START, consistency);
-        let event = match read.await {
-            Ok(snapshot) => {
-                let key = self.source.key;
-                let item = snapshot.items.iter().find(|item| item.key == key);
-                let table = item.and_then(|item| self.decode(item.position, &item.value));
-                Event::ReadSucceeded(snapshot.position, table)
-            }
+            .range(self.source.prefix(), Position::START, consistency);
+        let snapshot = match read.await {
+            Ok(snapshot) => snapshot,
             Err(error) => {
                 log_failure("read", &error);
-                Event::ReadFailed
+                let _ = self.events.send(Event::ReadFailed).await;
+                return;
             }
         };
-        let _ = self.events.send(event).await;
+        let key = self.source.key;
+        let item = snapshot.items.iter().find(|item| item.key == key);
+        let table = item.and_then(|item| self.decode(item.position, &item.value));
+        // A stale read may miss a directive that is in effect.
+        let source = self.source.directives.as_ref();
+        let source = source.filter(|_| consistency == Consistency::Linearizable);
+        let directives = source.map(|source| {
+            let version = table.as_ref().map(|table| table.version);
+            self.decode_directives(source, &snapshot, version)
+        });
+        let read = Event::ReadSucceeded(snapshot.position, table);
+        let _ = self.events.send(read).await;
+        if let Some(directives) = directives {
+            let _ = self.events.send(Event::DirectivesRead(directives)).await;
+        }
     }
 
     fn decode(&self, position: Position, value: &[u8]) -> Option<RouteTable> {
         match (self.source.decode)(value) {
             Ok(table) => Some(table),
             Err(reason) => {
-                let mut refused = self
-                    .refused_position
-                    .lock()
-                    .expect("lock of the refused position");
-                if *refused != position {
-                    *refused = position;
+                if self.is_first_refusal(self.source.key, position) {
                     let revision = position.revision;
                     tracing::error!(
                         event = "routes_refused",
@@ -243,12 +299,64 @@
         }
     }
 
+    /// Returns the directives in a snapshot; `version` is that of its route table, if it is valid.
+    fn decode_directives(
+        &self,
+        source: &DirectiveSource,
+        snapshot: &Snapshot,
+        version: Option<u64>,
+    ) -> StoredDirectives {
+        let mut directives = StoredDirectives {
+            position: snapshot.position,
+            version: version.unwrap_or_default(),
+            ..StoredDirectives::default()
+        };
+        for item in &snapshot.items {
+            if item.key == self.source.key && version.is_some() {
+                let (rates, errors) = (source.decode_rates)(&item.value);
+                directives.cold_rates = Some(rates);
+                for error in errors {
+                    self.log_refused(&format!("{}: {error}", item.key), item.position, &error);
+                }
+                continue;
+            }
+            match (source.decode)(&item.key, &item.value) {
+                Ok(None) => {}
+                Ok(Some(domain))
+                    if !source.domains.is_empty() && !source.domains.contains(&domain) =>
+                {
+                    let reason = format!("no VM is in failure domain {domain}");
+                    self.log_refused(&item.key, item.position, &reason);
+                }
+                Ok(Some(domain)) => drop(directives.evacuated.insert(domain, item.position)),
+                Err(reason) => self.log_refused(&item.key, item.position, &reason),
+            }
+        }
+        directives
+    }
+
+    fn log_refused(&self, key: &str, position: Position, reason: &str) {
+        if self.is_first_refusal(key, position) {
+            tracing::error!(event = "directive_refused", key, %position, reason);
+        }
+    }
+
+    /// Returns whether the value that a key has had since a position is refused for the first time.
+    fn is_first_refusal(&self, key: &str, position: Position) -> bool {
+        let mut refused = self.refused.lock().expect("lock of the refused keys");
+        // Bounds the memory if the operator writes many invalid keys.
+        if refused.len() >= MAX_REFUSED_KEYS {
+            refused.clear();
+        }
+        refused.insert(key.to_owned(), position) != Some(position)
+    }
+
     /// Reports the changes of the table until the watch or the era of the store ends, or until the
     /// sender of `stopped` is dropped.
     async fn watch(self, since: Position, mut stopped: oneshot::Receiver<()>) {
         self.store_calls.inc();
         let mut eras = self.store.eras();
-        match self.store.watch(self.source.key, since).await {
+        match self.store.watch(self.source.prefix(), since).await {
             Ok(mut changes) => loop {
                 tokio::select! {
                     change = changes.next() => match change {
--- a/core/tests/l4/main.rs
+++ b/core/tests/l4/main.rs
@@ -3,3 +3,4 @@
 mod agent;
 mod balancer;
 mod codec;
+mod directives;
