--- a/core/tests/l4/agent.rs
+++ b/core/tests/l4/agent.rs
@@ -98,6 +98,7 @@
             sequence,
             state,
             slots: SLOTS,
+            warmup_left: Duration::ZERO,
         };
         let result = self
             .agent
--- a/core/tests/l4/main.rs
+++ b/core/tests/l4/main.rs
@@ -3,6 +3,7 @@
 mod agent;
 mod balancer;
 mod codec;
+mod directives;
 mod flow_set;
 mod lost_flows;
 mod search;
