Add apply_directives and the warm-up time of status reports

Cause: enforcement of directives and slow start need an entry point in the balancer and the agent, and the time that a server stays cold.

Change: Balancer::apply_directives and Agent::apply_directives store the directives, in a module of their own each. ServerReport has `warmup_left`; a missing or malformed value counts as zero, since a report must not be rejected as a whole for it.

--- a/core/src/l4/agent.rs
+++ b/core/src/l4/agent.rs
@@ -1,17 +1,20 @@
 //! The agent of one backend server: admits or refuses new flows, tracks the flows that the server
 //! holds, and forwards segments in both directions.
 
+mod evacuation;
 pub mod flows;
 mod opening;
 
 use std::{
     collections::{BTreeMap, VecDeque},
     net::{Ipv4Addr, SocketAddrV4},
+    sync::Arc,
     time::Duration,
 };
 
 use self::flows::{FlowEntry, FlowState, FlowTable, SegmentEffect};
 use super::{
+    directives::Directives,
     homes::{Homes, REGISTRATION_TTL, Registry},
     message::{self, Message, Ownership, Received, Refusal},
     metrics::AgentMetrics,
@@ -79,6 +82,7 @@
     codec: C,
     options: AgentOptions,
     server: Server,
+    directives: Arc<Directives>,
     flows: FlowTable,
     workload: Workload,
     /// Time until which the backend server may hold prior flows: those from before the agent's
@@ -132,6 +136,7 @@
                 options.service,
                 options.report_interval,
             ),
+            directives: Arc::default(),
             flows: FlowTable::new(options.idle_timeout),
             workload: Workload::default(),
             prior_until: Some(now + options.max_lifetime),
--- a/core/src/l4/balancer.rs
+++ b/core/src/l4/balancer.rs
@@ -5,6 +5,7 @@
 //! can query them for the owner of any flow, and any balancer can take over any flow.
 
 mod dead_agents;
+mod evacuation;
 pub mod fleet;
 pub mod known_agents;
 mod opening;
@@ -34,6 +35,7 @@
 };
 use super::{
     choice::AgentCandidate,
+    directives::Directives,
     message::{self, Message, Ownership, Received},
     metrics::BalancerMetrics,
     outbox::Outbox,
@@ -115,6 +117,7 @@
     flows: HashMap<FlowKey, FlowState, FxBuildHasher>,
     fleet: Fleet,
     routes: Arc<RouteTable>,
+    directives: Arc<Directives>,
     view_version: u64,
     /// Agents in the last view.
     known_agents: AgentSet,
@@ -152,6 +155,7 @@
             flows: HashMap::default(),
             fleet: Fleet::default(),
             routes: Arc::default(),
+            directives: Arc::default(),
             view_version: 0,
             known_agents: AgentSet::default(),
             stable_at: Time::default(),
--- a/core/src/l4/server.rs
+++ b/core/src/l4/server.rs
@@ -37,6 +37,8 @@
     pub state: ServerState,
     /// Number of requests that the server processes at once.
     pub slots: u16,
+    /// Time left until the server is warm; zero if it is warm or the report does not say.
+    pub warmup_left: Duration,
 }
 
 /// Why an update of the backend server is rejected.
--- a/core/tests/l4/agent.rs
+++ b/core/tests/l4/agent.rs
@@ -92,6 +92,7 @@
             sequence,
             state,
             slots: SLOTS,
+            warmup_left: Duration::ZERO,
         };
         let result = self
             .agent
--- a/core/tests/l4_server.rs
+++ b/core/tests/l4_server.rs
@@ -32,6 +32,7 @@
         sequence,
         state: ServerState::Ready,
         slots: 2,
+        warmup_left: Duration::ZERO,
     }
 }
 
--- a/src/trial/segments/world/members.rs
+++ b/src/trial/segments/world/members.rs
@@ -37,6 +37,7 @@
                 false => ServerState::Ready,
             },
             slots: server.slots as u16,
+            warmup_left: Duration::ZERO,
         };
         self.after(REPORT_INTERVAL, Event::Report(index, life));
         let standing = self.standing[&Place::Agent(index)];
