Enforce evacuations and the rate of cold servers

Cause: balancers placed flows in a failure domain that the operator evacuates, and a server that has just started got as many new requests as a warm one.

Change: balancers leave out the agents of evacuated domains, even if no other is left, and reset such openings with the reason `evacuated`. An agent of the domain refuses new flows as draining and returns those that wait. After an evacuation, load returns over 5 s: candidates on the ramp count as holding a share of the others' mean load, and are considered for a growing share of the flows. `slow_start::ColdLimit` bounds the new requests to a cold server in any second; the used share of the rate is reported as `busy`, so balancers of any build see it. A forced opening that is refused as busy is not sent to the same agent again.

The ramp has no test with several balancers yet.

--- a/core/src/l4.rs
+++ b/core/src/l4.rs
@@ -26,5 +26,6 @@
 pub mod routes;
 pub mod segment;
 pub mod server;
+pub mod slow_start;
 pub mod waiting;
 pub mod workload;
--- a/core/src/l4/agent.rs
+++ b/core/src/l4/agent.rs
@@ -23,6 +23,7 @@
     routes::ServiceKey,
     segment::{Codec, FlowKey, Segment, acknowledges_start},
     server::{Server, ServerChange, ServerReport, ServerState, ServerUpdateError},
+    slow_start::ColdLimit,
     waiting::{Urgency, WaitingFlows},
     workload::Workload,
 };
@@ -57,8 +58,10 @@
 const LEAVE_RESET_DELAY: Duration = Duration::from_millis(500);
 
 /// Options of an agent.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct AgentOptions {
+    /// Failure domain of the VM.
+    pub domain: String,
     /// Service of the backend server.
     pub service: ServiceKey,
     /// Address at which the backend server receives segments.
@@ -108,6 +111,7 @@
     reset_at: Option<Time>,
     /// Whether the agent is stopping and takes no new flows.
     stopping: bool,
+    cold_limit: ColdLimit,
     /// Opening timeouts, one for each delivery of an opening segment, in the order of time.
     opening_timeouts: VecDeque<(Time, FlowKey)>,
     next_runs: NextRuns,
@@ -151,6 +155,7 @@
             metrics: AgentMetrics::default(),
             reset_at: None,
             stopping: false,
+            cold_limit: ColdLimit::new(now),
             opening_timeouts: VecDeque::new(),
             next_runs: NextRuns {
                 load_report: now,
@@ -233,6 +238,7 @@
     ) -> Result<(), ServerUpdateError> {
         let change = self.server.apply_report(report, unix_ms, now)?;
         self.workload.set_slots(report.slots);
+        self.cold_limit.set_warm_at(now + report.warmup_left, now);
         match change {
             ServerChange::NewInstance { is_first_report } => {
                 tracing::info!(
@@ -389,6 +395,7 @@
             self.expire_opening(&flow, now);
         }
         self.serve_waiting(now, out);
+        self.update_cold_load(now);
         self.workload.set_failing(self.outlier.is_ejected(now));
         if now >= self.next_runs.load_report {
             self.next_runs.load_report = now + LOAD_REPORT_INTERVAL;
@@ -405,6 +412,7 @@
             .load_report
             .min(self.next_runs.expire)
             .min(self.next_runs.register);
+        let next = self.cold_start_at().map_or(next, |at| next.min(at));
         self.opening_timeouts
             .front()
             .map_or(next, |(due, _)| next.min(*due))
@@ -445,10 +453,16 @@
             self.flows
                 .record_caller_segment(&segment, from, &mut self.workload, now);
         match begins_request {
-            Some(true) => self.record_request(&segment, received.datagram),
+            Some(true) => {
+                self.count_cold_request(segment.flow_of_caller(), now);
+                self.record_request(&segment, received.datagram);
+            }
             Some(false) => {}
             None if self.may_hold_prior_flows() => {
                 let flow = segment.flow_of_caller();
+                if segment.length > 0 {
+                    self.count_cold_request(flow, now);
+                }
                 self.flows
                     .record_trial_delivery(flow, from, &mut self.workload, now);
             }
--- a/core/src/l4/agent/opening.rs
+++ b/core/src/l4/agent/opening.rs
@@ -1,7 +1,7 @@
 //! Admission of new flows: delivered to the backend server, refused with a reason, or kept waiting
 //! until the server can queue a request.
 
-use std::net::SocketAddrV4;
+use std::{net::SocketAddrV4, time::Duration};
 
 use super::{Agent, OPENING_TIMEOUT, UNRESPONSIVE_RETRY_INTERVAL};
 use crate::{
@@ -49,6 +49,10 @@
         if entry.is_some_and(|entry| entry.state != FlowState::Ended) {
             return None;
         }
+        if self.is_evacuated() {
+            self.metrics.evacuation_refusals.inc();
+            return Some(Refusal::Draining);
+        }
         if self.stopping {
             return Some(Refusal::Draining);
         }
@@ -66,14 +70,25 @@
             }
             self.retry_at = Some(now + UNRESPONSIVE_RETRY_INTERVAL);
         }
-        let interval = self.workload.answer_interval();
+        let interval = self.start_interval(now);
         let waiting_full = !self.waiting.has_room(urgency, interval, now);
         if waiting_full || self.workload.flows() >= self.options.max_flows {
             return Some(Refusal::Full);
         }
+        if !forced && !self.cold_limit.admits(now) {
+            self.metrics.cold_refusals.inc();
+            self.update_cold_load(now);
+            return Some(Refusal::Busy);
+        }
         (!forced && !self.workload.has_free_slot()).then_some(Refusal::Busy)
     }
 
+    /// Returns the mean time between two deliveries of waiting flows.
+    fn start_interval(&self, now: Time) -> Duration {
+        let answer_interval = self.workload.answer_interval();
+        answer_interval.max(self.cold_limit.interval(now))
+    }
+
     /// Delivers the opening segment of an admitted flow, or adds the flow to the waiting ones.
     pub(super) fn admit(
         &mut self,
@@ -90,9 +105,17 @@
             self.send(from, &Message::Waits { flow, load }, &[], out);
             return;
         }
-        let has_entry = self.flows.get(&flow).is_some();
+        let entry = self.flows.get(&flow);
+        let has_entry = entry.is_some();
+        if entry.is_some_and(|entry| entry.state != FlowState::Ended) {
+            self.deliver_opening(flow, from, received.datagram, now, out);
+            return;
+        }
         let can_start = self.workload.can_start(urgency.is_late());
-        if has_entry || (can_start && self.waiting.count_in_time(now) == 0) {
+        let comes_next = has_entry || (can_start && self.waiting.count_in_time(now) == 0);
+        if comes_next && self.cold_limit.admits(now) {
+            self.cold_limit.record_opening(flow, now);
+            self.update_cold_load(now);
             self.deliver_opening(flow, from, received.datagram, now, out);
             return;
         }
@@ -140,18 +163,23 @@
         while let Some(expired) = self.waiting.pop_expired(now) {
             self.refuse(expired.balancer, Refusal::Full, &expired.datagram, out);
         }
-        if self.stopping || self.server.state(now) != Some(ServerState::Ready) {
+        let is_evacuated = self.is_evacuated();
+        if is_evacuated || self.stopping || self.server.state(now) != Some(ServerState::Ready) {
             for waiting in self.waiting.take_all() {
                 let refusal = Refusal::Draining;
+                if is_evacuated {
+                    self.metrics.evacuation_refusals.inc();
+                }
                 self.refuse(waiting.balancer, refusal, &waiting.datagram, out);
             }
         }
-        while self.workload.can_start(false) {
+        while self.workload.can_start(false) && self.cold_limit.admits(now) {
             let include_late = self.workload.can_start(true);
-            let interval = self.workload.answer_interval();
+            let interval = self.start_interval(now);
             let Some(next) = self.waiting.pop_next(include_late, interval, now) else {
                 break;
             };
+            self.cold_limit.record_opening(next.flow, now);
             self.deliver_opening(next.flow, next.balancer, &next.datagram, now, out);
         }
         self.workload.set_waiting(self.waiting.count_in_time(now));
--- a/core/src/l4/balancer/fleet.rs
+++ b/core/src/l4/balancer/fleet.rs
@@ -1,7 +1,7 @@
 //! Agents as one balancer knows them, from the membership and from their messages.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddrV4,
     time::Duration,
 };
@@ -9,7 +9,11 @@
 use crate::{
     clock::Time,
     l4::{
-        choice::AgentCandidate, homes::Homes, message::Refusal, segment::FlowKey, workload::Load,
+        choice::{AgentCandidate, ramp_share},
+        homes::Homes,
+        message::Refusal,
+        segment::FlowKey,
+        workload::Load,
     },
     member::{MemberState, Role, View},
     owner_id::ServiceTag,
@@ -33,9 +37,14 @@
 /// accepts a flow or lets it wait.
 const REFUSAL_BACKOFF: Duration = Duration::from_millis(300);
 
+/// Time over which load returns to a failure domain after its evacuation.
+pub const RAMP_TIME: Duration = Duration::from_secs(5);
+
 /// State and load of one agent.
 #[derive(Clone, Debug)]
 pub struct AgentEntry {
+    /// Failure domain in the agent's membership record.
+    domain: String,
     /// Service in the agent's membership record.
     pub service: ServiceTag,
     /// State in the agent's membership record.
@@ -44,6 +53,8 @@
     load: Load,
     placed: u16,
     backoff_until: Time,
+    /// When the agent gets its full share of new flows after an evacuation of its domain.
+    ramp_end: Time,
     /// When a repeated query was first found unanswered, if no message has arrived since.
     unanswered_since: Option<Time>,
 }
@@ -72,6 +83,10 @@
     homes: HashMap<ServiceTag, Homes>,
     /// Agents of each service that are not gone, in the order of their addresses.
     service_agents: HashMap<ServiceTag, Vec<SocketAddrV4>>,
+    /// Failure domains whose agents get no new flows.
+    evacuated: BTreeSet<String>,
+    /// Ends of the ramps of domains whose evacuation has ended.
+    ramp_ends: BTreeMap<String, Time>,
 }
 
 impl Fleet {
@@ -95,17 +110,23 @@
             if is_gone && was_live {
                 changes.gone.push(*address);
             }
+            let ramp_end = self.ramp_ends.get(&record.domain).copied();
             let agent = self.agents.entry(*address).or_insert_with(|| AgentEntry {
+                domain: record.domain.clone(),
                 service: record.service,
                 state: record.state,
                 is_local: record.domain == domain,
                 load: Load::default(),
                 placed: 0,
                 backoff_until: Time::default(),
+                ramp_end: ramp_end.unwrap_or_default(),
                 unanswered_since: None,
             });
             agent.state = record.state;
             agent.service = record.service;
+            if agent.domain != record.domain {
+                agent.domain.clone_from(&record.domain);
+            }
         }
         let members = &view.members;
         self.agents.retain(|address, agent| {
@@ -206,10 +227,51 @@
             .any(|agent| agent.state == MemberState::Ready)
     }
 
+    /// Sets the failure domains whose agents get no new flows. For those that are no longer among them,
+    /// starts the ramp of `RAMP_TIME`.
+    pub fn set_evacuated(&mut self, evacuated: BTreeSet<String>, now: Time) {
+        self.ramp_ends.retain(|_, end| now < *end);
+        for domain in self.evacuated.difference(&evacuated) {
+            let end = now + RAMP_TIME;
+            self.ramp_ends.insert(domain.clone(), end);
+            let returning = self.agents.values_mut();
+            for agent in returning.filter(|agent| agent.domain == *domain) {
+                agent.ramp_end = end;
+            }
+        }
+        self.evacuated = evacuated;
+    }
+
+    /// Returns the number of agents in a failure domain that are not gone.
+    pub fn count_in_domain(&self, domain: &str) -> usize {
+        let agents = self.agents.values();
+        let agents = agents.filter(|agent| agent.domain == domain && !agent.state.is_gone());
+        agents.count()
+    }
+
+    /// Returns whether the agents that could take flows of a service are all in evacuated domains, and
+    /// there is one.
+    pub fn is_all_evacuated(&self, service: ServiceTag) -> bool {
+        let mut has_evacuated = false;
+        for address in self.service_agents.get(&service).into_iter().flatten() {
+            let Some(agent) = self.agents.get(address) else {
+                continue;
+            };
+            if !matches!(agent.state, MemberState::Ready | MemberState::Suspect) {
+                continue;
+            }
+            if !self.evacuated.contains(&agent.domain) {
+                return false;
+            }
+            has_evacuated = true;
+        }
+        has_evacuated
+    }
+
     /// Replaces `candidates` by the agents that may take a flow of a service and are not in `excluded`:
     /// those that are ready and not avoided or, if there are none, the avoided and suspect ones. An
     /// agent is avoided while its server fails, and for a time after it did not reply or refused a
-    /// flow.
+    /// flow. Agents of evacuated domains are left out even if there are no others.
     pub fn collect_candidates(
         &self,
         service: ServiceTag,
@@ -234,11 +296,15 @@
                 if !is_eligible || excluded.contains(address) {
                     continue;
                 }
+                if self.evacuated.contains(&agent.domain) {
+                    continue;
+                }
                 candidates.push(AgentCandidate {
                     address: *address,
                     is_local: agent.is_local,
                     load: agent.load,
                     placed: agent.placed,
+                    ramp: ramp_share(agent.ramp_end, RAMP_TIME, now),
                 });
             }
             if !candidates.is_empty() {
--- a/core/src/l4/balancer/opening.rs
+++ b/core/src/l4/balancer/opening.rs
@@ -64,6 +64,8 @@
     sent: Time,
     /// Deadline for the reply.
     due: Time,
+    /// Whether the agent was told to admit the flow even if it is busy.
+    forced: bool,
 }
 
 impl Opening {
@@ -202,8 +204,18 @@
             let may_be_open = !opening.accepted.is_empty() || !opening.silent.is_empty();
             if !may_be_open && opening.waiting_at.is_none() && !self.starting {
                 let excluded = opening.excluded.len();
-                tracing::warn!(event = "flow_not_placed", %flow, excluded, view = self.view_version);
-                self.reset_flow(flow, 0, "no_agent", now, out);
+                let reason = match self.fleet.is_all_evacuated(service.tag()) {
+                    true => "evacuated",
+                    false => "no_agent",
+                };
+                tracing::warn!(
+                    event = "flow_not_placed",
+                    %flow,
+                    reason,
+                    excluded,
+                    view = self.view_version,
+                );
+                self.reset_flow(flow, 0, reason, now, out);
             }
             return;
         };
@@ -214,6 +226,7 @@
             agent: candidate.address,
             sent: now,
             due,
+            forced,
         });
         let tries = opening.tries;
         let datagram = opening.datagram.clone();
@@ -319,8 +332,11 @@
         if let Some((answered, _)) = answered {
             self.reply_time.record(now.since(answered.sent));
         }
+        let was_forced = answered.is_some_and(|(answered, _)| answered.forced);
         match refusal {
-            Refusal::Busy => opening.busy_agents.push(agent),
+            // An agent refuses a forced flow as busy only if its cold server can't take one more, and
+            // would refuse it again.
+            Refusal::Busy if !was_forced => opening.busy_agents.push(agent),
             Refusal::Failing => opening.failing_agents.push(agent),
             _ => opening.excluded.push(agent),
         }
@@ -413,15 +429,19 @@
         candidates.retain(|candidate| !is_failing(candidate));
     }
     let average = CandidateAverage::of(candidates);
+    choice::add_ramp_load(candidates);
+    let draw = (tie_offset >> 32) as u32;
     if has_healthy && opening.busy_agents.len() < MAX_BUSY_TRIES {
         let is_free = |candidate: &&AgentCandidate| {
             !opening.busy_agents.contains(&candidate.address) && !is_saturated(candidate)
         };
-        let free: Vec<AgentCandidate> = candidates.iter().filter(is_free).copied().collect();
+        let mut free: Vec<AgentCandidate> = candidates.iter().filter(is_free).copied().collect();
+        choice::thin_out_ramps(&mut free, draw);
         if let Some(best) = choice::best(&free, &average, tie_offset) {
             return Some((best, false));
         }
     }
+    choice::thin_out_ramps(candidates, draw);
     choice::best(candidates, &average, tie_offset).map(|best| (best, true))
 }
 
--- a/core/src/l4/choice.rs
+++ b/core/src/l4/choice.rs
@@ -8,6 +8,7 @@
 use std::{net::SocketAddrV4, time::Duration};
 
 use super::workload::Load;
+use crate::clock::Time;
 
 /// Work time in microseconds that is assumed while no server of a service has answered yet.
 const DEFAULT_WORK_US: f32 = 20_000.0;
@@ -34,6 +35,9 @@
     pub load: Load,
     /// Number of flows that this balancer has placed on the agent since the report.
     pub placed: u16,
+    /// Share of the other servers' mean load that the backend server counts as holding, in the range
+    /// from 0 to 1. It falls to 0 over the ramp after an evacuation.
+    pub ramp: f32,
 }
 
 /// Averages over the backend servers of the candidates for a flow.
@@ -75,6 +79,49 @@
     }
 }
 
+/// Returns the share of a ramp of `length` that is left at `now`: 1 at its start, 0 from its end on.
+pub fn ramp_share(end: Time, length: Duration, now: Time) -> f32 {
+    (end.since(now).as_secs_f32() / length.as_secs_f32()).min(1.0)
+}
+
+/// Adds to the load of candidates on a ramp their share of the mean load per slot of the others, so that
+/// load returns to them gradually. Without others, the loads stay as they are.
+pub fn add_ramp_load(candidates: &mut [AgentCandidate]) {
+    let mut slots = 0.0;
+    let mut busy = 0.0;
+    let mut flows = 0.0;
+    for candidate in candidates.iter().filter(|candidate| candidate.ramp == 0.0) {
+        slots += f32::from(candidate.load.slots);
+        busy += f32::from(candidate.load.busy) + f32::from(candidate.placed);
+        flows += f32::from(candidate.load.flows) + f32::from(candidate.placed);
+    }
+    if slots == 0.0 {
+        return;
+    }
+    for candidate in candidates
+        .iter_mut()
+        .filter(|candidate| candidate.ramp > 0.0)
+    {
+        let load = &mut candidate.load;
+        let share = candidate.ramp * f32::from(load.slots) / slots;
+        load.busy = load.busy.saturating_add((busy * share).round() as u16);
+        load.flows = load.flows.saturating_add((flows * share).round() as u16);
+    }
+}
+
+/// Removes each candidate on a ramp with a probability of the share that is left, unless no other
+/// candidate remains; `draw` is a random number.
+///
+/// Load reports are some hundred milliseconds old, so without this all balancers would place their flows
+/// on the first servers that look less loaded than the others.
+pub fn thin_out_ramps(candidates: &mut Vec<AgentCandidate>, draw: u32) {
+    let point = draw as f32 / u32::MAX as f32;
+    let is_kept = |candidate: &AgentCandidate| candidate.ramp <= point;
+    if candidates.iter().any(is_kept) {
+        candidates.retain(is_kept);
+    }
+}
+
 /// Returns the expected time of a request on a new flow in microseconds. A server that has not
 /// answered yet is taken for an average one.
 pub fn expected_us(candidate: &AgentCandidate, average: &CandidateAverage) -> f32 {
--- a/core/src/l4/daemon.rs
+++ b/core/src/l4/daemon.rs
@@ -189,8 +189,8 @@
             Some(agent_options.server_address),
             &kernel,
         );
-        let handle =
-            agent_loop::start(&kernel, codec, *agent_options, sockets).context(KernelSnafu)?;
+        let handle = agent_loop::start(&kernel, codec, agent_options.clone(), sockets)
+            .context(KernelSnafu)?;
         log_start(options, role);
         Ok((Self { kernel, role }, handle))
     }
--- a/core/src/l4/metrics.rs
+++ b/core/src/l4/metrics.rs
@@ -59,6 +59,10 @@
     pub failures: Counter,
     /// New flows that had to wait until the backend server could queue a request.
     pub waited: Counter,
+    /// New and waiting flows that were refused because the failure domain is evacuated.
+    pub evacuation_refusals: Counter,
+    /// New flows that were refused because the cold backend server gets as many as it handles.
+    pub cold_refusals: Counter,
     /// Times from a request to the first byte of its answer, in seconds.
     pub answer_times: Histogram,
 }
@@ -70,6 +74,8 @@
             requests: Counter::default(),
             failures: Counter::default(),
             waited: Counter::default(),
+            evacuation_refusals: Counter::default(),
+            cold_refusals: Counter::default(),
             answer_times: Histogram::new(buckets),
         }
     }
@@ -84,6 +90,14 @@
         metrics.register("server_failures", help, self.failures.clone());
         let help = "New flows that had to wait for a slot";
         metrics.register("flows_waited", help, self.waited.clone());
+        let help = "New flows refused because the failure domain is evacuated";
+        metrics.register(
+            "evacuation_refusals",
+            help,
+            self.evacuation_refusals.clone(),
+        );
+        let help = "New flows refused because the server is cold";
+        metrics.register("cold_refusals", help, self.cold_refusals.clone());
         let help = "Time from a request to the first byte of its answer";
         metrics.register("answer_seconds", help, self.answer_times.clone());
     }
--- a/core/src/l4/workload.rs
+++ b/core/src/l4/workload.rs
@@ -50,6 +50,8 @@
     flows: u16,
     work_us: u64,
     failing: bool,
+    /// Lower bound of the reported `busy`, see [`Workload::set_cold_busy`].
+    cold_busy: u16,
 }
 
 /// An unanswered request at a backend server.
@@ -121,6 +123,17 @@
         self.failing = failing;
     }
 
+    /// Sets the lower bound of the reported `busy` while the backend server is cold, so that balancers
+    /// of any build see the used share of its cold rate as load.
+    pub fn set_cold_busy(&mut self, cold_busy: u16) {
+        self.cold_busy = cold_busy;
+    }
+
+    /// Returns the number of busy slots and queue places at which a server has no room.
+    pub fn full_busy(&self) -> u16 {
+        MAX_REQUESTS_PER_SLOT * self.slots
+    }
+
     /// Sets the number of waiting flows that can still be answered within their target latency. Late
     /// flows are left out, as they delay no other.
     pub fn set_waiting(&mut self, waiting: usize) {
@@ -148,7 +161,7 @@
     pub fn can_start(&self, is_late: bool) -> bool {
         match is_late {
             true => self.has_free_slot(),
-            false => self.outstanding + self.opening < MAX_REQUESTS_PER_SLOT * self.slots,
+            false => self.outstanding + self.opening < self.full_busy(),
         }
     }
 
@@ -172,7 +185,7 @@
     pub fn load(&self) -> Load {
         Load {
             slots: self.slots,
-            busy: self.outstanding + self.opening + self.waiting,
+            busy: (self.outstanding + self.opening + self.waiting).max(self.cold_busy),
             flows: self.flows,
             work_us: u32::try_from(self.work_us).unwrap_or(u32::MAX),
             failing: self.failing,
--- a/core/tests/l4/agent.rs
+++ b/core/tests/l4/agent.rs
@@ -28,11 +28,11 @@
 const BALANCER: SocketAddrV4 = SocketAddrV4::new(codec::BALANCER_IP, 7001);
 
 #[derive(Default)]
-struct RecordingOutbox {
-    messages: Vec<Message>,
+pub struct RecordingOutbox {
+    pub messages: Vec<Message>,
     /// Ports of the callers that were sent a reset.
-    reset_ports: Vec<u8>,
-    delivered: Vec<Vec<u8>>,
+    pub reset_ports: Vec<u8>,
+    pub delivered: Vec<Vec<u8>>,
 }
 
 impl Outbox for RecordingOutbox {
@@ -54,17 +54,18 @@
     }
 }
 
-struct Harness {
-    agent: Agent<TestCodec>,
-    sent: RecordingOutbox,
-    now: Time,
+pub struct Harness {
+    pub agent: Agent<TestCodec>,
+    pub sent: RecordingOutbox,
+    pub now: Time,
 }
 
 impl Harness {
     /// Returns an agent that has applied one report of its server, with the given sequence number: 0 for
     /// a server that has just started.
-    fn new(sequence: u64) -> Self {
+    pub fn new(sequence: u64) -> Self {
         let options = AgentOptions {
+            domain: "a".into(),
             service: ServiceKey::of("desk"),
             server_address: SERVER,
             report_interval: Duration::from_millis(700),
@@ -83,7 +84,19 @@
         harness
     }
 
-    fn report(&mut self, id: &str, started_ms: u64, sequence: u64, state: ServerState) {
+    pub fn report(&mut self, id: &str, started_ms: u64, sequence: u64, state: ServerState) {
+        self.report_cold(id, started_ms, sequence, state, Duration::ZERO);
+    }
+
+    /// Applies a report of a server that is warm after `warmup_left`.
+    pub fn report_cold(
+        &mut self,
+        id: &str,
+        started_ms: u64,
+        sequence: u64,
+        state: ServerState,
+        warmup_left: Duration,
+    ) {
         let report = ServerReport {
             id: id.to_owned(),
             service: ServiceKey::of("desk"),
@@ -92,7 +105,7 @@
             sequence,
             state,
             slots: SLOTS,
-            warmup_left: Duration::ZERO,
+            warmup_left,
         };
         let result = self
             .agent
@@ -101,7 +114,7 @@
     }
 
     /// Applies a view with another agent of the service.
-    fn know_peer(&mut self, index: u8) {
+    pub fn know_peer(&mut self, index: u8) {
         let address = SocketAddrV4::new(Ipv4Addr::new(10, 0, 1, index), 7001);
         let record = Record {
             address,
@@ -119,7 +132,7 @@
         self.agent.apply_view(&view);
     }
 
-    fn send(&mut self, message: Message, datagram: &[u8]) {
+    pub fn send(&mut self, message: Message, datagram: &[u8]) {
         let received = Received {
             from: BALANCER,
             message,
@@ -129,7 +142,7 @@
             .receive_from_peer(&received, self.now, &mut self.sent);
     }
 
-    fn open(&mut self, service: &str, forced: bool, port: u8) {
+    pub fn open(&mut self, service: &str, forced: bool, port: u8) {
         let message = Message::Open {
             service: ServiceKey::of(service),
             forced,
@@ -139,21 +152,21 @@
         self.send(message, &[OPENING, port, 0]);
     }
 
-    fn receive_from_server(&mut self, kind: u8, port: u8, tens: u8) {
+    pub fn receive_from_server(&mut self, kind: u8, port: u8, tens: u8) {
         let datagram = [kind, port, tens];
         self.agent
             .receive_from_server(&datagram, self.now, &mut self.sent);
     }
 
     /// Opens a flow and completes a request. The server's initial sequence number is ten times `tens`.
-    fn establish(&mut self, port: u8, tens: u8) {
+    pub fn establish(&mut self, port: u8, tens: u8) {
         self.open("desk", true, port);
         self.receive_from_server(ACCEPT, port, tens);
         self.send(Message::Forward, &[DATA, port, tens]);
         self.receive_from_server(ANSWER, port, tens);
     }
 
-    fn ownership(&mut self, port: u8, acknowledged: u32) -> Ownership {
+    pub fn ownership(&mut self, port: u8, acknowledged: u32) -> Ownership {
         let flow = flow(port);
         self.send(Message::Find { flow, acknowledged }, &[]);
         match self.sent.messages.pop() {
@@ -162,7 +175,7 @@
         }
     }
 
-    fn refusal(&mut self) -> Option<Refusal> {
+    pub fn refusal(&mut self) -> Option<Refusal> {
         match self.sent.messages.pop() {
             Some(Message::Refused { refusal, .. }) => Some(refusal),
             _ => None,
--- a/core/tests/l4/balancer.rs
+++ b/core/tests/l4/balancer.rs
@@ -27,9 +27,9 @@
 const LINK_RATE: u64 = 1_250_000;
 
 #[derive(Default)]
-struct RecordingOutbox {
-    messages: Vec<(SocketAddrV4, Message)>,
-    resets: usize,
+pub struct RecordingOutbox {
+    pub messages: Vec<(SocketAddrV4, Message)>,
+    pub resets: usize,
 }
 
 impl Outbox for RecordingOutbox {
@@ -45,7 +45,7 @@
     fn to_server(&mut self, _: &[u8]) {}
 }
 
-fn agent(index: u8) -> SocketAddrV4 {
+pub fn agent(index: u8) -> SocketAddrV4 {
     SocketAddrV4::new(Ipv4Addr::new(10, 0, 1, index), 7001)
 }
 
@@ -81,18 +81,18 @@
     base.next(members)
 }
 
-struct Harness {
-    balancer: Balancer<TestCodec>,
-    sent: RecordingOutbox,
-    now: Time,
+pub struct Harness {
+    pub balancer: Balancer<TestCodec>,
+    pub sent: RecordingOutbox,
+    pub now: Time,
 }
 
 impl Harness {
-    fn new(agents: u8) -> Self {
+    pub fn new(agents: u8) -> Self {
         Self::with_target(agents, 100)
     }
 
-    fn with_target(agents: u8, target_ms: u32) -> Self {
+    pub fn with_target(agents: u8, target_ms: u32) -> Self {
         let options = BalancerOptions {
             address: SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 1), 7001),
             domain: "a".into(),
@@ -125,12 +125,12 @@
         harness
     }
 
-    fn apply_view(&mut self, agents: &[(u8, MemberState)]) {
+    pub fn apply_view(&mut self, agents: &[(u8, MemberState)]) {
         let view = view(agents);
         self.balancer.apply_view(&view, self.now, &mut self.sent);
     }
 
-    fn receive_from_caller(&mut self, kind: u8, port: u8) {
+    pub fn receive_from_caller(&mut self, kind: u8, port: u8) {
         self.balancer.receive_from_caller(
             &[kind, port, ACKNOWLEDGED_TENS],
             self.now,
@@ -138,7 +138,7 @@
         );
     }
 
-    fn receive_from_peer(&mut self, from: SocketAddrV4, message: Message, datagram: &[u8]) {
+    pub fn receive_from_peer(&mut self, from: SocketAddrV4, message: Message, datagram: &[u8]) {
         let received = Received {
             from,
             message,
@@ -148,7 +148,7 @@
             .receive_from_peer(&received, self.now, &mut self.sent);
     }
 
-    fn advance(&mut self, millis: u64) {
+    pub fn advance(&mut self, millis: u64) {
         let end = self.now + std::time::Duration::from_millis(millis);
         while self.now < end {
             self.now = self.now + std::time::Duration::from_millis(1);
@@ -158,7 +158,7 @@
 
     /// Returns the agents that openings were sent to since the messages were last taken; clears the
     /// messages.
-    fn drain_openings(&mut self) -> Vec<SocketAddrV4> {
+    pub fn drain_openings(&mut self) -> Vec<SocketAddrV4> {
         let sent = std::mem::take(&mut self.sent.messages);
         let openings = sent
             .into_iter()
@@ -166,7 +166,7 @@
         openings.map(|(peer, _)| peer).collect()
     }
 
-    fn refuse(&mut self, from: SocketAddrV4, refusal: Refusal, port: u8) {
+    pub fn refuse(&mut self, from: SocketAddrV4, refusal: Refusal, port: u8) {
         let load = Load::default();
         self.receive_from_peer(
             from,
@@ -176,14 +176,14 @@
     }
 
     /// Answers all queries with [`Ownership::NotHeld`] until the search has ended.
-    fn deny_all_queries(&mut self, agents: KnownAgents) {
+    pub fn deny_all_queries(&mut self, agents: KnownAgents) {
         for _ in 0..3 {
             self.answer_queries(Ownership::NotHeld, agents);
             self.advance(10);
         }
     }
 
-    fn answer_queries(&mut self, ownership: Ownership, agents: KnownAgents) {
+    pub fn answer_queries(&mut self, ownership: Ownership, agents: KnownAgents) {
         let sent = std::mem::take(&mut self.sent.messages);
         for (peer, message) in sent {
             if let Message::Find { flow, .. } = message {
--- a/core/tests/l4_choice.rs
+++ b/core/tests/l4_choice.rs
@@ -21,6 +21,7 @@
             failing: false,
         },
         placed: 0,
+        ramp: 0.0,
     }
 }
 
--- a/src/trial/segments/world.rs
+++ b/src/trial/segments/world.rs
@@ -209,6 +209,7 @@
 fn agent(index: usize, now: Time) -> Agent<ModelCodec> {
     let own = address(Place::Agent(index));
     let options = AgentOptions {
+        domain: domain(index),
         service: service(index),
         server_address: SocketAddrV4::new(*own.ip(), SERVER_PORT),
         report_interval: REPORT_INTERVAL,
