--- a/core/src/l4/balancer.rs
+++ b/core/src/l4/balancer.rs
@@ -113,6 +113,7 @@
 #[derive(Debug)]
 pub struct Balancer<C> {
     codec: C,
+    address: SocketAddrV4,
     domain: String,
     flows: HashMap<FlowKey, FlowState, FxBuildHasher>,
     fleet: Fleet,
@@ -157,6 +158,7 @@
         let mut rng = SmallRng::seed_from_u64(seed);
         Self {
             codec,
+            address: options.address,
             domain: options.domain.clone(),
             flows: HashMap::default(),
             fleet: Fleet::default(),
--- a/core/src/l4/daemon.rs
+++ b/core/src/l4/daemon.rs
@@ -196,7 +196,7 @@
             Some(agent_options.server_address),
             &kernel,
         );
-        let agent = Agent::new(codec, *agent_options, kernel.clock().now());
+        let agent = Agent::new(codec, agent_options.clone(), kernel.clock().now());
         let agent = match agent_daemon_options.directives {
             true => agent.with_directives(),
             false => agent,
--- a/core/tests/l4/directives.rs
+++ b/core/tests/l4/directives.rs
@@ -83,6 +83,7 @@
 
 fn agent() -> Agent<TestCodec> {
     let options = AgentOptions {
+        domain: "a".into(),
         service: ServiceKey::of("desk"),
         server_address: SERVER,
         report_interval: Duration::from_secs(1),
--- a/core/tests/l4/lost_flows.rs
+++ b/core/tests/l4/lost_flows.rs
@@ -126,6 +126,7 @@
             let address = agent_address(index);
             let server = SocketAddrV4::new(*address.ip(), 8080);
             let options = AgentOptions {
+                domain: "a".into(),
                 service,
                 server_address: server,
                 report_interval: Duration::from_millis(700),
@@ -136,6 +137,7 @@
             };
             let mut agent = Agent::new(TestCodec, options, now);
             let report = ServerReport {
+                warmup_left: Duration::ZERO,
                 id: "a".into(),
                 service,
                 address: server,
--- a/core/tests/l4/main.rs
+++ b/core/tests/l4/main.rs
@@ -1,7 +1,9 @@
 //! The state machines of balancers and agents: what they send for given datagrams and times.
 
 mod agent;
+mod agent_directives;
 mod balancer;
+mod balancer_directives;
 mod codec;
 mod directives;
 mod flow_set;
