--- a/core/src/l4/agent.rs
+++ b/core/src/l4/agent.rs
@@ -454,15 +454,13 @@
                 .record_caller_segment(&segment, from, &mut self.workload, now);
         match begins_request {
             Some(true) => {
-                self.count_cold_request(segment.flow_of_caller(), now);
+                self.count_cold_request(&segment, now);
                 self.record_request(&segment, received.datagram);
             }
             Some(false) => {}
             None if self.may_hold_prior_flows() => {
                 let flow = segment.flow_of_caller();
-                if segment.length > 0 {
-                    self.count_cold_request(flow, now);
-                }
+                self.count_cold_request(&segment, now);
                 self.flows
                     .record_trial_delivery(flow, from, &mut self.workload, now);
             }
--- a/core/src/l4/agent/evacuation.rs
+++ b/core/src/l4/agent/evacuation.rs
@@ -9,7 +9,7 @@
     l4::{
         directives::Directives,
         outbox::Outbox,
-        segment::{Codec, FlowKey},
+        segment::{Codec, Segment},
     },
 };
 
@@ -44,6 +44,13 @@
         self.serve_waiting(now, out);
     }
 
+    /// Makes the agent admit nothing to a cold server until the first directives state its rate, for at
+    /// most [`RATE_TIMEOUT`](super::super::slow_start::RATE_TIMEOUT) from the start. To be called before
+    /// the first report if the settings ask for directives.
+    pub fn await_directives(&mut self) {
+        self.cold_limit.await_rate();
+    }
+
     /// Returns the directives in effect.
     pub fn directives(&self) -> &Arc<Directives> {
         &self.directives
@@ -54,9 +61,13 @@
         self.directives.is_evacuated(&self.options.domain)
     }
 
-    /// Counts a request that is delivered on an open flow towards the cold rate.
-    pub(super) fn count_cold_request(&mut self, flow: FlowKey, now: Time) {
-        self.cold_limit.record_request(flow, now);
+    /// Counts a delivered segment of an open flow towards the cold rate if it has data.
+    pub(super) fn count_cold_request(&mut self, segment: &Segment, now: Time) {
+        if segment.length == 0 {
+            return;
+        }
+        self.cold_limit
+            .record_request(segment.flow_of_caller(), now);
         self.update_cold_load(now);
     }
 
--- a/core/src/l4/slow_start.rs
+++ b/core/src/l4/slow_start.rs
@@ -15,6 +15,10 @@
 /// agent's tasks run at least every 200 ms. A shorter freeze exceeds the rate by less than a third.
 const MAX_GAP: Duration = Duration::from_millis(300);
 
+/// Time from an agent's start after which no limit applies if it has got no directives. Balancers wait
+/// for them as long.
+pub const RATE_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// A request in the window, or an opening whose first request has not come.
 #[derive(Clone, Copy, Debug)]
 struct Entry {
@@ -32,6 +36,9 @@
 pub struct ColdLimit {
     /// Requests a second that the cold server handles, or `None` if no limit is stated.
     rate: Option<usize>,
+    /// When the agent stops waiting for the directives that state the rate; nothing is admitted to a
+    /// cold server until then. `None` if it does not wait.
+    rate_deadline: Option<Time>,
     /// When the server is warm.
     warm_at: Time,
     /// When an earlier agent's deliveries, which are unknown here, have left the window.
@@ -47,6 +54,7 @@
     pub fn new(now: Time) -> Self {
         Self {
             rate: None,
+            rate_deadline: None,
             warm_at: Time::default(),
             unknown_until: now + WINDOW,
             advanced_at: now,
@@ -56,9 +64,16 @@
 
     /// Sets the requests a second that the cold server handles, or `None` for no limit.
     pub fn set_rate(&mut self, rate: Option<u32>) {
+        self.rate_deadline = None;
         self.rate = rate.map(|rate| rate as usize);
     }
 
+    /// Admits nothing to a cold server until the first [`ColdLimit::set_rate`], for at most
+    /// [`RATE_TIMEOUT`].
+    pub fn await_rate(&mut self) {
+        self.rate_deadline = Some(self.advanced_at + RATE_TIMEOUT);
+    }
+
     /// Sets when the server is warm, as it has reported at `now`.
     pub fn set_warm_at(&mut self, warm_at: Time, now: Time) {
         // A freeze before the report must not postpone the end that the report states.
@@ -84,15 +99,10 @@
         }
     }
 
-    /// Returns whether the server is cold and has a stated rate.
-    pub fn is_limiting(&self, now: Time) -> bool {
-        self.rate.is_some() && self.is_cold(now)
-    }
-
     /// Returns whether one more opening may be delivered.
     pub fn admits(&mut self, now: Time) -> bool {
         self.advance(now);
-        let Some(rate) = self.rate.filter(|_| self.is_cold(now)) else {
+        let Some(rate) = self.effective_rate(now) else {
             return true;
         };
         now > self.unknown_until && self.window.len() < rate
@@ -118,7 +128,7 @@
     /// Returns the load that the used share of the rate stands for if a full window is `full`; zero
     /// without a limit.
     pub fn scaled_load(&self, full: u16, now: Time) -> u16 {
-        let Some(rate) = self.rate.filter(|_| self.is_cold(now)) else {
+        let Some(rate) = self.effective_rate(now) else {
             return 0;
         };
         if now <= self.unknown_until || self.window.len() >= rate {
@@ -130,7 +140,7 @@
     /// Returns when the next opening may be delivered if none may at the last [`ColdLimit::advance`].
     pub fn free_at(&self) -> Option<Time> {
         let now = self.advanced_at;
-        let rate = self.rate.filter(|_| self.is_cold(now))?;
+        let rate = self.effective_rate(now)?;
         let unknown_until = (now <= self.unknown_until).then_some(self.unknown_until);
         // The entry that has to leave for fewer than `rate` to remain.
         let last = self.window.len().checked_sub(rate);
@@ -144,10 +154,21 @@
 
     /// Returns the mean time between two openings at the rate, zero without a limit.
     pub fn interval(&self, now: Time) -> Duration {
-        let rate = self.rate.filter(|_| self.is_cold(now));
+        let rate = self.effective_rate(now);
         rate.map_or(Duration::ZERO, |rate| WINDOW / rate.max(1) as u32)
     }
 
+    /// Returns the limit in effect: 0 while the rate is awaited, `None` if there is none.
+    fn effective_rate(&self, now: Time) -> Option<usize> {
+        if !self.is_cold(now) {
+            return None;
+        }
+        match self.rate_deadline {
+            Some(deadline) if now < deadline => Some(0),
+            _ => self.rate,
+        }
+    }
+
     fn is_cold(&self, now: Time) -> bool {
         now < self.warm_at
     }
--- a/core/src/l4/workload.rs
+++ b/core/src/l4/workload.rs
@@ -131,7 +131,7 @@
 
     /// Returns the number of busy slots and queue places at which a server has no room.
     pub fn full_busy(&self) -> u16 {
-        MAX_REQUESTS_PER_SLOT * self.slots
+        self.slots.saturating_mul(MAX_REQUESTS_PER_SLOT)
     }
 
     /// Sets the number of waiting flows that can still be answered within their target latency. Late
--- a/core/tests/l4/agent.rs
+++ b/core/tests/l4/agent.rs
@@ -60,23 +60,26 @@
     pub now: Time,
 }
 
+fn options() -> AgentOptions {
+    AgentOptions {
+        domain: "a".into(),
+        service: ServiceKey::of("desk"),
+        server_address: SERVER,
+        report_interval: Duration::from_millis(700),
+        idle_timeout: Duration::from_secs(60),
+        max_lifetime: Duration::from_secs(60),
+        max_flows: 2000,
+        address: SocketAddrV4::new(*SERVER.ip(), 7001),
+    }
+}
+
 impl Harness {
     /// Returns an agent that has applied one report of its server, with the given sequence number: 0 for
     /// a server that has just started.
     pub fn new(sequence: u64) -> Self {
-        let options = AgentOptions {
-            domain: "a".into(),
-            service: ServiceKey::of("desk"),
-            server_address: SERVER,
-            report_interval: Duration::from_millis(700),
-            idle_timeout: Duration::from_secs(60),
-            max_lifetime: Duration::from_secs(60),
-            max_flows: 2000,
-            address: SocketAddrV4::new(*SERVER.ip(), 7001),
-        };
         let now = Time::from_millis(1_000);
         let mut harness = Self {
-            agent: Agent::new(TestCodec, options, now),
+            agent: Agent::new(TestCodec, options(), now),
             sent: RecordingOutbox::default(),
             now,
         };
@@ -84,6 +87,11 @@
         harness
     }
 
+    /// Replaces the agent by one that starts now.
+    pub fn restart(&mut self) {
+        self.agent = Agent::new(TestCodec, options(), self.now);
+    }
+
     pub fn report(&mut self, id: &str, started_ms: u64, sequence: u64, state: ServerState) {
         self.report_cold(id, started_ms, sequence, state, Duration::ZERO);
     }
--- a/core/tests/l4/agent_directives.rs
+++ b/core/tests/l4/agent_directives.rs
@@ -3,6 +3,7 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use berylvalve_core::{
+    clock::Time,
     l4::{
         directives::Directives,
         message::{Message, Refusal},
@@ -11,6 +12,10 @@
     },
     store::Position,
 };
+use proptest::{
+    prelude::*,
+    test_runner::{RngAlgorithm, RngSeed},
+};
 
 use crate::{
     agent::Harness,
@@ -207,3 +212,101 @@
     assert_eq!(harness.sent.delivered.len(), 100);
     assert_eq!(harness.agent.metrics().cold_refusals.get(), 0);
 }
+
+#[derive(Clone, Debug)]
+enum Event {
+    /// Balancers send openings, forced or not.
+    Open { count: u8, forced: bool },
+    /// The server answers all flows that it has accepted.
+    Answer,
+    /// Time passes.
+    Run(u64),
+    /// The VM with the agent and the server is frozen; frames that arrive meanwhile are read later.
+    Freeze(u64),
+    /// The agent is started anew beside the running server.
+    Restart,
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let open = (1..12u8, any::<bool>());
+    prop_oneof![
+        6 => open.prop_map(|(count, forced)| Event::Open { count, forced }),
+        4 => Just(Event::Answer),
+        8 => (1..400u64).prop_map(Event::Run),
+        1 => (301..4_000u64).prop_map(Event::Freeze),
+        1 => Just(Event::Restart),
+    ]
+}
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        cases: 256,
+        failure_persistence: None,
+        rng_algorithm: RngAlgorithm::ChaCha,
+        rng_seed: RngSeed::Fixed(45),
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// Guards against a second of the server's time in which a cold server gets more new flows than its
+    /// rate, whether forced, waiting or neither, after a freeze and after a restart of the agent.
+    #[test]
+    fn cold_server_never_gets_more_flows_a_second_than_its_rate(
+        events in prop::collection::vec(event(), 1..120),
+    ) {
+        let mut harness = beside_cold_server();
+        let mut frozen = Duration::ZERO;
+        let mut next_port: u8 = 1;
+        let mut delivered = BTreeMap::new();
+        for event in events {
+            match event {
+                Event::Open { count, forced } => {
+                    for _ in 0..count.min(u8::MAX - next_port) {
+                        harness.open("desk", forced, next_port);
+                        next_port += 1;
+                    }
+                }
+                Event::Answer => {
+                    for port in delivered.keys().copied() {
+                        harness.receive_from_server(ACCEPT, port, 5);
+                        harness.send(Message::Forward, &[DATA, port, 5]);
+                        harness.receive_from_server(ANSWER, port, 5);
+                    }
+                }
+                Event::Run(millis) => {
+                    for _ in 0..millis {
+                        advance(&mut harness, 1);
+                        record_delivered(&mut harness, frozen, &mut delivered);
+                    }
+                }
+                Event::Freeze(millis) => {
+                    harness.now = harness.now + Duration::from_millis(millis);
+                    frozen += Duration::from_millis(millis);
+                }
+                Event::Restart => {
+                    harness.restart();
+                    apply(&mut harness, &cold_rate(COLD_RATE));
+                    harness.report_cold("a", 1, 100, ServerState::Ready, WARMUP);
+                }
+            }
+            record_delivered(&mut harness, frozen, &mut delivered);
+        }
+        for end in delivered.values() {
+            let in_window = |time: &&Time| **time <= *end && end.since(**time) <= Duration::from_secs(1);
+            let count = delivered.values().filter(in_window).count();
+            prop_assert!(count <= COLD_RATE as usize, "{count} until {end:?}");
+        }
+    }
+}
+
+/// Records the flows that the server has got, by their ports, at the time without freezes.
+fn record_delivered(harness: &mut Harness, frozen: Duration, delivered: &mut BTreeMap<u8, Time>) {
+    for datagram in harness.sent.delivered.drain(..) {
+        if datagram[0] == OPENING {
+            delivered.entry(datagram[1]).or_insert(harness.now - frozen);
+        }
+    }
+}
--- a/core/tests/l4_choice.rs
+++ b/core/tests/l4_choice.rs
@@ -1,10 +1,19 @@
 //! Choice of the agent for a new flow, by load, speed and failure domain.
 
-use std::net::{Ipv4Addr, SocketAddrV4};
+use std::{
+    net::{Ipv4Addr, SocketAddrV4},
+    time::Duration,
+};
 
-use berylvalve_core::l4::{
-    choice::{AgentCandidate, CandidateAverage, best, expected_us},
-    workload::Load,
+use berylvalve_core::{
+    clock::Time,
+    l4::{
+        choice::{
+            AgentCandidate, CandidateAverage, add_ramp_load, best, expected_us, ramp_share,
+            thin_out_ramps,
+        },
+        workload::Load,
+    },
 };
 
 const SLOTS: u16 = 2;
@@ -78,3 +87,53 @@
     let [unknown, known] = candidates.map(|c| expected_us(&c, &average));
     assert_eq!(unknown, known);
 }
+
+/// Guards against a changed choice where no evacuation has ended.
+#[test]
+fn candidates_without_a_ramp_stay_as_they_are() {
+    let candidates = vec![candidate(1, true, 3, 15_000), candidate(2, false, 0, 0)];
+    for draw in [0, u32::MAX / 2, u32::MAX] {
+        let mut ramped = candidates.clone();
+        add_ramp_load(&mut ramped);
+        thin_out_ramps(&mut ramped, draw);
+        assert_eq!(ramped, candidates);
+    }
+}
+
+/// Guards against a service without a server to place flows on, when all its domains return at once.
+#[test]
+fn candidates_that_are_all_on_a_ramp_are_kept_with_their_load() {
+    let mut candidates = vec![candidate(1, true, 3, 15_000), candidate(2, false, 0, 0)];
+    for candidate in &mut candidates {
+        candidate.ramp = 0.9;
+    }
+    let mut ramped = candidates.clone();
+    add_ramp_load(&mut ramped);
+    thin_out_ramps(&mut ramped, 0);
+    assert_eq!(ramped, candidates);
+}
+
+#[test]
+fn candidate_on_a_ramp_counts_as_holding_a_share_of_the_mean_load() {
+    let mut candidates = [candidate(1, true, 4, 15_000), candidate(2, true, 1, 15_000)];
+    candidates[0].load.flows = 20;
+    candidates[1].ramp = 0.5;
+    add_ramp_load(&mut candidates);
+    assert_eq!((candidates[0].load.busy, candidates[0].load.flows), (4, 20));
+    assert_eq!(
+        (candidates[1].load.busy, candidates[1].load.flows),
+        (1 + 2, 10)
+    );
+}
+
+#[test]
+fn ramp_falls_from_the_whole_share_to_none() {
+    let shares = [0, 2_500, 5_000, 9_000].map(|millis| {
+        ramp_share(
+            Time::from_millis(5_000),
+            Duration::from_secs(5),
+            Time::from_millis(millis),
+        )
+    });
+    assert_eq!(shares, [1.0, 0.5, 0.0, 0.0]);
+}
