--- a/core/src/l4/agent/directives.rs
+++ b/core/src/l4/agent/directives.rs
@@ -10,6 +10,7 @@
     /// Returns the agent with the exchange of directives, for settings that ask for them.
     pub fn with_directives(mut self) -> Self {
         self.gossip = Some(Gossip::new(self.options.address));
+        self.await_directives();
         self
     }
 
