Schedule requests on open flows at the agent

Requests on open flows went straight into the server's own queue, which is in the order of arrival, so priorities had no effect once a flow was open, and a flood of one caller made the requests of all others late.

A request that finds no room (slots plus one in the server's queue) is now held with the later segments of its flow, and delivered when an answer makes room: those in time first, then by fair shares of routes, by recent work of callers, and by the time left. Bounds: 256 requests, 256 KB, 1 s; at the time bound, all late requests that were held for 500 ms pass in one burst. Passing them one by one kept the server's queue full. A request that is not whole or has no answer after 1 s occupies no slot. A server's repeated data no longer counts as an answer.

--- a/core/src/l4/agent.rs
+++ b/core/src/l4/agent.rs
@@ -3,6 +3,8 @@
 
 pub mod flows;
 mod opening;
+pub mod requests;
+mod scheduling;
 
 use std::{
     collections::{BTreeMap, VecDeque},
@@ -10,7 +12,10 @@
     time::Duration,
 };
 
-use self::flows::{FlowEntry, FlowState, FlowTable, SegmentEffect};
+use self::{
+    flows::{FlowEntry, FlowState, FlowTable, SegmentEffect},
+    requests::Requests,
+};
 use super::{
     homes::{Homes, REGISTRATION_TTL, Registry},
     message::{self, Message, Ownership, Received, Refusal},
@@ -85,6 +90,10 @@
     /// start. `None` if it can hold none.
     prior_until: Option<Time>,
     waiting: WaitingFlows,
+    requests: Requests,
+    /// Delivered requests in the order of time, with their flows. They count as stalled after
+    /// [`scheduling::STALL_TIMEOUT`].
+    started_requests: VecDeque<(Time, FlowKey)>,
     /// Summary of the agents in the last membership view.
     known_agents: KnownAgents,
     homes: Homes,
@@ -136,6 +145,8 @@
             workload: Workload::default(),
             prior_until: Some(now + options.max_lifetime),
             waiting: WaitingFlows::default(),
+            requests: Requests::default(),
+            started_requests: VecDeque::new(),
             known_agents: KnownAgents::default(),
             homes: Homes::default(),
             registry: Registry::default(),
@@ -164,6 +175,11 @@
         self.server.state(now)
     }
 
+    /// Returns the requests that are held.
+    pub fn requests(&self) -> &Requests {
+        &self.requests
+    }
+
     /// Returns the agent's metrics.
     pub fn metrics(&self) -> &AgentMetrics {
         &self.metrics
@@ -242,6 +258,7 @@
                     self.reset_all("server_restarted", out);
                     self.prior_until = None;
                 }
+                self.release_all_held(now, out);
                 self.reset_at = None;
                 self.retry_at = None;
                 self.outlier.reset();
@@ -303,6 +320,10 @@
                     work_time: self.workload.mean_work_time(),
                     age: self.codec.opening_age(&segment),
                 };
+                if service == self.options.service {
+                    let address = segment.destination;
+                    self.requests.learn_route(address, priority, urgency.target);
+                }
                 match self.check_admission(&segment, service, forced, &urgency, now) {
                     Some(refusal) => self.refuse(from, refusal, received.datagram, out),
                     None => self.admit(&segment, &urgency, received, now, out),
@@ -328,6 +349,7 @@
         self.server.record_activity(now);
         if segment.flags.bounced {
             self.return_bounced(&segment, datagram, out);
+            self.release_held(&segment.flow_of_caller(), "bounced", now, out);
             self.serve_waiting(now, out);
             return;
         }
@@ -358,6 +380,9 @@
             SegmentEffect::Other => {}
         }
         out.to_caller(segment.destination, datagram);
+        if segment.flags.fin || segment.flags.rst {
+            self.release_held(&segment.flow_of_server(), "server_ended", now, out);
+        }
         self.serve_waiting(now, out);
     }
 
@@ -378,11 +403,13 @@
             self.next_runs.expire = now + EXPIRE_INTERVAL;
             self.registry.expire(now);
             self.flows.expire(&mut self.workload, now);
+            self.requests.expire_callers(now);
             self.balancers.retain(|_, until| now < *until);
         }
         while let Some((_, flow)) = self.opening_timeouts.pop_front_if(|(due, _)| *due <= now) {
             self.expire_opening(&flow, now);
         }
+        self.stall_requests(now);
         self.serve_waiting(now, out);
         self.workload.set_failing(self.outlier.is_ejected(now));
         if now >= self.next_runs.load_report {
@@ -399,7 +426,8 @@
             .next_runs
             .load_report
             .min(self.next_runs.expire)
-            .min(self.next_runs.register);
+            .min(self.next_runs.register)
+            .min(self.requests.due().unwrap_or(self.next_runs.expire));
         self.opening_timeouts
             .front()
             .map_or(next, |(due, _)| next.min(*due))
@@ -430,31 +458,6 @@
         self.send(to, &found, &[], out);
     }
 
-    /// Delivers a forwarded segment to the backend server, or returns it as unknown.
-    fn handle_forward(&mut self, received: &Received<'_>, now: Time, out: &mut impl Outbox) {
-        let Some(segment) = self.codec.read(received.datagram) else {
-            return;
-        };
-        let from = received.from;
-        let begins_request =
-            self.flows
-                .record_caller_segment(&segment, from, &mut self.workload, now);
-        match begins_request {
-            Some(true) => self.record_request(&segment, received.datagram),
-            Some(false) => {}
-            None if self.may_hold_prior_flows() => {
-                let flow = segment.flow_of_caller();
-                self.flows
-                    .record_trial_delivery(flow, from, &mut self.workload, now);
-            }
-            None => {
-                self.send(from, &Message::Unknown, received.datagram, out);
-                return;
-            }
-        }
-        self.deliver(from, received.datagram, out);
-    }
-
     /// Returns whether the backend server may hold flows from before the agent's start, which have
     /// no entry here.
     fn may_hold_prior_flows(&self) -> bool {
@@ -565,6 +568,9 @@
     /// the open ones.
     fn reset_all(&mut self, reason: &'static str, out: &mut impl Outbox) {
         let flows = self.flows.remove_all(&mut self.workload);
+        // The callers of held requests are told by the resets that their flows have ended.
+        self.requests.clear();
+        self.workload.set_held(0);
         if flows.is_empty() {
             return;
         }
--- a/core/src/l4/agent/flows.rs
+++ b/core/src/l4/agent/flows.rs
@@ -23,6 +23,9 @@
 /// opening after 1.4 s.
 const UNACKNOWLEDGED_FLOW_TTL: Duration = Duration::from_secs(4);
 
+/// Length of data from which a segment can be one that was filled up to the largest length.
+const MIN_FULL_LENGTH: u16 = 1000;
+
 /// Placeholder for the balancer of a flow that was first seen in a server's segment.
 const UNKNOWN_BALANCER: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0);
 
@@ -71,6 +74,12 @@
     /// Sequence number that follows the last byte of the caller's data; tells new data from
     /// retransmissions.
     caller_end: Option<u32>,
+    /// Sequence number that follows the last byte of the server's data; tells an answer from
+    /// retransmissions of the one before.
+    server_end: Option<u32>,
+    /// Whether the next new data of the caller begins a request. False until the first answer on a
+    /// flow that the agent has not seen from its opening, as it may be in the middle of a request.
+    is_aligned: bool,
     caller_finished: bool,
     server_finished: bool,
 }
@@ -102,6 +111,9 @@
 #[derive(Debug)]
 pub struct FlowTable {
     idle_timeout: Duration,
+    /// Largest length of data in a caller's segment. A segment of this length is taken for one after
+    /// which its request goes on.
+    full_length: u16,
     entries: HashMap<FlowKey, FlowEntry, FxBuildHasher>,
 }
 
@@ -110,6 +122,7 @@
     pub fn new(idle_timeout: Duration) -> Self {
         Self {
             idle_timeout,
+            full_length: MIN_FULL_LENGTH,
             entries: HashMap::default(),
         }
     }
@@ -141,6 +154,7 @@
             now + UNACKNOWLEDGED_FLOW_TTL,
         );
         entry.opening_unanswered = true;
+        entry.is_aligned = true;
         entry.is_opening = true;
         workload.add_opening();
         self.entries.insert(flow, entry);
@@ -191,17 +205,24 @@
             entry.state = FlowState::Open;
         }
         entry.expires = now + self.idle_timeout;
-        let is_new = entry
-            .caller_end
-            .is_none_or(|end| is_after(segment.end(), end));
+        let is_new = entry.is_new_to_server(segment);
         let begins_request = segment.length > 0 && is_new && entry.outstanding.is_none();
         if is_new {
             entry.caller_end = Some(segment.end());
         }
+        self.full_length = self.full_length.max(segment.length);
+        let goes_on = segment.length == self.full_length;
         if begins_request {
             entry.end_opening(workload);
             entry.outstanding = Some(workload.start_request(now));
         }
+        // The server works only on whole requests. A slow caller must not keep others waiting.
+        if segment.length > 0
+            && is_new
+            && let Some(outstanding) = &mut entry.outstanding
+        {
+            workload.set_idle(outstanding, goes_on);
+        }
         if segment.flags.fin {
             entry.caller_finished = true;
         }
@@ -209,6 +230,49 @@
         Some(begins_request)
     }
 
+    /// Returns whether a caller's segment begins a request that no segment of was delivered. It does
+    /// not on a flow that counts as an opening, whose place at the server the request takes.
+    pub fn begins_request(&self, segment: &Segment) -> bool {
+        let Some(entry) = self.entries.get(&segment.flow_of_caller()) else {
+            return false;
+        };
+        let is_open = match entry.state {
+            FlowState::Open => true,
+            FlowState::Accepted { initial } => acknowledges_start(segment.acknowledged, initial),
+            FlowState::OpeningSent | FlowState::TrialDelivered | FlowState::Ended => false,
+        };
+        let is_idle = entry.is_aligned && !entry.is_opening && entry.outstanding.is_none();
+        is_open && is_idle && segment.length > 0 && entry.is_new_to_server(segment)
+    }
+
+    /// Returns whether the data of a caller's segment was delivered to the backend server before.
+    pub fn was_delivered(&self, segment: &Segment) -> bool {
+        let entry = self.entries.get(&segment.flow_of_caller());
+        entry.is_some_and(|entry| !entry.is_new_to_server(segment))
+    }
+
+    /// Records a caller's segment that is held, which keeps its flow alive.
+    pub fn record_held_segment(&mut self, segment: &Segment, balancer: SocketAddrV4, now: Time) {
+        let idle_timeout = self.idle_timeout;
+        let Some(entry) = self.entries.get_mut(&segment.flow_of_caller()) else {
+            return;
+        };
+        entry.state = FlowState::Open;
+        entry.balancer = balancer;
+        entry.acknowledged = segment.acknowledged;
+        entry.expires = now + idle_timeout;
+    }
+
+    /// Stops counting a request that was delivered at `started` as occupying a slot, if it is still
+    /// unanswered.
+    pub fn stall_request(&mut self, flow: &FlowKey, started: Time, workload: &mut Workload) {
+        let entry = self.entries.get_mut(flow);
+        let outstanding = entry.and_then(|entry| entry.outstanding.as_mut());
+        if let Some(outstanding) = outstanding.filter(|request| request.started() == started) {
+            workload.set_idle(outstanding, true);
+        }
+    }
+
     /// Records a segment of the backend server; a flow without an entry is added as open.
     pub fn record_server_segment(
         &mut self,
@@ -229,6 +293,7 @@
         entry.opening_unanswered = false;
         if segment.flags.syn {
             let initial = segment.sequence;
+            entry.server_end = None;
             if matches!(
                 entry.state,
                 FlowState::OpeningSent | FlowState::Accepted { .. }
@@ -247,9 +312,15 @@
                 balancer: entry.balancer,
             };
         }
-        if segment.length > 0
-            && let Some(outstanding) = entry.outstanding.take()
-        {
+        let is_new = segment.length > 0
+            && entry
+                .server_end
+                .is_none_or(|end| is_after(segment.end(), end));
+        if is_new {
+            entry.server_end = Some(segment.end());
+        }
+        if is_new && let Some(outstanding) = entry.outstanding.take() {
+            entry.is_aligned = true;
             effect = SegmentEffect::Answered(workload.finish_request(outstanding, now));
         }
         if segment.flags.rst && entry.outstanding.is_some() {
@@ -325,11 +396,18 @@
             long_lived_at: now + LONG_LIVED_AGE,
             outstanding: None,
             caller_end: None,
+            server_end: None,
+            is_aligned: false,
             caller_finished: false,
             server_finished: false,
         }
     }
 
+    fn is_new_to_server(&self, segment: &Segment) -> bool {
+        self.caller_end
+            .is_none_or(|end| is_after(segment.end(), end))
+    }
+
     /// Ends the flow if it was reset or both ends have finished.
     fn end_if_finished(&mut self, reset: bool, workload: &mut Workload, now: Time) {
         let finished = self.caller_finished && self.server_finished;
@@ -350,8 +428,8 @@
     /// Removes the flow from the workload.
     fn release(&mut self, workload: &mut Workload) {
         self.end_opening(workload);
-        if self.outstanding.take().is_some() {
-            workload.drop_request();
+        if let Some(outstanding) = self.outstanding.take() {
+            workload.drop_request(outstanding);
         }
         if self.state != FlowState::Ended {
             workload.remove_flow();
--- a/core/src/l4/agent/opening.rs
+++ b/core/src/l4/agent/opening.rs
@@ -131,10 +131,11 @@
         self.deliver(from, datagram, out);
     }
 
-    /// Delivers waiting flows while the backend server can queue requests, and refuses those that
-    /// have expired, or all of them if the server takes no new flows.
+    /// Delivers waiting flows and held requests while the backend server can queue requests, and
+    /// refuses waiting flows that have expired, or all of them if the server takes no new flows.
     pub(super) fn serve_waiting(&mut self, now: Time, out: &mut impl Outbox) {
-        if self.waiting.is_empty() {
+        self.pass_held(now, out);
+        if self.waiting.is_empty() && self.requests.is_empty() {
             return;
         }
         while let Some(expired) = self.waiting.pop_expired(now) {
@@ -148,6 +149,9 @@
         }
         while self.workload.can_start(false) {
             let include_late = self.workload.can_start(true);
+            if self.start_held(include_late, now, out) {
+                continue;
+            }
             let interval = self.workload.answer_interval();
             let Some(next) = self.waiting.pop_next(include_late, interval, now) else {
                 break;
--- a/core/src/l4/metrics.rs
+++ b/core/src/l4/metrics.rs
@@ -61,8 +61,17 @@
     pub waited: Counter,
     /// Times from a request to the first byte of its answer, in seconds.
     pub answer_times: Histogram,
+    /// Requests on open flows that were held at the agent, by the priority of their route.
+    pub held: CounterFamily,
+    /// Times for which requests were held, in seconds.
+    pub held_times: Histogram,
+    /// Requests that were delivered without room because a bound of held requests was reached.
+    pub passed_by_bound: Counter,
 }
 
+/// Label values of priorities; the last one stands for all below it.
+const PRIORITIES: [&str; 8] = ["0", "1", "2", "3", "4", "5", "6", "7+"];
+
 impl Default for AgentMetrics {
     fn default() -> Self {
         let buckets = exponential_buckets(FIRST_BUCKET_SECONDS, 2.0, BUCKET_COUNT);
@@ -71,11 +80,25 @@
             failures: Counter::default(),
             waited: Counter::default(),
             answer_times: Histogram::new(buckets),
+            held: CounterFamily::default(),
+            held_times: Histogram::new(exponential_buckets(
+                FIRST_BUCKET_SECONDS,
+                2.0,
+                BUCKET_COUNT,
+            )),
+            passed_by_bound: Counter::default(),
         }
     }
 }
 
 impl AgentMetrics {
+    /// Counts a held request under the priority of its route.
+    pub fn count_held(&self, priority: u8) {
+        let index = usize::from(priority).min(PRIORITIES.len() - 1);
+        let label = [("priority", PRIORITIES[index])];
+        self.held.get_or_create(&label).inc();
+    }
+
     /// Registers the metrics, to be called once per process.
     pub fn register(&self, metrics: &Metrics) {
         let help = "Requests that reached the backend server";
@@ -86,5 +109,11 @@
         metrics.register("flows_waited", help, self.waited.clone());
         let help = "Time from a request to the first byte of its answer";
         metrics.register("answer_seconds", help, self.answer_times.clone());
+        let help = "Requests on open flows that were held at the agent";
+        metrics.register("requests_held", help, self.held.clone());
+        let help = "Time for which a request was held at the agent";
+        metrics.register("held_seconds", help, self.held_times.clone());
+        let help = "Requests that passed because a bound of held requests was reached";
+        metrics.register("requests_passed", help, self.passed_by_bound.clone());
     }
 }
--- a/core/src/l4/waiting.rs
+++ b/core/src/l4/waiting.rs
@@ -45,7 +45,8 @@
 }
 
 impl WaitingFlow {
-    fn is_late(&self, now: Time) -> bool {
+    /// Returns whether the flow can no longer be answered within its target latency.
+    pub fn is_late(&self, now: Time) -> bool {
         self.is_overdue || now > self.latest_start
     }
 
@@ -94,6 +95,12 @@
         in_time.count()
     }
 
+    /// Returns a flow that is not served after any other by lateness and priority.
+    pub fn first(&self, now: Time) -> Option<&WaitingFlow> {
+        let flows = self.flows.iter();
+        flows.min_by_key(|waiting| waiting.order(now))
+    }
+
     /// Returns whether one more flow can wait and still be served before its caller gives up, if
     /// one flow is delivered every `interval`. Only the flows that are served before it count.
     pub fn has_room(&self, urgency: &Urgency, interval: Duration, now: Time) -> bool {
--- a/core/src/l4/workload.rs
+++ b/core/src/l4/workload.rs
@@ -20,8 +20,8 @@
 pub struct Load {
     /// Number of requests that the server processes at once.
     pub slots: u16,
-    /// Number of unanswered requests, openings, and waiting flows that are not late; an opening counts
-    /// until its first request or its timeout.
+    /// Number of unanswered and held requests, openings, and waiting flows that are not late; an opening
+    /// counts until its first request or its timeout.
     pub busy: u16,
     /// Number of flows, including those that are still opening.
     pub flows: u16,
@@ -47,6 +47,10 @@
     outstanding: u16,
     opening: u16,
     waiting: u16,
+    /// Requests that are held at the agent.
+    held: u16,
+    /// Outstanding requests that do not count as occupying a slot.
+    idle: u16,
     flows: u16,
     work_us: u64,
     failing: bool,
@@ -58,6 +62,15 @@
     started: Time,
     /// Whether it found no free slot, so that its time includes a wait.
     queued: bool,
+    /// Whether it does not count as occupying a slot.
+    idle: bool,
+}
+
+impl OutstandingRequest {
+    /// Returns when the request was delivered.
+    pub fn started(&self) -> Time {
+        self.started
+    }
 }
 
 impl Workload {
@@ -83,6 +96,7 @@
         OutstandingRequest {
             started: now,
             queued,
+            idle: false,
         }
     }
 
@@ -90,7 +104,7 @@
     /// request that found a free slot goes into the mean work time.
     pub fn finish_request(&mut self, outstanding: OutstandingRequest, now: Time) -> Duration {
         let took = now.since(outstanding.started);
-        self.drop_request();
+        self.drop_request(outstanding);
         if !outstanding.queued {
             let sample = took.as_micros() as u64;
             self.work_us = match self.work_us {
@@ -102,8 +116,16 @@
     }
 
     /// Removes a request without counting its time.
-    pub fn drop_request(&mut self) {
+    pub fn drop_request(&mut self, outstanding: OutstandingRequest) {
         self.outstanding = self.outstanding.saturating_sub(1);
+        self.idle = self.idle.saturating_sub(u16::from(outstanding.idle));
+    }
+
+    /// Sets whether a request counts as occupying no slot: while its last segment has not been
+    /// delivered, or when no answer comes.
+    pub fn set_idle(&mut self, outstanding: &mut OutstandingRequest, idle: bool) {
+        self.idle = self.idle.saturating_sub(u16::from(outstanding.idle)) + u16::from(idle);
+        outstanding.idle = idle;
     }
 
     /// Adds a flow whose opening segment was delivered and whose first request is expected.
@@ -127,10 +149,16 @@
         self.waiting = u16::try_from(waiting).unwrap_or(u16::MAX);
     }
 
+    /// Sets the number of requests that are held at the agent.
+    pub fn set_held(&mut self, held: usize) {
+        self.held = u16::try_from(held).unwrap_or(u16::MAX);
+    }
+
     /// Removes all requests, flows and the mean work time, which belong to an earlier instance of
     /// the backend server.
     pub fn clear(&mut self) {
         self.outstanding = 0;
+        self.idle = 0;
         self.opening = 0;
         self.flows = 0;
         self.work_us = 0;
@@ -144,14 +172,29 @@
     /// Returns whether a waiting flow can be delivered. One request per slot in the server's queue is
     /// enough to keep the slots in use. More would wait at the server, where they can't be ordered
     /// or refused. A late flow is delivered only to a free slot, so that the queue stays short for the
-    /// flows that come after it.
+    /// flows that come after it. While requests are held, the limit is theirs.
     pub fn can_start(&self, is_late: bool) -> bool {
+        if self.held > 0 {
+            return self.has_request_room(is_late);
+        }
         match is_late {
             true => self.has_free_slot(),
             false => self.outstanding + self.opening < MAX_REQUESTS_PER_SLOT * self.slots,
         }
     }
 
+    /// Returns whether a request on an open flow can be delivered: to a free slot or, unless it is late,
+    /// to the one place in the server's queue that keeps the slots in use between two deliveries.
+    pub fn has_request_room(&self, is_late: bool) -> bool {
+        let limit = self.slots + u16::from(!is_late);
+        self.outstanding.saturating_sub(self.idle) + self.opening < limit
+    }
+
+    /// Returns whether the number of slots is known.
+    pub fn has_slots(&self) -> bool {
+        self.slots > 0
+    }
+
     /// Returns the mean work time: that of requests that found a free slot, zero before the first
     /// one.
     pub fn mean_work_time(&self) -> Duration {
@@ -172,7 +215,7 @@
     pub fn load(&self) -> Load {
         Load {
             slots: self.slots,
-            busy: self.outstanding + self.opening + self.waiting,
+            busy: self.outstanding + self.opening + self.waiting + self.held,
             flows: self.flows,
             work_us: u32::try_from(self.work_us).unwrap_or(u32::MAX),
             failing: self.failing,
