Learn whether requests go on after a full segment, and scan held requests less often

A service whose requests all fill exactly one segment would have been counted as occupying no slot, so that nothing was held. The agent now compares how often requests went on after a full segment. While only late requests are held, a segment of the server no longer causes a scan of them.

--- a/core/src/l4/agent.rs
+++ b/core/src/l4/agent.rs
@@ -2,6 +2,7 @@
 //! holds, and forwards segments in both directions.
 
 pub mod flows;
+mod full_segments;
 mod opening;
 pub mod requests;
 mod scheduling;
--- a/core/src/l4/agent/flows.rs
+++ b/core/src/l4/agent/flows.rs
@@ -8,6 +8,7 @@
 
 use rustc_hash::FxBuildHasher;
 
+use super::full_segments::FullSegments;
 use crate::{
     clock::Time,
     l4::{
@@ -23,9 +24,6 @@
 /// opening after 1.4 s.
 const UNACKNOWLEDGED_FLOW_TTL: Duration = Duration::from_secs(4);
 
-/// Length of data from which a segment can be one that was filled up to the largest length.
-const MIN_FULL_LENGTH: u16 = 1000;
-
 /// Placeholder for the balancer of a flow that was first seen in a server's segment.
 const UNKNOWN_BALANCER: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0);
 
@@ -80,6 +78,8 @@
     /// Whether the next new data of the caller begins a request. False until the first answer on a
     /// flow that the agent has not seen from its opening, as it may be in the middle of a request.
     is_aligned: bool,
+    /// Whether the last new data of the caller filled its segment.
+    last_is_full: bool,
     caller_finished: bool,
     server_finished: bool,
 }
@@ -111,9 +111,7 @@
 #[derive(Debug)]
 pub struct FlowTable {
     idle_timeout: Duration,
-    /// Largest length of data in a caller's segment. A segment of this length is taken for one after
-    /// which its request goes on.
-    full_length: u16,
+    full_segments: FullSegments,
     entries: HashMap<FlowKey, FlowEntry, FxBuildHasher>,
 }
 
@@ -122,7 +120,7 @@
     pub fn new(idle_timeout: Duration) -> Self {
         Self {
             idle_timeout,
-            full_length: MIN_FULL_LENGTH,
+            full_segments: FullSegments::default(),
             entries: HashMap::default(),
         }
     }
@@ -210,18 +208,20 @@
         if is_new {
             entry.caller_end = Some(segment.end());
         }
-        self.full_length = self.full_length.max(segment.length);
-        let goes_on = segment.length == self.full_length;
         if begins_request {
             entry.end_opening(workload);
             entry.outstanding = Some(workload.start_request(now));
         }
-        // The server works only on whole requests. A slow caller must not keep others waiting.
-        if segment.length > 0
-            && is_new
-            && let Some(outstanding) = &mut entry.outstanding
-        {
-            workload.set_idle(outstanding, goes_on);
+        if segment.length > 0 && is_new {
+            if entry.last_is_full && !begins_request {
+                self.full_segments.record_guess(true);
+            }
+            entry.last_is_full = self.full_segments.record(segment.length);
+            // The server works only on whole requests. A slow caller must not keep others waiting.
+            let goes_on = entry.last_is_full && self.full_segments.go_on();
+            if let Some(outstanding) = &mut entry.outstanding {
+                workload.set_idle(outstanding, goes_on);
+            }
         }
         if segment.flags.fin {
             entry.caller_finished = true;
@@ -321,6 +321,9 @@
         }
         if is_new && let Some(outstanding) = entry.outstanding.take() {
             entry.is_aligned = true;
+            if entry.last_is_full {
+                self.full_segments.record_guess(false);
+            }
             effect = SegmentEffect::Answered(workload.finish_request(outstanding, now));
         }
         if segment.flags.rst && entry.outstanding.is_some() {
@@ -398,6 +401,7 @@
             caller_end: None,
             server_end: None,
             is_aligned: false,
+            last_is_full: false,
             caller_finished: false,
             server_finished: false,
         }
--- a/core/src/l4/agent/requests.rs
+++ b/core/src/l4/agent/requests.rs
@@ -123,7 +123,7 @@
     bytes: usize,
     routes: Routes,
     callers: Callers,
-    /// Upper bound of `latest_start` of the held requests.
+    /// Upper bound of `latest_start` of the held requests that are in time.
     last_start: Time,
     next_number: u64,
 }
@@ -297,14 +297,20 @@
     }
 
     /// Returns the request that is delivered next; one that is late only if `include_late` is set.
-    pub fn next(&self, include_late: bool, pace: Pace, now: Time) -> Option<Candidate> {
-        // This also spares the scan for each segment while only late requests are held.
-        if self.held.is_empty() || (!include_late && now > self.last_start) {
+    pub fn next(&mut self, include_late: bool, pace: Pace, now: Time) -> Option<Candidate> {
+        if now <= self.last_start {
+            if let Some(flow) = self.next_of(false, pace, now) {
+                return self.candidate(flow, now);
+            }
+            // None of them will be in time again. This spares the scan for each segment of the server
+            // until another request is held.
+            self.last_start = Time::default();
+        }
+        if !include_late {
             return None;
         }
-        let in_time = self.next_of(false, pace, now);
-        let next = in_time.or_else(|| self.next_of(true, pace, now).filter(|_| include_late))?;
-        self.candidate(next, now)
+        let flow = self.next_of(true, pace, now)?;
+        self.candidate(flow, now)
     }
 
     /// Returns whether a waiting opening goes before the request. An opening of a lower priority does
--- a/core/tests/l4_requests/bounds.rs
+++ b/core/tests/l4_requests/bounds.rs
@@ -319,6 +319,20 @@
     assert_eq!(harness.held(), 1);
 }
 
+/// Guards against requests that are never counted because each of them fills one segment.
+#[test]
+fn requests_of_one_full_segment_are_held_too() {
+    let (mut harness, flows) = established(ROOM as u16 + 1);
+    let segment = harness.segment(&flows[0], 1200);
+    harness.forward(&segment);
+    harness.answer(&flows[0]);
+    for flow in &flows {
+        let segment = harness.segment(flow, 1200);
+        harness.forward(&segment);
+    }
+    assert_eq!(harness.held(), 1);
+}
+
 /// Guards against requests without an answer, as when a caller dies, that block all others for as
 /// long as their flows have an entry.
 #[test]
