Order openings and held requests of the same priority alike

An opening was compared by its time left even while the newest requests went first, so that new flows got most places of a wave. Both now go by the same rule.

--- a/core/src/l4/agent/requests.rs
+++ b/core/src/l4/agent/requests.rs
@@ -18,6 +18,7 @@
 mod routes;
 
 use std::{
+    cmp::Ordering,
     collections::{HashMap, VecDeque},
     net::SocketAddrV4,
     time::Duration,
@@ -109,6 +110,8 @@
     /// Flow of the request.
     pub flow: FlowKey,
     is_late: bool,
+    /// Whether it goes before older ones, as not all of its route can be in time.
+    is_newest: bool,
     priority: u8,
     latest_start: Time,
 }
@@ -299,18 +302,18 @@
     /// Returns the request that is delivered next; one that is late only if `include_late` is set.
     pub fn next(&mut self, include_late: bool, pace: Pace, now: Time) -> Option<Candidate> {
         if now <= self.last_start {
-            if let Some(flow) = self.next_of(false, pace, now) {
-                return self.candidate(flow, now);
+            let in_time = self.next_of(false, pace, now);
+            if in_time.is_some() {
+                return in_time;
             }
             // None of them will be in time again. This spares the scan for each segment of the server
             // until another request is held.
             self.last_start = Time::default();
         }
-        if !include_late {
-            return None;
+        match include_late {
+            true => self.next_of(true, pace, now),
+            false => None,
         }
-        let flow = self.next_of(true, pace, now)?;
-        self.candidate(flow, now)
     }
 
     /// Returns whether a waiting opening goes before the request. An opening of a lower priority does
@@ -326,27 +329,18 @@
             return request.is_late;
         }
         match opening.priority.cmp(&request.priority) {
-            std::cmp::Ordering::Less => true,
-            std::cmp::Ordering::Equal => opening.latest_start < request.latest_start,
-            std::cmp::Ordering::Greater => {
+            Ordering::Less => true,
+            Ordering::Equal if request.is_newest => opening.latest_start > request.latest_start,
+            Ordering::Equal => opening.latest_start < request.latest_start,
+            Ordering::Greater => {
                 self.routes.start_tag(&opening.flow.address)
                     < self.routes.start_tag(&request.flow.address)
             }
         }
     }
 
-    fn candidate(&self, flow: FlowKey, now: Time) -> Option<Candidate> {
-        let request = self.held.get(&flow)?;
-        Some(Candidate {
-            flow,
-            is_late: request.is_late(now),
-            priority: request.priority,
-            latest_start: request.latest_start,
-        })
-    }
-
     /// Returns the next request among those that are late, or among the others.
-    fn next_of(&self, late: bool, pace: Pace, now: Time) -> Option<FlowKey> {
+    fn next_of(&self, late: bool, pace: Pace, now: Time) -> Option<Candidate> {
         let mut weights = 0.0;
         let mut best: Option<(u64, u8, &Route)> = None;
         for (address, route) in self.routes.backlogged() {
@@ -379,7 +373,7 @@
         late: bool,
         interval: Duration,
         now: Time,
-    ) -> Option<FlowKey> {
+    ) -> Option<Candidate> {
         let (mut count, mut last_start) = (0, now);
         for flow in &route.flows {
             let request = &self.held[flow];
@@ -405,7 +399,15 @@
                 best = Some((key, *flow));
             }
         }
-        best.map(|(_, flow)| flow)
+        let (_, flow) = best?;
+        let request = &self.held[&flow];
+        Some(Candidate {
+            flow,
+            is_late: late,
+            is_newest: is_overloaded,
+            priority: request.priority,
+            latest_start: request.latest_start,
+        })
     }
 
     fn is_late(&self, flow: &FlowKey, now: Time) -> bool {
--- a/core/src/l4/agent/scheduling.rs
+++ b/core/src/l4/agent/scheduling.rs
@@ -139,7 +139,8 @@
         let Some(next) = self.requests.next(include_late, pace, now) else {
             return false;
         };
-        let opening = self.waiting.first(now);
+        let interval = self.workload.answer_interval();
+        let opening = self.waiting.next(include_late, interval, now);
         if opening.is_some_and(|opening| self.requests.opening_goes_first(opening, &next, now)) {
             return false;
         }
--- a/core/src/l4/waiting.rs
+++ b/core/src/l4/waiting.rs
@@ -95,12 +95,6 @@
         in_time.count()
     }
 
-    /// Returns a flow that is not served after any other by lateness and priority.
-    pub fn first(&self, now: Time) -> Option<&WaitingFlow> {
-        let flows = self.flows.iter();
-        flows.min_by_key(|waiting| waiting.order(now))
-    }
-
     /// Returns whether one more flow can wait and still be served before its caller gives up, if
     /// one flow is delivered every `interval`. Only the flows that are served before it count.
     pub fn has_room(&self, urgency: &Urgency, interval: Duration, now: Time) -> bool {
@@ -139,19 +133,30 @@
         Some(self.flows.swap_remove(last))
     }
 
-    /// Removes and returns the flow that is served next if one is delivered every `interval`: one that
-    /// is not late before the late ones, then the highest priority, then the earliest `latest_start`.
-    /// Late flows are returned only if `include_late` is set.
-    ///
-    /// If not all flows in time can be served in time, the latest `latest_start` comes first instead, as
-    /// in adaptive LIFO queueing: with the earliest first, each flow would be served when it is about
-    /// to be late, and a little more work than expected would make all of them late.
+    /// Removes and returns the flow that is served next, see [`WaitingFlows::next`].
     pub fn pop_next(
         &mut self,
         include_late: bool,
         interval: Duration,
         now: Time,
     ) -> Option<WaitingFlow> {
+        let index = self.next_index(include_late, interval, now)?;
+        Some(self.flows.swap_remove(index))
+    }
+
+    /// Returns the flow that is served next if one is delivered every `interval`: one that is not late
+    /// before the late ones, then the highest priority, then the earliest `latest_start`. Late flows are
+    /// returned only if `include_late` is set.
+    ///
+    /// If not all flows in time can be served in time, the latest `latest_start` comes first instead, as
+    /// in adaptive LIFO queueing: with the earliest first, each flow would be served when it is about
+    /// to be late, and a little more work than expected would make all of them late.
+    pub fn next(&self, include_late: bool, interval: Duration, now: Time) -> Option<&WaitingFlow> {
+        let index = self.next_index(include_late, interval, now)?;
+        self.flows.get(index)
+    }
+
+    fn next_index(&self, include_late: bool, interval: Duration, now: Time) -> Option<usize> {
         let in_time = self.flows.iter().filter(|waiting| !waiting.is_late(now));
         let (mut count, mut last_start) = (0, now);
         for waiting in in_time {
@@ -170,10 +175,7 @@
         };
         let flows = self.flows.iter().enumerate();
         let (index, next) = flows.min_by_key(|(_, waiting)| order(waiting))?;
-        if next.is_late(now) && !include_late {
-            return None;
-        }
-        Some(self.flows.swap_remove(index))
+        (include_late || !next.is_late(now)).then_some(index)
     }
 
     /// Removes and returns a flow that has waited too long, or `None` if there is none.
--- a/core/tests/l4_requests/harness.rs
+++ b/core/tests/l4_requests/harness.rs
@@ -36,12 +36,17 @@
     pub to_server: Vec<Vec<u8>>,
     pub to_caller: Vec<Vec<u8>>,
     pub messages: Vec<Message>,
+    /// Flows whose opening was refused.
+    pub refused: Vec<FlowKey>,
 }
 
 impl Outbox for Recorder {
     fn to_peer(&mut self, peer: SocketAddrV4, frame: &[u8]) {
-        self.messages
-            .push(message::decode(peer, frame).unwrap().message);
+        let received = message::decode(peer, frame).unwrap();
+        if matches!(received.message, Message::Refused { .. }) {
+            self.refused.push(wire::flow_of(received.datagram));
+        }
+        self.messages.push(received.message);
     }
 
     fn to_caller(&mut self, _: SocketAddrV4, datagram: &[u8]) {
--- a/core/tests/l4_requests/simulation.rs
+++ b/core/tests/l4_requests/simulation.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     harness::{Harness, Recorder, SLOTS},
-    wire::{self, flow},
+    wire::{self, ACK, RST, SYN, flow},
 };
 
 /// Requests that the server queues; it sheds those beyond.
@@ -30,13 +30,20 @@
 const FIRST_RETRANSMISSION: Duration = Duration::from_millis(200);
 const LAST_RETRANSMISSION: Duration = Duration::from_millis(1600);
 
-/// A request that a caller sends on an open flow as soon as it has an idle one.
+/// Time from the acceptance of a flow to its first request.
+const ROUND_TRIP: Duration = Duration::from_millis(5);
+
+/// First port of flows that are opened for one request.
+const FIRST_NEW_PORT: u16 = 1000;
+
+/// A request that a caller sends on an open flow as soon as it has an idle one, or on a new flow.
 #[derive(Clone, Copy, Debug)]
 pub struct Arrival {
     pub at: Time,
     pub host: u8,
     pub route: u8,
     pub work: Duration,
+    pub opens: bool,
 }
 
 /// What became of a request.
@@ -44,6 +51,7 @@
 pub struct Outcome {
     pub arrival: Arrival,
     pub took: Duration,
+    /// Whether it was shed by the server, or its opening was refused by the agent.
     pub shed: bool,
 }
 
@@ -75,6 +83,7 @@
             host: rng.random_range(hosts.clone()),
             route,
             work: if is_tail { TAIL_WORK } else { WORK },
+            opens: false,
         });
     }
 }
@@ -87,6 +96,7 @@
 enum Event {
     Arrival(usize),
     Done(FlowKey),
+    Opened(FlowKey),
     Retransmission(FlowKey, u32, Duration),
 }
 
@@ -105,7 +115,10 @@
     next_event: u64,
     idle: BTreeMap<(u8, u8), Vec<FlowKey>>,
     unsent: BTreeMap<(u8, u8), VecDeque<Arrival>>,
+    opening: HashMap<FlowKey, Arrival>,
     pending: HashMap<FlowKey, Pending>,
+    priorities: BTreeMap<u8, u8>,
+    next_port: u16,
     received: HashMap<FlowKey, u32>,
     running: usize,
     queue: VecDeque<FlowKey>,
@@ -137,7 +150,10 @@
         next_event: 0,
         idle,
         unsent: BTreeMap::new(),
+        opening: HashMap::new(),
         pending: HashMap::new(),
+        priorities: priorities.clone(),
+        next_port: FIRST_NEW_PORT,
         received: HashMap::new(),
         running: 0,
         queue: VecDeque::new(),
@@ -176,6 +192,10 @@
             match event {
                 Event::Arrival(index) => self.send(arrivals[index]),
                 Event::Done(flow) => self.finish(&flow),
+                Event::Opened(flow) => {
+                    let arrival = self.opening.remove(&flow).unwrap();
+                    self.send_on(flow, arrival);
+                }
                 Event::Retransmission(flow, sequence, delay) => {
                     self.retransmit(&flow, sequence, delay);
                 }
@@ -186,11 +206,33 @@
 
     /// Sends a request on an idle flow, or as soon as one is idle.
     fn send(&mut self, arrival: Arrival) {
+        if arrival.opens {
+            self.open(arrival);
+            return;
+        }
         let caller = (arrival.host, arrival.route);
         let Some(flow) = self.idle.get_mut(&caller).and_then(Vec::pop) else {
             self.unsent.entry(caller).or_default().push_back(arrival);
             return;
         };
+        self.send_on(flow, arrival);
+    }
+
+    /// Opens a new flow for a request.
+    fn open(&mut self, arrival: Arrival) {
+        let flow = flow(arrival.host, self.next_port, arrival.route);
+        self.next_port += 1;
+        self.opening.insert(flow, arrival);
+        match self.direct {
+            true => {
+                let opening = wire::from_caller(&flow, SYN, 0, 0, &[]);
+                self.harness.out.to_server.push(opening);
+            }
+            false => self.harness.open(&flow, self.priorities[&arrival.route]),
+        }
+    }
+
+    fn send_on(&mut self, flow: FlowKey, arrival: Arrival) {
         let datagram = self.harness.segment(&flow, 100);
         self.transmit(&datagram);
         let sequence = wire::sequence_of(&datagram);
@@ -236,11 +278,19 @@
                 self.receive(&datagram);
             }
         }
+        for flow in std::mem::take(&mut self.harness.out.refused) {
+            let arrival = self.opening.remove(&flow).unwrap();
+            self.record(arrival, true);
+        }
         self.harness.out = Recorder::default();
     }
 
     fn receive(&mut self, datagram: &[u8]) {
         let flow = wire::flow_of(datagram);
+        if datagram[0] == SYN {
+            self.accept(flow);
+            return;
+        }
         let sequence = wire::sequence_of(datagram);
         if let Some(pending) = self.pending.get_mut(&flow) {
             pending.acknowledged = true;
@@ -258,6 +308,15 @@
         }
     }
 
+    fn accept(&mut self, flow: FlowKey) {
+        self.harness.next.insert(flow, (1, 1));
+        if !self.direct {
+            let accepted = wire::from_server(&flow, SYN | ACK, 0, &[]);
+            self.harness.receive_from_server(&accepted);
+        }
+        self.schedule(self.harness.now + ROUND_TRIP, Event::Opened(flow));
+    }
+
     fn start(&mut self, flow: FlowKey) {
         self.running += 1;
         let work = self.pending[&flow].arrival.work;
@@ -275,19 +334,33 @@
     fn answer(&mut self, flow: &FlowKey, shed: bool) {
         let pending = self.pending.remove(flow).unwrap();
         let arrival = pending.arrival;
-        self.outcomes.push(Outcome {
-            arrival,
-            took: self.harness.now.since(arrival.at),
-            shed,
-        });
+        self.record(arrival, shed);
         match self.direct {
             true => self.harness.next.get_mut(flow).unwrap().1 += 50,
             false => self.harness.answer(flow),
         }
+        if arrival.opens {
+            if !self.direct {
+                let (_, sequence) = self.harness.next[flow];
+                let reset = wire::from_server(flow, RST, sequence, &[]);
+                self.harness.receive_from_server(&reset);
+            }
+            return;
+        }
         let caller = (arrival.host, arrival.route);
         self.idle.entry(caller).or_default().push(*flow);
         if let Some(next) = self.unsent.get_mut(&caller).and_then(VecDeque::pop_front) {
             self.send(next);
         }
     }
+
+    fn record(&mut self, arrival: Arrival, shed: bool) {
+        let took = self.harness.now.since(arrival.at);
+        let outcome = Outcome {
+            arrival,
+            took,
+            shed,
+        };
+        self.outcomes.push(outcome);
+    }
 }
--- a/core/tests/l4_requests/wave.rs
+++ b/core/tests/l4_requests/wave.rs
@@ -85,6 +85,43 @@
     }
 }
 
+/// Guards against new flows that get no place beside the requests on open flows, or get all of them. An
+/// opening that the agent refuses goes to another agent; here it counts as not in time.
+#[test]
+fn new_and_open_flows_share_a_wave_by_priority() {
+    for load in [1.1, 1.3] {
+        let [without, with] = [true, false].map(|direct| {
+            let outcomes = SEEDS.flat_map(|seed| {
+                let mut arrivals = wave(seed, load);
+                // Every third request comes on a new flow.
+                for arrival in arrivals.iter_mut().step_by(3) {
+                    arrival.opens = true;
+                }
+                run(&arrivals, &priorities(), direct)
+            });
+            outcomes.collect::<Vec<Outcome>>()
+        });
+        for (route, name) in [(URGENT, "urgent"), (PLAIN, "plain")] {
+            let shares = [false, true].map(|opens| {
+                [&without, &with].map(|outcomes| {
+                    let outcomes = outcomes.iter();
+                    share_in_time(outcomes.filter(|outcome| {
+                        (outcome.arrival.route, outcome.arrival.opens) == (route, opens)
+                    }))
+                })
+            });
+            println!(
+                "load {load} {name}: open {:.3?}, new {:.3?}",
+                shares[0], shares[1]
+            );
+            let least = if route == URGENT { 0.95 } else { 0.5 };
+            for [_, with] in shares {
+                assert!(with >= least, "load {load} {name}: {with}");
+            }
+        }
+    }
+}
+
 /// Guards against a route that gets nothing for as long as another has requests.
 #[test]
 fn no_request_starves_in_a_wave() {
