--- a/core/src/l4/agent/flows.rs
+++ b/core/src/l4/agent/flows.rs
@@ -8,6 +8,7 @@
 
 use rustc_hash::FxBuildHasher;
 
+use super::full_segments::FullSegments;
 use crate::{
     clock::Time,
     l4::{
@@ -71,6 +72,14 @@
     /// Sequence number that follows the last byte of the caller's data; tells new data from
     /// retransmissions.
     caller_end: Option<u32>,
+    /// Sequence number that follows the last byte of the server's data; tells an answer from
+    /// retransmissions of the one before.
+    server_end: Option<u32>,
+    /// Whether the next new data of the caller begins a request. False until the first answer on a
+    /// flow that the agent has not seen from its opening, as it may be in the middle of a request.
+    is_aligned: bool,
+    /// Whether the last new data of the caller filled its segment.
+    last_is_full: bool,
     caller_finished: bool,
     server_finished: bool,
 }
@@ -102,6 +111,7 @@
 #[derive(Debug)]
 pub struct FlowTable {
     idle_timeout: Duration,
+    full_segments: FullSegments,
     entries: HashMap<FlowKey, FlowEntry, FxBuildHasher>,
 }
 
@@ -110,6 +120,7 @@
     pub fn new(idle_timeout: Duration) -> Self {
         Self {
             idle_timeout,
+            full_segments: FullSegments::default(),
             entries: HashMap::default(),
         }
     }
@@ -146,6 +157,7 @@
             now + UNACKNOWLEDGED_FLOW_TTL,
         );
         entry.opening_unanswered = true;
+        entry.is_aligned = true;
         entry.is_opening = true;
         workload.add_opening();
         self.entries.insert(flow, entry);
@@ -196,9 +208,7 @@
             entry.state = FlowState::Open;
         }
         entry.expires = now + self.idle_timeout;
-        let is_new = entry
-            .caller_end
-            .is_none_or(|end| is_after(segment.end(), end));
+        let is_new = entry.is_new_to_server(segment);
         let begins_request = segment.length > 0 && is_new && entry.outstanding.is_none();
         if is_new {
             entry.caller_end = Some(segment.end());
@@ -207,6 +217,17 @@
             entry.end_opening(workload);
             entry.outstanding = Some(workload.start_request(now));
         }
+        if segment.length > 0 && is_new {
+            if entry.last_is_full && !begins_request {
+                self.full_segments.record_guess(true);
+            }
+            entry.last_is_full = self.full_segments.record(segment.length);
+            // The server works only on whole requests. A slow caller must not keep others waiting.
+            let goes_on = entry.last_is_full && self.full_segments.go_on();
+            if let Some(outstanding) = &mut entry.outstanding {
+                workload.set_idle(outstanding, goes_on);
+            }
+        }
         if segment.flags.fin {
             entry.caller_finished = true;
         }
@@ -214,6 +235,49 @@
         Some(begins_request)
     }
 
+    /// Returns whether a caller's segment begins a request that no segment of was delivered. It does
+    /// not on a flow that counts as an opening, whose place at the server the request takes.
+    pub fn begins_request(&self, segment: &Segment) -> bool {
+        let Some(entry) = self.entries.get(&segment.flow_of_caller()) else {
+            return false;
+        };
+        let is_open = match entry.state {
+            FlowState::Open => true,
+            FlowState::Accepted { initial } => acknowledges_start(segment.acknowledged, initial),
+            FlowState::OpeningSent | FlowState::TrialDelivered | FlowState::Ended => false,
+        };
+        let is_idle = entry.is_aligned && !entry.is_opening && entry.outstanding.is_none();
+        is_open && is_idle && segment.length > 0 && entry.is_new_to_server(segment)
+    }
+
+    /// Returns whether the data of a caller's segment was delivered to the backend server before.
+    pub fn was_delivered(&self, segment: &Segment) -> bool {
+        let entry = self.entries.get(&segment.flow_of_caller());
+        entry.is_some_and(|entry| !entry.is_new_to_server(segment))
+    }
+
+    /// Records a caller's segment that is held, which keeps its flow alive.
+    pub fn record_held_segment(&mut self, segment: &Segment, balancer: SocketAddrV4, now: Time) {
+        let idle_timeout = self.idle_timeout;
+        let Some(entry) = self.entries.get_mut(&segment.flow_of_caller()) else {
+            return;
+        };
+        entry.state = FlowState::Open;
+        entry.balancer = balancer;
+        entry.acknowledged = segment.acknowledged;
+        entry.expires = now + idle_timeout;
+    }
+
+    /// Stops counting a request that was delivered at `started` as occupying a slot, if it is still
+    /// unanswered.
+    pub fn stall_request(&mut self, flow: &FlowKey, started: Time, workload: &mut Workload) {
+        let entry = self.entries.get_mut(flow);
+        let outstanding = entry.and_then(|entry| entry.outstanding.as_mut());
+        if let Some(outstanding) = outstanding.filter(|request| request.started() == started) {
+            workload.set_idle(outstanding, true);
+        }
+    }
+
     /// Records a segment of the backend server; a flow without an entry is added as open.
     pub fn record_server_segment(
         &mut self,
@@ -234,6 +298,7 @@
         entry.opening_unanswered = false;
         if segment.flags.syn {
             let initial = segment.sequence;
+            entry.server_end = None;
             if matches!(
                 entry.state,
                 FlowState::OpeningSent | FlowState::Accepted { .. }
@@ -252,9 +317,18 @@
                 balancer: entry.balancer,
             };
         }
-        if segment.length > 0
-            && let Some(outstanding) = entry.outstanding.take()
-        {
+        let is_new = segment.length > 0
+            && entry
+                .server_end
+                .is_none_or(|end| is_after(segment.end(), end));
+        if is_new {
+            entry.server_end = Some(segment.end());
+        }
+        if is_new && let Some(outstanding) = entry.outstanding.take() {
+            entry.is_aligned = true;
+            if entry.last_is_full {
+                self.full_segments.record_guess(false);
+            }
             effect = SegmentEffect::Answered(workload.finish_request(outstanding, now));
         }
         if segment.flags.rst && entry.outstanding.is_some() {
@@ -330,11 +404,19 @@
             long_lived_at: now + LONG_LIVED_AGE,
             outstanding: None,
             caller_end: None,
+            server_end: None,
+            is_aligned: false,
+            last_is_full: false,
             caller_finished: false,
             server_finished: false,
         }
     }
 
+    fn is_new_to_server(&self, segment: &Segment) -> bool {
+        self.caller_end
+            .is_none_or(|end| is_after(segment.end(), end))
+    }
+
     /// Ends the flow if it was reset or both ends have finished.
     fn end_if_finished(&mut self, reset: bool, workload: &mut Workload, now: Time) {
         let finished = self.caller_finished && self.server_finished;
@@ -355,8 +437,8 @@
     /// Removes the flow from the workload.
     fn release(&mut self, workload: &mut Workload) {
         self.end_opening(workload);
-        if self.outstanding.take().is_some() {
-            workload.drop_request();
+        if let Some(outstanding) = self.outstanding.take() {
+            workload.drop_request(outstanding);
         }
         if self.state != FlowState::Ended {
             workload.remove_flow();
--- a/core/src/l4/waiting.rs
+++ b/core/src/l4/waiting.rs
@@ -45,7 +45,8 @@
 }
 
 impl WaitingFlow {
-    fn is_late(&self, now: Time) -> bool {
+    /// Returns whether the flow can no longer be answered within its target latency.
+    pub fn is_late(&self, now: Time) -> bool {
         self.is_overdue || now > self.latest_start
     }
 
@@ -132,19 +133,30 @@
         Some(self.flows.swap_remove(last))
     }
 
-    /// Removes and returns the flow that is served next if one is delivered every `interval`: one that
-    /// is not late before the late ones, then the highest priority, then the earliest `latest_start`.
-    /// Late flows are returned only if `include_late` is set.
-    ///
-    /// If not all flows in time can be served in time, the latest `latest_start` comes first instead, as
-    /// in adaptive LIFO queueing: with the earliest first, each flow would be served when it is about
-    /// to be late, and a little more work than expected would make all of them late.
+    /// Removes and returns the flow that is served next, see [`WaitingFlows::next`].
     pub fn pop_next(
         &mut self,
         include_late: bool,
         interval: Duration,
         now: Time,
     ) -> Option<WaitingFlow> {
+        let index = self.next_index(include_late, interval, now)?;
+        Some(self.flows.swap_remove(index))
+    }
+
+    /// Returns the flow that is served next if one is delivered every `interval`: one that is not late
+    /// before the late ones, then the highest priority, then the earliest `latest_start`. Late flows are
+    /// returned only if `include_late` is set.
+    ///
+    /// If not all flows in time can be served in time, the latest `latest_start` comes first instead, as
+    /// in adaptive LIFO queueing: with the earliest first, each flow would be served when it is about
+    /// to be late, and a little more work than expected would make all of them late.
+    pub fn next(&self, include_late: bool, interval: Duration, now: Time) -> Option<&WaitingFlow> {
+        let index = self.next_index(include_late, interval, now)?;
+        self.flows.get(index)
+    }
+
+    fn next_index(&self, include_late: bool, interval: Duration, now: Time) -> Option<usize> {
         let in_time = self.flows.iter().filter(|waiting| !waiting.is_late(now));
         let (mut count, mut last_start) = (0, now);
         for waiting in in_time {
@@ -163,10 +175,7 @@
         };
         let flows = self.flows.iter().enumerate();
         let (index, next) = flows.min_by_key(|(_, waiting)| order(waiting))?;
-        if next.is_late(now) && !include_late {
-            return None;
-        }
-        Some(self.flows.swap_remove(index))
+        (include_late || !next.is_late(now)).then_some(index)
     }
 
     /// Removes and returns a flow that has waited too long, or `None` if there is none.
