Keep openings until directives arrive, and reject ones already taken back

Cause: openings that reach a balancer before it is ready were placed without directives. A directive that was written and deleted between two reads of a process came back if a peer had read it in between and failed.

Change: a starting balancer places no opening while it waits for directives. A read that finds the contents unchanged is remembered; an older document from a peer is then answered by the present contents at the position of that read.

--- a/core/src/l4/balancer.rs
+++ b/core/src/l4/balancer.rs
@@ -61,7 +61,7 @@
 const JOIN_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Time from the first tick after which the balancer resets flows that it can't place, even if
-/// [`Balancer::can_serve`] is still false.
+/// [`Balancer::can_serve`] is still false, unless it still waits for directives.
 const START_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Time without a new agent after which the known agents count as complete. A membership update reaches
@@ -344,7 +344,7 @@
             self.handle_search_timeout(&flow, now, out);
         }
         let first_tick = *self.first_tick.get_or_insert(now);
-        let has_timed_out = now.since(first_tick) >= START_TIMEOUT;
+        let has_timed_out = now.since(first_tick) >= START_TIMEOUT && !self.awaits_directives(now);
         if self.starting && (has_timed_out || self.can_serve(now)) {
             self.starting = false;
             self.retry_openings(now, out);
--- a/core/src/l4/balancer/opening.rs
+++ b/core/src/l4/balancer/opening.rs
@@ -181,6 +181,7 @@
     /// unless an agent may have accepted it, it waits at an agent, or the balancer is starting.
     fn try_next(&mut self, flow: &FlowKey, now: Time, out: &mut impl Outbox) {
         let tie_offset = self.random();
+        let awaits_directives = self.awaits_directives(now);
         let service = self.service_of(flow).unwrap_or_default();
         let Some(FlowState::Opening(opening)) = self.flows.get_mut(flow) else {
             return;
@@ -195,8 +196,9 @@
         }
         let chosen = choose(opening, &mut self.candidates, tie_offset);
         // A balancer that is starting knows few agents: it forces the flow on none of them and
-        // retries when it knows more.
-        let chosen = chosen.filter(|(_, forced)| !(*forced && self.starting));
+        // retries when it knows more. Without directives, it can't tell which agents are evacuated.
+        let chosen =
+            chosen.filter(|(_, forced)| !(self.starting && (*forced || awaits_directives)));
         let Some((candidate, forced)) = chosen else {
             opening.pending = None;
             let may_be_open = !opening.accepted.is_empty() || !opening.silent.is_empty();
--- a/core/src/l4/directives/history.rs
+++ b/core/src/l4/directives/history.rs
@@ -24,6 +24,8 @@
     document: Arc<Directives>,
     /// The document without evacuations that are ignored.
     effective: Arc<Directives>,
+    /// Position of the last read that returned the contents of the document.
+    confirmed: Position,
     /// Position of the key of each evacuation that has ended.
     ended: BTreeMap<String, Position>,
     /// When the era of the document has settled; `None` once it has.
@@ -72,7 +74,11 @@
             && current.position != Position::START
             && evacuated.eq(offered.evacuated.iter())
             && offered.cold_rates == current.cold_rates;
-        !is_unchanged && self.accept(offered, now)
+        if is_unchanged {
+            self.confirmed = self.confirmed.max(position);
+            return false;
+        }
+        self.accept(offered, now)
     }
 
     /// Accepts a document if it is newer. Of an older one, only evacuations of earlier eras are added,
@@ -83,6 +89,13 @@
         if offered.position <= self.document.position {
             return self.hold_missing(&offered, now) || has_settled;
         }
+        if offered.position <= self.confirmed {
+            // The contents had changed and were changed back before the read that confirmed them.
+            let mut document = self.document.as_ref().clone();
+            document.position = self.confirmed;
+            self.replace(document);
+            return true;
+        }
         let era = offered.position.era;
         if era > self.document.position.era {
             self.settled_at = Some(now + SETTLE_TIME);
