--- a/core/tests/l4_directives.rs
+++ b/core/tests/l4_directives.rs
@@ -225,7 +225,7 @@
 }
 
 fn address(index: usize) -> SocketAddrV4 {
-    SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, index as u8), 7001)
+    SocketAddrV4::new(Ipv4Addr::from(0x0a00_0000 + index as u32), 7001)
 }
 
 fn view(count: usize) -> View {
@@ -320,7 +320,7 @@
                     waiting.push((from, to, frame));
                     continue;
                 }
-                let index = usize::from(to.ip().octets()[3]);
+                let index = (u32::from(*to.ip()) - 0x0a00_0000) as usize;
                 let received = message::decode(address(from), &frame).unwrap();
                 let mut out = Frames::default();
                 self.processes[index].receive(&received, self.now, &mut out);
