--- a/core/src/l4/balancer.rs
+++ b/core/src/l4/balancer.rs
@@ -65,7 +65,7 @@
 const JOIN_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Time from the first tick after which the balancer resets flows that it can't place, even if
-/// [`Balancer::can_serve`] is still false.
+/// [`Balancer::can_serve`] is still false, unless it still waits for directives.
 const START_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Largest number of entries in the flow table. When it is full, no entry is added for a new flow,
@@ -380,7 +380,7 @@
         }
         self.run_rounds(now, out);
         let first_tick = *self.first_tick.get_or_insert(now);
-        let has_timed_out = now.since(first_tick) >= START_TIMEOUT;
+        let has_timed_out = now.since(first_tick) >= START_TIMEOUT && !self.awaits_directives(now);
         if self.starting && (has_timed_out || self.can_serve(now)) {
             self.starting = false;
             self.retry_openings(now, out);
