Give the processes of the model their start times and a clock

Cause: all records of the model had incarnation 1 and balancers no clock, so that the short stabilization window was never in force there.

--- a/src/trial/segments/world.rs
+++ b/src/trial/segments/world.rs
@@ -108,6 +108,8 @@
 struct Standing {
     up: bool,
     life: u64,
+    /// When the process started.
+    started: Time,
     frozen: Time,
     disturbed: Time,
 }
@@ -279,6 +281,7 @@
             let standing = Standing {
                 up: true,
                 life: 1,
+                started: Time::default(),
                 frozen: Time::default(),
                 disturbed: Time::default(),
             };
--- a/src/trial/segments/world/disturbances.rs
+++ b/src/trial/segments/world/disturbances.rs
@@ -89,6 +89,7 @@
         self.news.remove(&place);
         if let Some(standing) = self.standing.get_mut(&place) {
             standing.up = true;
+            standing.started = now;
             standing.frozen = now;
         }
         match place {
--- a/src/trial/segments/world/members.rs
+++ b/src/trial/segments/world/members.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddrV4, time::Duration};
 
 use berylvalve_core::{
+    clock::Time,
     l4::server::{ServerReport, ServerState},
     member::{MemberState, Record, Role, View},
     owner_id::Incarnation,
@@ -14,10 +15,15 @@
 };
 use berylvalve_core::l4::routes::ServiceKey;
 
-/// Time of all clocks, long after the starts of all servers: only the sequence of a report tells whether
+/// Time of all clocks at the start of the run, long after the starts of all servers: only the sequence of a report tells whether
 /// it is the first one.
 const UNIX_MS: u64 = 1 << 40;
 
+/// Returns the time of all clocks at a point of the run.
+fn unix_ms(time: Time) -> u64 {
+    UNIX_MS + time.as_millis()
+}
+
 impl World {
     pub(super) fn report(&mut self, index: usize, life: u64) {
         let server = &mut self.servers[index];
@@ -65,10 +71,11 @@
             Place::Balancer(index) => (Role::Balancer, ServiceKey::default().tag(), index),
             Place::Agent(index) => (Role::Agent, service(index).tag(), index),
         };
+        let started = self.standing[&place].started;
         let record = Record {
             address: address(place),
             control: address(place),
-            incarnation: Incarnation(1),
+            incarnation: Incarnation((unix_ms(started) / 100) as u32),
             domain: domain(index),
             role,
             service: tag,
@@ -103,7 +110,11 @@
         }
         let mut sent = Sent::default();
         match place {
-            Place::Balancer(index) => self.balancers[index].apply_view(view, self.now, &mut sent),
+            Place::Balancer(index) => {
+                let balancer = &mut self.balancers[index];
+                balancer.set_unix_ms(unix_ms(self.now), self.now);
+                balancer.apply_view(view, self.now, &mut sent);
+            }
             Place::Agent(index) => self.agents[index].apply_view(view),
         }
         self.send(place, sent);
