Average the work time of a backend server over 64 requests

Cause: the mean work time in the load report weighed each new sample with 1/8. One request that took seven times as long raised it by three quarters for about eight requests, so that new flows avoided the server and crowded others. Change: the divisor is 64, and below that the number of samples, so that the first ones count alike.

Tried and left out: placement by demand. Early refusal at the balancer is not done.

--- a/core/src/l4/workload.rs
+++ b/core/src/l4/workload.rs
@@ -8,8 +8,10 @@
 
 use crate::clock::Time;
 
-/// Divisor for the weight of a new sample in the moving average of the work time.
-const WORK_MEAN_DIVISOR: u64 = 8;
+/// Largest divisor for the weight of a new sample in the moving average of the work time. With 8, one
+/// request that takes seven times as long raised the average by three quarters, so that new flows went to
+/// other servers for no reason.
+const MAX_WORK_DIVISOR: u64 = 64;
 
 /// Limit of unanswered requests and openings per slot of the backend server. Beyond it, new flows
 /// wait at the agent.
@@ -49,6 +51,8 @@
     waiting: u16,
     flows: u16,
     work_us: u64,
+    /// Number of samples in the mean work time, up to [`MAX_WORK_DIVISOR`].
+    samples: u64,
     failing: bool,
 }
 
@@ -93,10 +97,10 @@
         self.drop_request();
         if !outstanding.queued {
             let sample = took.as_micros() as u64;
-            self.work_us = match self.work_us {
-                0 => sample.max(1),
-                mean => (mean * (WORK_MEAN_DIVISOR - 1) + sample) / WORK_MEAN_DIVISOR,
-            };
+            // The first samples count alike, so that the very first one does not dominate.
+            self.samples = (self.samples + 1).min(MAX_WORK_DIVISOR);
+            let sum = self.work_us * (self.samples - 1) + sample;
+            self.work_us = (sum / self.samples).max(1);
         }
         took
     }
@@ -134,6 +138,7 @@
         self.opening = 0;
         self.flows = 0;
         self.work_us = 0;
+        self.samples = 0;
     }
 
     /// Returns whether a new request would find a free slot.
