Mend what reviews of the new parts found

Changes: - a home whose reply was lost is queried again after a round, which tells what an agent holds and not what is registered with it; a round in which nobody was asked proves nothing - a registration that names the agent which has just denied the flow is not followed again; an agent that is gone but named as an owner is probed - a round waits as long as the link needs for its replies; replies to other rounds cost no comparison of agents - while an agent at a cold server awaits the rate, it asks the balancer that places a flow, and openings wait instead of being refused; pushes are not spent while nobody is known - an unknown failure domain stays in the document, as settings of other processes may name it - a process that becomes a relay reads the store - an opening that the cold rate delays does not delay held requests; a stalled request does not count again; a replaced entry of a trial delivery is released

--- a/core/src/l4/agent.rs
+++ b/core/src/l4/agent.rs
@@ -338,6 +338,7 @@
                 let Some(segment) = self.codec.read(received.datagram) else {
                     return;
                 };
+                self.ask_for_directives(from, now, out);
                 let urgency = Urgency {
                     priority,
                     target: Duration::from_millis(target_ms.into()),
--- a/core/src/l4/agent/directives.rs
+++ b/core/src/l4/agent/directives.rs
@@ -1,5 +1,7 @@
 //! The directives of the operator at an agent: from peers and to peers.
 
+use std::net::SocketAddrV4;
+
 use super::Agent;
 use crate::{
     clock::Time,
@@ -25,6 +27,20 @@
         if let Some(directives) = gossip.and_then(|gossip| gossip.receive(received, now, out)) {
             self.metrics.set_evacuated(&directives);
             self.apply_directives(&directives, now, out);
+            // The balancers hear at once that a rate which was awaited delays nothing more.
+            self.next_runs.load_report = now;
+        }
+    }
+
+    /// Asks a balancer that places a flow here for the directives, if there are none yet.
+    pub(super) fn ask_for_directives(
+        &mut self,
+        balancer: SocketAddrV4,
+        now: Time,
+        out: &mut impl Outbox,
+    ) {
+        if let Some(gossip) = &mut self.gossip {
+            gossip.ask(balancer, now, out);
         }
     }
 
--- a/core/src/l4/agent/flows.rs
+++ b/core/src/l4/agent/flows.rs
@@ -9,6 +9,7 @@
 use rustc_hash::FxBuildHasher;
 
 use super::full_segments::FullSegments;
+use super::scheduling::STALL_TIMEOUT;
 use crate::{
     clock::Time,
     l4::{
@@ -179,7 +180,9 @@
             now,
             now + self.idle_timeout,
         );
-        self.entries.insert(flow, entry);
+        if let Some(mut replaced) = self.entries.insert(flow, entry) {
+            replaced.release(workload);
+        }
     }
 
     /// Records a caller's segment that is to be delivered to the backend server.
@@ -225,6 +228,8 @@
             // The server works only on whole requests. A slow caller must not keep others waiting.
             let goes_on = entry.last_is_full && self.full_segments.go_on();
             if let Some(outstanding) = &mut entry.outstanding {
+                // One that has stalled must not count again, as nothing would end it a second time.
+                let goes_on = goes_on || now.since(outstanding.started()) >= STALL_TIMEOUT;
                 workload.set_idle(outstanding, goes_on);
             }
         }
--- a/core/src/l4/agent/requests.rs
+++ b/core/src/l4/agent/requests.rs
@@ -10,7 +10,7 @@
 //!
 //! A request passes once it is held for [`MAX_HOLD`], so that scheduling adds at most this to the time
 //! of an answer, also beside a server that hangs. All late requests that are held for longer than
-//! [`MIN_PASSED_HOLD`] pass with it: a server sheds most of a burst at once and soon has room again. One
+//! `MIN_PASSED_HOLD` pass with it: a server sheds most of a burst at once and soon has room again. One
 //! by one, the same requests would keep its queue full, and no request could be delivered before it
 //! reaches the bound too.
 
--- a/core/src/l4/agent/scheduling.rs
+++ b/core/src/l4/agent/scheduling.rs
@@ -143,6 +143,8 @@
         };
         let interval = self.workload.answer_interval();
         let opening = self.waiting.next(include_late, interval, now);
+        // An opening that the cold rate delays must not delay requests on open flows.
+        let opening = opening.filter(|_| self.cold_limit.admits(now));
         if opening.is_some_and(|opening| self.requests.opening_goes_first(opening, &next, now)) {
             return false;
         }
--- a/core/src/l4/balancer/dead_agents.rs
+++ b/core/src/l4/balancer/dead_agents.rs
@@ -53,6 +53,16 @@
         self.0.values().map(|state| state.due).min()
     }
 
+    /// Starts to probe an agent that is gone from the view but named as the owner of a flow, so that its
+    /// flows are reset if it does not reply.
+    pub(super) fn start_probing(&mut self, agent: SocketAddrV4, now: Time) {
+        self.0.entry(agent).or_insert(ProbeState {
+            has_replied: false,
+            probes: 0,
+            due: now,
+        });
+    }
+
     /// Records that a message of an agent has arrived.
     pub(super) fn record_message(&mut self, agent: SocketAddrV4, now: Time) {
         if let Some(state) = self.0.get_mut(&agent) {
--- a/core/src/l4/balancer/search.rs
+++ b/core/src/l4/balancer/search.rs
@@ -94,6 +94,8 @@
     /// Whether negative replies may be taken as proof that no agent holds the flow: false once a process
     /// has replied that knows agents unknown here, or the search has given up on missing replies.
     is_conclusive: bool,
+    /// Agent whose return of a segment started the search.
+    denied_by: Option<SocketAddrV4>,
     /// Whether the search was postponed or kept, each of which is logged once.
     is_postponed: bool,
     is_kept: bool,
@@ -122,8 +124,12 @@
     }
 
     /// Returns whether to accept an agent that another process names as the owner: not if the agent
-    /// has replied itself, to a query or to the round.
+    /// has replied itself, to a query or to the round, or has returned the segment that started the
+    /// search. A registration may be older than a restart of the agent's server.
     fn may_be_owner(&self, agent: SocketAddrV4, is_known: bool) -> bool {
+        if self.denied_by == Some(agent) {
+            return false;
+        }
         let reply = self.queried.iter().find(|(queried, _)| *queried == agent);
         let after_round = matches!(self.stage, Stage::Agents | Stage::Trial | Stage::Kept);
         match reply {
@@ -169,6 +175,7 @@
             changed_at: now,
             all_sure: false,
             is_conclusive: true,
+            denied_by: None,
             is_postponed: false,
             is_kept: false,
             expires: now + SEARCH_TTL,
@@ -221,6 +228,10 @@
             Ownership::HeldBy(agent)
                 if search.may_be_owner(agent, self.fleet.get(agent).is_some()) =>
             {
+                let owner = self.fleet.get(agent);
+                if owner.is_none_or(|owner| owner.state.is_gone()) {
+                    self.dead_agents.start_probing(agent, now);
+                }
                 self.end_found(flow, agent, now, out)
             }
             Ownership::HeldBy(_) | Ownership::NotHeld => {
@@ -259,6 +270,7 @@
             _ => {
                 self.start_search(&flow, segment, datagram, now, out);
                 if let Some(FlowState::Searching(search)) = self.flows.get_mut(&flow) {
+                    search.denied_by = Some(agent);
                     search.record_reply(agent, Ownership::NotHeld);
                 }
             }
--- a/core/src/l4/balancer/search/budget.rs
+++ b/core/src/l4/balancer/search/budget.rs
@@ -65,6 +65,11 @@
         Duration::from_millis(bytes.saturating_mul(1000) / rate)
     }
 
+    /// Returns the time in which the whole link carries a number of bytes.
+    pub(super) fn link_time(&self, bytes: u64) -> Duration {
+        self.time_for(bytes) / LINK_DIVISOR as u32
+    }
+
     fn refill(&mut self, now: Time) {
         let millis = now.since(self.refilled_at).as_millis() as i64;
         if millis > 0 {
--- a/core/src/l4/balancer/search/round.rs
+++ b/core/src/l4/balancer/search/round.rs
@@ -177,7 +177,8 @@
             return;
         };
         round.tries += 1;
-        round.due = now + QUERY_TIMEOUT;
+        let bytes = round.replies.len() as u64 * (QUERY_BYTES + REPLY_BYTES);
+        round.due = now + QUERY_TIMEOUT.max(self.budget.link_time(bytes));
         let query = Message::ListFlows {
             round: round.number,
         };
@@ -199,12 +200,17 @@
         out: &mut impl Outbox,
     ) {
         self.budget.charge(REPLY_BYTES + filter.len() as u64);
+        let is_awaited = self.rounds.current.as_ref().is_some_and(|round| {
+            round.number == number && round.replies.get(&from).is_some_and(Option::is_none)
+        });
+        if !is_awaited {
+            return;
+        }
         let knows_all = self.compare_known_agents(from, &agents);
         let Some(round) = &mut self.rounds.current else {
             return;
         };
-        let reply = round.replies.get_mut(&from);
-        let Some(reply) = reply.filter(|reply| reply.is_none() && round.number == number) else {
+        let Some(reply) = round.replies.get_mut(&from) else {
             return;
         };
         let Some(held) = FlowSet::decode(filter) else {
@@ -266,7 +272,8 @@
                 continue;
             }
             search.stage = Stage::Agents;
-            search.is_conclusive &= round.knows_all;
+            // A round that no agent was asked in proves nothing.
+            search.is_conclusive &= round.knows_all && !round.replies.is_empty();
             search.all_sure = true;
             let mut has_silent = false;
             for owner in round.owners.get(&flow.service).into_iter().flatten() {
@@ -284,10 +291,13 @@
                     }
                 }
             }
+            // A round tells what an agent holds, not what is registered with it. The owner may be outside
+            // the round, so a home whose reply was lost is queried again.
             for agent in &search.unanswered {
-                if !round.replies.contains_key(agent) && self.fleet.get(*agent).is_some() {
+                let is_queried = search.queried.iter().any(|(queried, _)| queried == agent);
+                if !is_queried && self.fleet.get(*agent).is_some() {
                     has_silent = true;
-                    search.all_sure = false;
+                    search.all_sure &= round.replies.get(agent).copied().flatten() == Some(true);
                     search.queried.push((*agent, None));
                 }
             }
--- a/core/src/l4/directives/gossip.rs
+++ b/core/src/l4/directives/gossip.rs
@@ -29,6 +29,10 @@
 /// Interval between two pushes of a document.
 const PUSH_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Interval at which an agent without a document asks the balancers that place flows on it. After a loss of
+/// power, all agents start without one and cold servers wait for their rate.
+const ASK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Interval between two comparisons with a random member.
 const COMPARE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -50,6 +54,8 @@
     compare_due: Time,
     pushes_left: u32,
     push_due: Time,
+    /// When a balancer that places a flow here may be asked for its document.
+    ask_due: Time,
     rng: SmallRng,
     /// The document, encoded.
     encoded: Vec<u8>,
@@ -69,6 +75,7 @@
             compare_due: Time::default(),
             pushes_left: 0,
             push_due: Time::default(),
+            ask_due: Time::default(),
             rng: SmallRng::seed_from_u64(seed),
             encoded: Vec::new(),
             buffer: Vec::new(),
@@ -204,7 +211,7 @@
     }
 
     fn push_if_due(&mut self, now: Time, out: &mut impl Outbox) {
-        if self.pushes_left == 0 || now < self.push_due {
+        if self.pushes_left == 0 || now < self.push_due || self.members.is_empty() {
             return;
         }
         self.pushes_left -= 1;
@@ -238,6 +245,15 @@
         }
     }
 
+    /// Asks a process for its document while there is none here, at most every `ASK_INTERVAL`.
+    pub fn ask(&mut self, peer: SocketAddrV4, now: Time, out: &mut impl Outbox) {
+        if self.has_document() || now < self.ask_due {
+            return;
+        }
+        self.ask_due = now + ASK_INTERVAL;
+        self.send_position(peer, out);
+    }
+
     fn random_members(&mut self, count: usize) -> Vec<SocketAddrV4> {
         let chosen = self.members.choose_multiple(&mut self.rng, count);
         chosen.copied().collect()
--- a/core/src/l4/route_sync.rs
+++ b/core/src/l4/route_sync.rs
@@ -134,7 +134,13 @@
     /// Updates the relays and the peers with newer tables from a view of the membership.
     pub fn apply_view(&mut self, view: &View) {
         let relays = relays(view, &self.domain);
+        let was_relay = self.is_relay;
         self.is_relay = relays.is_empty() || relays.contains(&self.address);
+        if self.is_relay && !was_relay {
+            // The earlier relays may have gone with a change that nobody else has read.
+            self.needs_latest = true;
+            self.read_due = Time::default();
+        }
         self.newer_peers.clear();
         for record in view.members.values() {
             // The revision in the record of a balancer is the version of its route table.
--- a/core/src/l4/route_sync/service.rs
+++ b/core/src/l4/route_sync/service.rs
@@ -325,8 +325,11 @@
                 Ok(Some(domain))
                     if !source.domains.is_empty() && !source.domains.contains(&domain) =>
                 {
+                    // Kept, since another process may have newer settings that name the domain. It has
+                    // no effect where no VM is in it.
                     let reason = format!("no VM is in failure domain {domain}");
                     self.log_refused(&item.key, item.position, &reason);
+                    directives.evacuated.insert(domain, item.position);
                 }
                 Ok(Some(domain)) => drop(directives.evacuated.insert(domain, item.position)),
                 Err(reason) => self.log_refused(&item.key, item.position, &reason),
--- a/core/src/l4/slow_start.rs
+++ b/core/src/l4/slow_start.rs
@@ -152,10 +152,11 @@
             .map(|full_until| full_until + Duration::from_micros(1))
     }
 
-    /// Returns the mean time between two openings at the rate, zero without a limit.
+    /// Returns the mean time between two openings at the rate, zero without a limit or while the rate is
+    /// awaited, which takes about a round trip.
     pub fn interval(&self, now: Time) -> Duration {
-        let rate = self.effective_rate(now);
-        rate.map_or(Duration::ZERO, |rate| WINDOW / rate.max(1) as u32)
+        let rate = self.effective_rate(now).filter(|rate| *rate > 0);
+        rate.map_or(Duration::ZERO, |rate| WINDOW / rate as u32)
     }
 
     /// Returns the limit in effect: 0 while the rate is awaited, `None` if there is none.
