--- a/core/tests/l4/balancer.rs
+++ b/core/tests/l4/balancer.rs
@@ -58,7 +58,7 @@
     view_of_services(&agents)
 }
 
-fn view_of_services(agents: &[(u8, MemberState, &str)]) -> View {
+pub fn view_of_services(agents: &[(u8, MemberState, &str)]) -> View {
     let mut members = BTreeMap::new();
     for (index, state, service) in agents {
         let record = Record {
--- a/core/tests/l4/search.rs
+++ b/core/tests/l4/search.rs
@@ -9,7 +9,7 @@
 };
 
 use crate::{
-    balancer::{ACKNOWLEDGED_TENS, Harness, agent, filter, known_agents, view},
+    balancer::{ACKNOWLEDGED_TENS, Harness, agent, filter, known_agents, view, view_of_services},
     codec::{DATA, OPENING, flow},
 };
 
@@ -591,3 +591,93 @@
     harness.receive_from_peer(agent(2), found, &[]);
     assert_eq!(harness.sent.messages, [(agent(2), Message::Forward); 2]);
 }
+
+/// Guards against a reset of a flow whose owner is outside the round: a round tells what an agent holds
+/// and not what is registered with it, so a home whose reply was lost is queried again after it.
+#[test]
+fn home_whose_reply_was_lost_is_queried_again_after_the_round() {
+    let mut harness = Harness::new(3);
+    harness.receive_from_caller(DATA, 1);
+    let homes = take_queried(&mut harness);
+    assert_eq!(homes.len(), 2);
+    harness.advance(15);
+    let queries = take_round(&mut harness);
+    for query in queries {
+        reply(&mut harness, query, (true, &[]), known_agents(3));
+    }
+    assert_eq!(harness.sent.resets, 0);
+    let mut queried_again = take_queried(&mut harness);
+    queried_again.sort_unstable();
+    let mut expected = homes.clone();
+    expected.sort_unstable();
+    assert_eq!(queried_again, expected);
+    let found = Message::Found {
+        flow: flow(1),
+        ownership: Ownership::HeldBy(agent(9)),
+        agents: known_agents(3),
+    };
+    harness.receive_from_peer(homes[0], found, &[]);
+    harness.advance(100);
+    assert_eq!(harness.sent.resets, 0);
+}
+
+/// Guards against a search that goes in circles for up to 30 s: the registration at a home is older than the
+/// restart of the owner's server, and the owner returns each segment.
+#[test]
+fn registration_of_an_agent_that_has_denied_the_flow_is_not_followed_again() {
+    let mut harness = Harness::new(5);
+    harness.receive_from_caller(DATA, 1);
+    let homes = take_queried(&mut harness);
+    let owner = (1..=5).map(agent).find(|agent| !homes.contains(agent));
+    let owner = owner.expect("an agent that is no home");
+    let found = Message::Found {
+        flow: flow(1),
+        ownership: Ownership::HeldBy(owner),
+        agents: known_agents(5),
+    };
+    harness.receive_from_peer(homes[0], found, &[]);
+    harness.sent.messages.clear();
+    let segment = [DATA, 1, ACKNOWLEDGED_TENS, 0];
+    harness.receive_from_peer(owner, Message::Unknown, &segment);
+    harness.receive_from_peer(homes[0], found, &[]);
+    let forwarded = |(_, message): &(SocketAddrV4, Message)| matches!(message, Message::Forward);
+    assert!(!harness.sent.messages.iter().any(forwarded));
+}
+
+/// Guards against callers who are never told: a home still names an agent as the owner that the membership
+/// removed before the balancer started, so that no change of the view makes the balancer probe it.
+#[test]
+fn flow_of_a_named_owner_that_is_gone_is_reset_when_it_answers_no_probe() {
+    let mut harness = Harness::new(3);
+    harness.receive_from_caller(DATA, 1);
+    let homes = take_queried(&mut harness);
+    let found = Message::Found {
+        flow: flow(1),
+        ownership: Ownership::HeldBy(agent(9)),
+        agents: known_agents(3),
+    };
+    harness.receive_from_peer(homes[0], found, &[]);
+    assert_eq!(harness.sent.resets, 0);
+    harness.advance(600);
+    assert_eq!(harness.sent.resets, 1);
+}
+
+/// Guards against a reset without any reply: the service of the route has no agents, and the agent of
+/// another service, which may hold the flow since an earlier route table, does not answer.
+#[test]
+fn round_in_which_no_agent_is_asked_proves_nothing() {
+    let mut harness = Harness::new(1);
+    harness.advance(10_000);
+    let view = view_of_services(&[
+        (1, MemberState::Left, "desk"),
+        (2, MemberState::Ready, "map"),
+    ]);
+    harness
+        .balancer
+        .apply_view(&view, harness.now, &mut harness.sent);
+    for _ in 0..30 {
+        harness.receive_from_caller(DATA, 1);
+        harness.advance(400);
+    }
+    assert_eq!(harness.sent.resets, 0);
+}
