Test that an agent asks for directives, and that held requests pass by the bound

The two tests of the bound passed without it: one by the timeout of stalled requests, one by the fair share of its route. They now read the metric and use a route whose share is too small.

--- a/core/tests/l4/directives.rs
+++ b/core/tests/l4/directives.rs
@@ -300,3 +300,31 @@
     agent.receive_from_peer(&received, Time::default(), &mut Frames::default());
     assert!(agent.directives().evacuated.is_empty());
 }
+
+/// Guards against openings that are delayed at cold servers after a loss of power, when no agent has
+/// directives yet: the agent asks the balancer that places a flow on it, which has them.
+#[test]
+fn agent_without_directives_asks_the_balancer_that_places_a_flow() {
+    let mut agent = agent().with_directives();
+    let mut sent = Frames::default();
+    let open = Message::Open {
+        service: ServiceKey::of("desk"),
+        forced: false,
+        priority: 1,
+        target_ms: 300,
+    };
+    let received = Received {
+        from: BALANCER,
+        message: open,
+        datagram: &[OPENING, 1, 0],
+    };
+    agent.receive_from_peer(&received, Time::from_millis(1), &mut sent);
+    let asked = |sent: &Frames| {
+        let frames = sent.0.iter();
+        let asked = frames.filter(|(peer, frame)| *peer == BALANCER && is_directives(frame));
+        asked.count()
+    };
+    assert_eq!(asked(&sent), 1);
+    agent.receive_from_peer(&received, Time::from_millis(2), &mut sent);
+    assert_eq!(asked(&sent), 1, "asked again within a round trip");
+}
--- a/core/tests/l4_requests/bounds.rs
+++ b/core/tests/l4_requests/bounds.rs
@@ -96,12 +96,17 @@
     assert!(harness.out.to_server.is_empty());
     harness.advance(Duration::from_millis(1));
     assert_eq!(harness.out.to_server, [request]);
+    assert_eq!(harness.agent.metrics().passed_by_bound.get(), 1);
 }
 
 /// Guards against a request that is passed over by others for as long as the load lasts.
 #[test]
 fn request_passes_after_the_bound_while_the_server_answers() {
-    let (mut harness, flows) = established(ROOM as u16 + 1);
+    let (mut harness, mut flows) = established(ROOM as u16);
+    // The share of this priority is too small for a request within the bound.
+    let lowest = flow(3, 1, 3);
+    harness.establish(&lowest, 15);
+    flows.push(lowest);
     let urgent: Vec<FlowKey> = (1..=250).map(|port| flow(2, port, 2)).collect();
     for flow in &urgent {
         harness.establish(flow, 0);
@@ -129,6 +134,8 @@
     assert!(harness.out.to_server.contains(&request));
     let held = harness.now.since(start);
     assert!(held <= MAX_HOLD + Duration::from_millis(10), "{held:?}");
+    assert!(held >= MAX_HOLD, "{held:?}");
+    assert_eq!(harness.agent.metrics().passed_by_bound.get(), 1);
 }
 
 /// Guards against requests that reach the bound one after the other and keep the server's queue full,
