--- a/core/src/l4/agent.rs
+++ b/core/src/l4/agent.rs
@@ -18,7 +18,7 @@
 };
 
 use self::{
-    flows::{FlowEntry, FlowState, FlowTable, SegmentEffect},
+    flows::{FlowEntry, FlowTable, SegmentEffect},
     requests::Requests,
 };
 use super::{
@@ -29,7 +29,7 @@
     outbox::Outbox,
     outlier::OutlierDetector,
     routes::ServiceKey,
-    segment::{Codec, FlowKey, Segment, acknowledges_start},
+    segment::{Codec, FlowKey, Segment},
     server::{Server, ServerChange, ServerReport, ServerState, ServerUpdateError},
     slow_start::ColdLimit,
     waiting::{Urgency, WaitingFlows},
@@ -536,28 +536,6 @@
         );
     }
 
-    /// Returns the ownership of a flow for a caller that has acknowledged `acknowledged`.
-    fn ownership(&self, flow: &FlowKey, acknowledged: u32) -> Ownership {
-        match self.flows.get(flow).map(|entry| entry.state) {
-            Some(FlowState::Open | FlowState::Ended) => Ownership::Held,
-            Some(FlowState::Accepted { initial }) if acknowledges_start(acknowledged, initial) => {
-                Ownership::Held
-            }
-            Some(FlowState::Accepted { .. } | FlowState::OpeningSent) => Ownership::NotHeld,
-            Some(FlowState::TrialDelivered) => Ownership::Unsure,
-            None => self.ownership_without_entry(flow),
-        }
-    }
-
-    /// Returns the ownership of a flow that has no entry in the flow table.
-    fn ownership_without_entry(&self, flow: &FlowKey) -> Ownership {
-        match self.registry.owner(flow) {
-            Some(owner) => Ownership::HeldBy(owner),
-            None if self.may_hold_prior_flows() => Ownership::Unsure,
-            None => Ownership::NotHeld,
-        }
-    }
-
     /// Removes a flow that the backend server does not hold, and returns the segment to the
     /// balancer that its mark names.
     fn return_bounced(&mut self, segment: &Segment, datagram: &[u8], out: &mut impl Outbox) {
--- a/core/src/l4/agent/held_flows.rs
+++ b/core/src/l4/agent/held_flows.rs
@@ -1,13 +1,14 @@
-//! The agent's filter of held flows, by which a balancer proves for many flows at once that they are lost.
+//! What an agent tells about the ownership of flows: of one flow, and by a filter of all held ones, by which
+//! a balancer proves for many flows at once that they are lost.
 
 use std::net::SocketAddrV4;
 
 use super::{Agent, flows::FlowState};
 use crate::l4::{
     flow_set::{self, FlowHash},
-    message::Message,
+    message::{Message, Ownership},
     outbox::Outbox,
-    segment::Codec,
+    segment::{Codec, FlowKey, acknowledges_start},
 };
 
 impl<C: Codec> Agent<C> {
@@ -33,6 +34,28 @@
         flow_set::encode(&flows, &mut filter);
         self.send(balancer, &held, &filter, out);
     }
+
+    /// Returns the ownership of a flow for a caller that has acknowledged `acknowledged`.
+    pub(super) fn ownership(&self, flow: &FlowKey, acknowledged: u32) -> Ownership {
+        match self.flows.get(flow).map(|entry| entry.state) {
+            Some(FlowState::Open | FlowState::Ended) => Ownership::Held,
+            Some(FlowState::Accepted { initial }) if acknowledges_start(acknowledged, initial) => {
+                Ownership::Held
+            }
+            Some(FlowState::Accepted { .. } | FlowState::OpeningSent) => Ownership::NotHeld,
+            Some(FlowState::TrialDelivered) => Ownership::Unsure,
+            None => self.ownership_without_entry(flow),
+        }
+    }
+
+    /// Returns the ownership of a flow that has no entry in the flow table.
+    fn ownership_without_entry(&self, flow: &FlowKey) -> Ownership {
+        match self.registry.owner(flow) {
+            Some(owner) => Ownership::HeldBy(owner),
+            None if self.may_hold_prior_flows() => Ownership::Unsure,
+            None => Ownership::NotHeld,
+        }
+    }
 }
 
 /// Returns whether the reply to a query for a flow in this state can be another one than that the
--- a/core/src/l4/directives/gossip.rs
+++ b/core/src/l4/directives/gossip.rs
@@ -167,8 +167,9 @@
 
     /// Returns when [`Gossip::tick`] has to be called next, or `None` if nothing is due.
     pub fn due(&self) -> Option<Time> {
-        let compare = (!self.members.is_empty()).then_some(self.compare_due);
-        let push = (self.pushes_left > 0).then_some(self.push_due);
+        let has_members = !self.members.is_empty();
+        let compare = has_members.then_some(self.compare_due);
+        let push = (has_members && self.pushes_left > 0).then_some(self.push_due);
         let dues = [compare, push, self.history.due()];
         dues.into_iter().flatten().min()
     }
--- a/core/tests/l4/directives.rs
+++ b/core/tests/l4/directives.rs
@@ -328,3 +328,19 @@
     agent.receive_from_peer(&received, Time::from_millis(2), &mut sent);
     assert_eq!(asked(&sent), 1, "asked again within a round trip");
 }
+
+/// Guards against an event loop that spins: a balancer that has read the store before it knows any member
+/// has nobody to send the document to.
+#[test]
+fn balancer_that_knows_nobody_has_no_push_that_is_due() {
+    let mut out = Frames::default();
+    let mut balancer = balancer().with_directives();
+    let now = Time::from_millis(1_000);
+    balancer.tick(now, &mut out);
+    balancer.apply_stored_directives(&read(7), now, &mut out);
+    balancer.tick(now, &mut out);
+    assert!(balancer.due() > now);
+    balancer.apply_view(&view(), now, &mut out);
+    balancer.tick(now, &mut out);
+    assert!(out.0.iter().any(|(_, frame)| is_directives(frame)));
+}
