--- a/core/src/l4/agent.rs
+++ b/core/src/l4/agent.rs
@@ -203,9 +203,9 @@
 
     /// Applies a membership view, and recomputes the homes if the agents have changed.
     pub fn apply_view(&mut self, view: &View) {
-        self.gossip
-            .iter_mut()
-            .for_each(|gossip| gossip.apply_view(view));
+        if let Some(gossip) = &mut self.gossip {
+            gossip.apply_view(view);
+        }
         let agents = view.known_agents();
         if agents == self.known_agents {
             return;
--- a/core/src/l4/balancer.rs
+++ b/core/src/l4/balancer.rs
@@ -363,8 +363,7 @@
             Message::Open { .. }
             | Message::Forward
             | Message::Register { .. }
-            | Message::ListFlows { .. }
-            | Message::Demand(_) => {}
+            | Message::ListFlows { .. } => {}
             Message::Directives { .. } => self.receive_directives(received, now, out),
         }
     }
--- a/core/src/l4/message.rs
+++ b/core/src/l4/message.rs
@@ -6,11 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{
-    routes::ServiceKey,
-    segment::FlowKey,
-    workload::{Demand, Load},
-};
+use super::{routes::ServiceKey, segment::FlowKey, workload::Load};
 use crate::{
     frame::{self, FrameError},
     member::KnownAgents,
@@ -164,8 +160,6 @@
         /// Position of the directives.
         position: Position,
     },
-    /// To a balancer, beside the load report: the demand that the flows of the backend server bring.
-    Demand(Demand),
 }
 
 /// A received message with its sender and the segment in its frame.
--- a/core/src/l4/workload.rs
+++ b/core/src/l4/workload.rs
@@ -33,15 +33,6 @@
     pub failing: bool,
 }
 
-/// Demand that the open flows of a backend server bring, as reported to balancers.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Demand {
-    /// Requests that arrived in the last seconds, per 1,000 s.
-    pub requests_per_ks: u32,
-    /// Mean of the square of the work time in square milliseconds.
-    pub work_square_ms: u32,
-}
-
 /// Counters of the requests and flows at one backend server.
 #[derive(Clone, Debug, Default)]
 pub struct Workload {
