--- a/core/benches/l4.rs
+++ b/core/benches/l4.rs
@@ -120,6 +120,7 @@
         idempotent: true,
         priority: 1,
         target_ms: 250,
+        timeout_ms: 0,
         targets: vec![Target {
             service: ServiceKey::of("service-0"),
             weight: 1,
--- a/core/src/frame.rs
+++ b/core/src/frame.rs
@@ -75,10 +75,30 @@
     header: &H,
     payload: &[u8],
     buffer: &mut Vec<u8>,
+) -> Result<(), FrameError> {
+    encode_extended(header, None::<&()>, payload, buffer)
+}
+
+/// Writes a frame as [`encode`] does, with an extension behind the header. Builds that do not know the
+/// extension ignore it.
+///
+/// The encoded header and extension must be at most 255 bytes long together.
+///
+/// # Errors
+///
+/// Fails if the header or the extension cannot be encoded.
+pub fn encode_extended<H: Serialize, E: Serialize>(
+    header: &H,
+    extension: Option<&E>,
+    payload: &[u8],
+    buffer: &mut Vec<u8>,
 ) -> Result<(), FrameError> {
     buffer.clear();
     buffer.push(0);
     rmp_serde::encode::write(buffer, header).context(UnencodableSnafu)?;
+    if let Some(extension) = extension {
+        rmp_serde::encode::write(buffer, extension).context(UnencodableSnafu)?;
+    }
     buffer[0] = (buffer.len() - 1) as u8;
     buffer.extend_from_slice(payload);
     Ok(())
@@ -90,6 +110,18 @@
 ///
 /// Fails if the frame is truncated or its header cannot be decoded.
 pub fn decode<H: DeserializeOwned>(frame: &[u8]) -> Result<(H, &[u8]), FrameError> {
+    let (header, _, payload) = decode_extended::<H, ()>(frame)?;
+    Ok((header, payload))
+}
+
+/// Decodes a frame and returns its header, the extension if it has a valid one, and its payload.
+///
+/// # Errors
+///
+/// Fails if the frame is truncated or its header cannot be decoded.
+pub fn decode_extended<H: DeserializeOwned, E: DeserializeOwned>(
+    frame: &[u8],
+) -> Result<(H, Option<E>, &[u8]), FrameError> {
     let got = frame.len();
     let (length, rest) = frame.split_first().context(TruncatedSnafu {
         expected: 1_usize,
@@ -100,6 +132,8 @@
         expected: 1 + length,
         got,
     })?;
-    let header = rmp_serde::from_slice(header).context(InvalidHeaderSnafu)?;
-    Ok((header, payload))
+    let mut decoder = rmp_serde::Deserializer::from_read_ref(header);
+    let header = H::deserialize(&mut decoder).context(InvalidHeaderSnafu)?;
+    let extension = E::deserialize(&mut decoder).ok();
+    Ok((header, extension, payload))
 }
--- a/core/src/l4/agent.rs
+++ b/core/src/l4/agent.rs
@@ -32,7 +32,7 @@
     segment::{Codec, FlowKey, Segment},
     server::{Server, ServerChange, ServerReport, ServerState, ServerUpdateError},
     slow_start::ColdLimit,
-    waiting::{Urgency, WaitingFlows},
+    waiting::{MAX_OPENING_AGE, Urgency, WaitingFlows},
     workload::Workload,
 };
 use crate::{
@@ -334,16 +334,20 @@
                 forced,
                 priority,
                 target_ms,
+                left_ms,
             } => {
                 let Some(segment) = self.codec.read(received.datagram) else {
                     return;
                 };
                 self.ask_for_directives(from, now, out);
+                let age = self.codec.opening_age(&segment);
+                let left = left_ms.map(|left_ms| Duration::from_millis(left_ms.into()));
                 let urgency = Urgency {
                     priority,
                     target: Duration::from_millis(target_ms.into()),
                     work_time: self.workload.mean_work_time(),
-                    age: self.codec.opening_age(&segment),
+                    age,
+                    left: left.unwrap_or(MAX_OPENING_AGE.saturating_sub(age)),
                 };
                 if service == self.options.service {
                     let address = segment.destination;
--- a/core/src/l4/balancer/opening.rs
+++ b/core/src/l4/balancer/opening.rs
@@ -125,14 +125,21 @@
             }
         };
         // The agent may hold the flow already, so it must not refuse a retransmission as busy.
-        if let Some(message) = self.open_message(flow, true, now.since(started)) {
+        let age = now.since(started);
+        if let Some(message) = self.open_message(flow, true, age, Duration::ZERO) {
             self.send(owner, &message, datagram, out);
         }
     }
 
     /// Returns the message that asks an agent to take a flow whose caller sent the first opening segment
-    /// `age` ago, or `None` without a route or target.
-    fn open_message(&self, flow: &FlowKey, forced: bool, age: Duration) -> Option<Message> {
+    /// `age` ago and whose request takes `work`, or `None` without a route or target.
+    fn open_message(
+        &self,
+        flow: &FlowKey,
+        forced: bool,
+        age: Duration,
+        work: Duration,
+    ) -> Option<Message> {
         let route = self.routes.routes.get(&flow.address)?;
         let age_ms = u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
         Some(Message::Open {
@@ -143,6 +150,8 @@
                 0 => NO_TARGET_MS,
                 target_ms => target_ms.saturating_sub(age_ms),
             },
+            left_ms: u32::try_from(route.latest_delivery(work).saturating_sub(age).as_millis())
+                .ok(),
         })
     }
 
@@ -189,7 +198,11 @@
             return;
         };
         let age = now.since(opening.started);
-        if opening.tries < MAX_TRIES && age < MAX_OPENING_AGE {
+        let route = self.routes.routes.get(&flow.address);
+        let max_age = route.map_or(MAX_OPENING_AGE, |route| {
+            route.latest_delivery(Duration::ZERO)
+        });
+        if opening.tries < MAX_TRIES && age < max_age {
             let excluded = &opening.excluded;
             self.fleet
                 .collect_candidates(service.tag(), excluded, now, &mut self.candidates);
@@ -252,7 +265,8 @@
         self.reachability.record_opening(now);
         self.fleet.record_placement(candidate.address);
         self.opening_timers.push(Reverse((due, *flow)));
-        if let Some(message) = self.open_message(flow, forced, age) {
+        let work = Duration::from_micros(candidate.load.work_us.into());
+        if let Some(message) = self.open_message(flow, forced, age, work) {
             self.send(candidate.address, &message, &datagram, out);
         }
     }
@@ -263,6 +277,14 @@
         let openings = self.flows.iter();
         let openings = openings.filter(|(_, entry)| matches!(entry, FlowState::Opening(_)));
         let kept: Vec<FlowKey> = openings.map(|(flow, _)| *flow).collect();
+        if !kept.is_empty() {
+            let version = self.routes.version;
+            tracing::info!(
+                event = "kept_openings_placed",
+                openings = kept.len(),
+                version
+            );
+        }
         for flow in kept {
             if self.service_of(&flow).is_none() {
                 self.reset_flow(&flow, 0, "no_route", now, out);
--- a/core/src/l4/message.rs
+++ b/core/src/l4/message.rs
@@ -83,6 +83,11 @@
         priority: u8,
         /// Time that is left until the target latency of the answer, in milliseconds.
         target_ms: u32,
+        /// Time that is left to deliver the flow so that its caller still gets the answer, in milliseconds;
+        /// `None` if the balancer is of a build that does not tell. Sent behind the message, since earlier
+        /// builds read the fields by position.
+        #[serde(skip)]
+        left_ms: Option<u32>,
     },
     /// To an agent, with a segment of a flow that it holds as far as the balancer knows.
     #[serde(rename = "Carry")]
@@ -183,7 +188,12 @@
 
 /// Encodes a message and a segment as a frame, which replaces the contents of `buffer`.
 pub fn encode(message: &Message, datagram: &[u8], buffer: &mut Vec<u8>) {
-    frame::encode(message, datagram, buffer).expect("a message can be encoded as MessagePack");
+    let left_ms = match message {
+        Message::Open { left_ms, .. } => left_ms.as_ref(),
+        _ => None,
+    };
+    frame::encode_extended(message, left_ms, datagram, buffer)
+        .expect("a message can be encoded as MessagePack");
 }
 
 /// Decodes a frame that was received from `from`.
@@ -192,7 +202,10 @@
 ///
 /// Fails if the frame does not start with a valid message.
 pub fn decode(from: SocketAddrV4, frame: &[u8]) -> Result<Received<'_>, FrameError> {
-    let (message, datagram) = frame::decode(frame)?;
+    let (mut message, extension, datagram) = frame::decode_extended(frame)?;
+    if let Message::Open { left_ms, .. } = &mut message {
+        *left_ms = extension;
+    }
     Ok(Received {
         from,
         message,
--- a/core/src/l4/route_sync/service.rs
+++ b/core/src/l4/route_sync/service.rs
@@ -10,6 +10,7 @@
 
 use futures::StreamExt;
 use prometheus_client::metrics::counter::Counter;
+use serde::{Deserialize, Serialize};
 use tokio::{
     sync::{mpsc, oneshot, watch},
     time::MissedTickBehavior,
@@ -17,7 +18,7 @@
 
 use super::{Action, Event, RouteSync};
 use crate::{
-    control::{ControlClient, ControlServer},
+    control::{ControlClient, ControlError, ControlServer},
     kernel::{Kernel, KernelError},
     l4::{
         directives::StoredDirectives,
@@ -30,9 +31,12 @@
     store::{Consistency, Position, Snapshot, Store, StoreError},
 };
 
-/// Path of the control message that returns the table of a process.
+/// Path of the control message that returns the table of a process as earlier builds read it.
 const PULL_PATH: &str = "/routes/pull";
 
+/// Path of the control message that returns a [`WholeTable`].
+const WHOLE_PULL_PATH: &str = "/routes/whole";
+
 /// Interval of the ticks of [`RouteSync`].
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -62,6 +66,34 @@
     }
 }
 
+/// A route table with the fields that earlier builds do not know.
+#[derive(Debug, Deserialize, Serialize)]
+struct WholeTable {
+    table: RouteTable,
+    /// Time-outs in milliseconds of the routes that state one.
+    timeouts: BTreeMap<SocketAddrV4, u32>,
+}
+
+impl WholeTable {
+    fn new(table: RouteTable) -> Self {
+        let routes = table.routes.iter();
+        let timeouts = routes.map(|(address, route)| (*address, route.timeout_ms));
+        Self {
+            timeouts: timeouts.filter(|(_, timeout_ms)| *timeout_ms > 0).collect(),
+            table,
+        }
+    }
+
+    fn into_table(mut self) -> RouteTable {
+        for (address, timeout_ms) in self.timeouts {
+            if let Some(route) = self.table.routes.get_mut(&address) {
+                route.timeout_ms = timeout_ms;
+            }
+        }
+        self.table
+    }
+}
+
 /// Requests a second that a cold backend server of each service bears.
 pub type ColdRates = BTreeMap<ServiceKey, u32>;
 
@@ -108,10 +140,15 @@
     let own = local.get();
     let (tables, receiver) = watch::channel(Arc::<RouteTable>::default());
     let current = receiver.clone();
+    let whole = receiver.clone();
     control.add_handler(PULL_PATH, move |(): ()| {
         let table = current.borrow().clone();
         Box::pin(async move { table.as_ref().clone() })
     });
+    control.add_handler(WHOLE_PULL_PATH, move |(): ()| {
+        let table = WholeTable::new(whole.borrow().as_ref().clone());
+        Box::pin(async move { table })
+    });
     let (directives, directives_receiver) = watch::channel(Arc::default());
     let (sender, events) = mpsc::channel(EVENT_QUEUE_CAPACITY);
     let task = Task {
@@ -381,8 +418,16 @@
     async fn pull(self, peer: SocketAddrV4) {
         let response = self
             .client
-            .post::<(), RouteTable>(peer, PULL_PATH, &(), PULL_TIMEOUT)
+            .post::<(), WholeTable>(peer, WHOLE_PULL_PATH, &(), PULL_TIMEOUT)
             .await;
+        let response = match response {
+            // An earlier build has only the other path.
+            Err(ControlError::Refused { .. }) => {
+                let pull = self.client.post(peer, PULL_PATH, &(), PULL_TIMEOUT);
+                pull.await
+            }
+            response => response.map(WholeTable::into_table),
+        };
         let table = match response {
             Ok(table) => Some(table),
             Err(error) => {
--- a/core/src/l4/routes.rs
+++ b/core/src/l4/routes.rs
@@ -1,11 +1,11 @@
 //! Routes: the services that take the flows to an address, and the properties of these flows.
 
-use std::{collections::HashMap, net::SocketAddrV4};
+use std::{collections::HashMap, net::SocketAddrV4, time::Duration};
 
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use super::segment::FlowKey;
+use super::{segment::FlowKey, waiting::MAX_OPENING_AGE};
 use crate::owner_id::ServiceTag;
 
 /// Makes the choice of a service independent of other hashes of a flow.
@@ -49,11 +49,27 @@
     pub priority: u8,
     /// Target latency of answers in milliseconds.
     pub target_ms: u32,
+    /// Time after which a caller gives up waiting for an answer, in milliseconds; 0 if it is not known.
+    /// It passes between processes beside the table, since earlier builds read the fields by position.
+    #[serde(skip)]
+    pub timeout_ms: u32,
     /// Services that share the flows.
     pub targets: Vec<Target>,
 }
 
 impl Route {
+    /// Returns the age of an opening at which it is delivered at the latest, so that its caller has not
+    /// given up when the answer comes after `work`.
+    pub fn latest_delivery(&self, work: Duration) -> Duration {
+        match self.timeout_ms {
+            0 => MAX_OPENING_AGE,
+            timeout_ms => {
+                let timeout = Duration::from_millis(timeout_ms.into());
+                MAX_OPENING_AGE.min(timeout.saturating_sub(work))
+            }
+        }
+    }
+
     /// Returns the service of a flow, the same in all processes that have the route; `None` if the
     /// route has no targets.
     pub fn service(&self, flow: &FlowKey) -> Option<ServiceKey> {
--- a/core/src/l4/waiting.rs
+++ b/core/src/l4/waiting.rs
@@ -102,8 +102,7 @@
         let ahead = self.flows.iter();
         let ahead = ahead.filter(|waiting| (waiting.is_late(now), waiting.priority) <= order);
         let ahead = ahead.count();
-        ahead < MAX_WAITING_FLOWS
-            && interval * (ahead as u32) < MAX_OPENING_AGE.saturating_sub(urgency.age)
+        ahead < MAX_WAITING_FLOWS && interval * (ahead as u32) < urgency.left
     }
 
     /// Adds a flow that arrived at `now` in the frame of a balancer. If the limit is exceeded, removes
@@ -123,7 +122,7 @@
             priority: urgency.priority,
             latest_start: now + urgency.target.saturating_sub(urgency.request_time()),
             is_overdue: urgency.is_late(),
-            expires: now + MAX_OPENING_AGE.saturating_sub(urgency.age),
+            expires: now + urgency.left,
         });
         if self.flows.len() <= MAX_WAITING_FLOWS {
             return None;
@@ -204,6 +203,8 @@
     pub work_time: Duration,
     /// Time since the caller's first opening segment.
     pub age: Duration,
+    /// Time that is left to deliver the flow so that its caller still gets the answer.
+    pub left: Duration,
 }
 
 impl Urgency {
--- a/core/tests/l4/agent.rs
+++ b/core/tests/l4/agent.rs
@@ -162,6 +162,7 @@
             forced,
             priority: 1,
             target_ms: 100,
+            left_ms: None,
         };
         self.send(message, &[OPENING, port, 0]);
     }
@@ -363,6 +364,7 @@
         forced: true,
         priority: 1,
         target_ms: 0,
+        left_ms: None,
     };
     harness.send(late, &[OPENING, 3, 60]);
     assert_eq!(harness.sent.delivered.len(), 2, "both slots are in use");
--- a/core/tests/l4/agent_directives.rs
+++ b/core/tests/l4/agent_directives.rs
@@ -74,6 +74,7 @@
         forced: true,
         priority,
         target_ms: 5_000,
+        left_ms: None,
     };
     harness.send(message, &[OPENING, port, 0]);
 }
--- a/core/tests/l4/balancer.rs
+++ b/core/tests/l4/balancer.rs
@@ -94,6 +94,10 @@
     }
 
     pub fn with_target(agents: u8, target_ms: u32) -> Self {
+        Self::with_route(agents, target_ms, 0)
+    }
+
+    pub fn with_route(agents: u8, target_ms: u32, timeout_ms: u32) -> Self {
         let options = BalancerOptions {
             address: SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 1), 7001),
             domain: "a".into(),
@@ -104,6 +108,7 @@
             idempotent: true,
             priority: 1,
             target_ms,
+            timeout_ms,
             targets: vec![Target {
                 service: ServiceKey::of("desk"),
                 weight: 1,
--- a/core/tests/l4/directives.rs
+++ b/core/tests/l4/directives.rs
@@ -163,6 +163,7 @@
         idempotent: true,
         priority: 1,
         target_ms: 100,
+        timeout_ms: 0,
         targets: vec![Target {
             service: ServiceKey::of("desk"),
             weight: 1,
@@ -312,6 +313,7 @@
         forced: false,
         priority: 1,
         target_ms: 300,
+        left_ms: None,
     };
     let received = Received {
         from: BALANCER,
--- a/core/tests/l4/lost_flows.rs
+++ b/core/tests/l4/lost_flows.rs
@@ -164,6 +164,7 @@
             idempotent: true,
             priority: 1,
             target_ms: 300,
+            timeout_ms: 0,
             targets: vec![Target { service, weight: 1 }],
         };
         let mut balancer = Balancer::new(TestCodec, &options, 1);
--- a/core/tests/l4/main.rs
+++ b/core/tests/l4/main.rs
@@ -5,6 +5,7 @@
 mod balancer;
 mod balancer_directives;
 mod codec;
+mod deadlines;
 mod directives;
 mod flow_set;
 mod lost_flows;
--- a/core/tests/l4/route_spread.rs
+++ b/core/tests/l4/route_spread.rs
@@ -47,7 +47,8 @@
         name: "r".into(),
         idempotent: true,
         priority: 1,
-        target_ms: 100,
+        target_ms: 1_000,
+        timeout_ms: 0,
         targets: vec![Target {
             service: ServiceKey::of("desk"),
             weight: 1,
@@ -302,7 +303,7 @@
     balancer.tick(later, &mut out);
     let opens = |(to, message): &&(SocketAddrV4, Message)| {
         *to == agent(1)
-            && matches!(message, Message::Open { target_ms, .. } if *target_ms == 100 - 90)
+            && matches!(message, Message::Open { target_ms, .. } if *target_ms == 1_000 - 90)
     };
     assert_eq!(out.messages.iter().filter(opens).count(), 1);
 
--- a/core/tests/l4_allocations.rs
+++ b/core/tests/l4_allocations.rs
@@ -90,6 +90,7 @@
         idempotent: true,
         priority: 1,
         target_ms: 100,
+        timeout_ms: 0,
         targets: vec![Target {
             service: ServiceKey::of("desk"),
             weight: 1,
--- a/core/tests/l4_ramp.rs
+++ b/core/tests/l4_ramp.rs
@@ -183,6 +183,7 @@
         idempotent: true,
         priority: 1,
         target_ms: 300,
+        timeout_ms: 0,
         targets: vec![Target {
             service: ServiceKey::of("desk"),
             weight: 1,
--- a/core/tests/l4_requests/harness.rs
+++ b/core/tests/l4_requests/harness.rs
@@ -150,6 +150,7 @@
             forced: true,
             priority,
             target_ms: TARGET_MS,
+            left_ms: None,
         };
         self.receive_from_balancer(message, &wire::from_caller(flow, SYN, 0, 0, &[]));
     }
--- a/core/tests/l4_waiting.rs
+++ b/core/tests/l4_waiting.rs
@@ -9,7 +9,7 @@
     clock::Time,
     l4::{
         segment::FlowKey,
-        waiting::{Urgency, WaitingFlows},
+        waiting::{MAX_OPENING_AGE, Urgency, WaitingFlows},
     },
 };
 
@@ -30,6 +30,7 @@
         target: TARGET.saturating_sub(age),
         work_time: WORK_TIME,
         age,
+        left: MAX_OPENING_AGE.saturating_sub(age),
     }
 }
 
--- a/src/trial/segments/world.rs
+++ b/src/trial/segments/world.rs
@@ -194,6 +194,7 @@
             idempotent: true,
             priority: 1,
             target_ms: TARGET_MS,
+            timeout_ms: 0,
             targets: vec![Target {
                 service: service(server),
                 weight: 1,
