--- a/core/src/clock.rs
+++ b/core/src/clock.rs
@@ -49,25 +49,34 @@
 /// A monotonic clock with an origin of its own.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
-    origin: tokio::time::Instant,
+    /// Time at which the clock was started.
+    start: Time,
+    started: tokio::time::Instant,
 }
 
 impl Clock {
     /// Returns a clock whose origin is now.
     pub fn start() -> Self {
+        Self::start_at(Time::default())
+    }
+
+    /// Returns a clock that shows `start` now, so that its origin lies before.
+    pub fn start_at(start: Time) -> Self {
         Self {
-            origin: tokio::time::Instant::now(),
+            start,
+            started: tokio::time::Instant::now(),
         }
     }
 
     /// Returns the time elapsed since the origin.
     pub fn now(&self) -> Time {
-        Time(self.origin.elapsed().as_micros() as u64)
+        self.start + self.started.elapsed()
     }
 
-    /// Converts `time` to an instant of the tokio runtime, for timers.
+    /// Converts `time` to an instant of the tokio runtime, for timers. A time before the start of the
+    /// clock becomes its start.
     pub fn instant(&self, time: Time) -> tokio::time::Instant {
-        self.origin + Duration::from_micros(time.0)
+        self.started + time.since(self.start)
     }
 }
 
--- a/core/src/kernel.rs
+++ b/core/src/kernel.rs
@@ -10,7 +10,14 @@
 use snafu::{OptionExt, Snafu};
 use tokio::{sync::watch, task::JoinHandle};
 
-use crate::{clock::Clock, panics::contain_future};
+use crate::{
+    clock::{Clock, Time},
+    panics::contain_future,
+};
+
+/// Time of a process's clock at its start, longer than a caller waits for an answer. With a clock that
+/// starts at 0, a flow that its caller began to open before the start counted as young as the process.
+const PROCESS_START: Time = Time::from_millis(3_600_000);
 
 /// An error in looking up a component in the registry.
 #[derive(Debug, Snafu)]
@@ -77,11 +84,11 @@
 }
 
 impl Kernel {
-    /// Returns a kernel without components and tasks, whose clock starts now.
+    /// Returns a kernel without components and tasks, whose clock starts now at one hour.
     pub fn new() -> Self {
         let (sender, receiver) = watch::channel(());
         Self {
-            clock: Clock::start(),
+            clock: Clock::start_at(PROCESS_START),
             components: Mutex::default(),
             stop_sender: Mutex::new(Some(sender)),
             stop_signal: StopSignal(receiver),
