--- a/core/src/membership/sync.rs
+++ b/core/src/membership/sync.rs
@@ -24,8 +24,12 @@
 /// Time for which a process counts as starting.
 const STARTUP_PERIOD: Duration = Duration::from_secs(10);
 
-/// Interval between two joins until one is answered.
-const JOIN_INTERVAL: Duration = Duration::from_millis(250);
+/// Interval between the first two joins; it doubles until one is answered.
+const MIN_JOIN_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Longest interval between two joins. At 250 ms from the first join on, processes that started before
+/// their seeds after a loss of power took no part for that long.
+const MAX_JOIN_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Time after which a process without any seed or peer counts as joined.
 ///
@@ -69,6 +73,8 @@
     /// Until when the process counts as starting.
     startup_end: Time,
     next_join: Time,
+    /// Number of times that a join was sent.
+    joins: u32,
     /// Position in the rotation of seeds.
     seed_offset: usize,
     comparisons: u32,
@@ -89,6 +95,7 @@
             next_comparison: now + STARTUP_COMPARISON_INTERVAL.mul_f64(1.0 + rng.random::<f64>()),
             startup_end: now + STARTUP_PERIOD,
             next_join: now,
+            joins: 0,
             seed_offset: rng.random_range(0..usize::from(u16::MAX)),
             comparisons: 0,
             shard_count: 1,
@@ -120,7 +127,9 @@
     pub(super) fn sync_tick(&mut self, now: Time) {
         let is_alone = self.roster.live_count() <= 1;
         if (is_alone || !self.sync.is_join_answered) && now >= self.sync.next_join {
-            self.sync.next_join = now + JOIN_INTERVAL;
+            let interval = MIN_JOIN_INTERVAL * (1 << self.sync.joins.min(4));
+            self.sync.next_join = now + interval.min(MAX_JOIN_INTERVAL);
+            self.sync.joins += 1;
             self.join(now);
         }
         self.join_unknown_seeds(now);
--- a/tests/membership/spread.rs
+++ b/tests/membership/spread.rs
@@ -250,6 +250,22 @@
     }
 }
 
+/// After a loss of power, a process that starts before its seeds takes no flows until it has joined. With
+/// joins every 250 ms from the first one on, it stood idle for that long.
+#[test]
+fn process_that_starts_just_before_its_seed_joins_within_200_ms_of_its_start() {
+    for seed in 1..=20 {
+        let mut network = Network::new(seed);
+        let first = network.start(record(1, DOMAINS), vec![record(0, DOMAINS).control]);
+        network.run(Duration::from_millis(110));
+        network.start(record(0, DOMAINS), Vec::new());
+        let took = network.run_while(Duration::from_millis(200), |network| {
+            network.nodes[first].swim.roster().live_count() < 2
+        });
+        assert!(took.is_some(), "seed {seed}");
+    }
+}
+
 /// Returns after how many tenths of a second all processes know each other, if all start within
 /// about a second, in the state `initial_state`, and become ready shortly after; 200 if they never do.
 fn tenths_until_agreement(
