--- a/src/cli.rs
+++ b/src/cli.rs
@@ -3,6 +3,7 @@
 use std::{
     ffi::OsString,
     net::{SocketAddr, SocketAddrV4},
+    num::NonZeroU32,
     path::PathBuf,
     str::FromStr,
     time::Duration,
@@ -10,11 +11,13 @@
 
 use pico_args::Arguments;
 use snafu::Snafu;
+use time::{OffsetDateTime, format_description::well_known::Rfc3339};
 
 use crate::{
     dev::{Faults, Load},
     load::LoadOptions,
     soak::{self, Size},
+    timeline,
 };
 
 pub mod fleet;
@@ -24,6 +27,9 @@
 pub mod settings;
 pub mod stand_in;
 
+/// Length of an interval of a timeline.
+const DEFAULT_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Exit status of a bad command line or bad settings.
 pub const EXIT_USAGE: u8 = 2;
 /// Exit status of a failed command.
@@ -220,6 +226,15 @@
         /// Files with the logs of processes.
         logs: Vec<PathBuf>,
     },
+    /// Count the decisions in log files by interval.
+    Timeline {
+        /// Which lines are counted, and in what intervals.
+        options: timeline::Options,
+        /// Whether to print JSON.
+        json: bool,
+        /// Files with the logs of processes.
+        logs: Vec<PathBuf>,
+    },
     /// Show where a flow or a request went.
     Explain {
         /// File with the fleet's keys and peers.
@@ -256,6 +271,7 @@
         "status" => parse_status(&mut args)?,
         "drain" => parse_drain(&mut args)?,
         "explain" => parse_explain_logs(&mut args)?,
+        "timeline" => parse_timeline(&mut args)?,
         "explain-flow" => parse_explain(&mut args)?,
         "settings" => Command::Settings(settings::parse(&mut args)?),
         "soak" => Command::Soak(parse_soak(&mut args)?),
@@ -406,12 +422,39 @@
 }
 
 fn parse_explain_logs(args: &mut Arguments) -> Result<Command, UsageError> {
-    let subject = args.free_from_str()?;
+    Ok(Command::ExplainLogs {
+        subject: args.free_from_str()?,
+        logs: parse_logs(args)?,
+    })
+}
+
+fn parse_timeline(args: &mut Arguments) -> Result<Command, UsageError> {
+    let interval_ms: Option<NonZeroU32> = args.opt_value_from_str("--interval")?;
+    let options = timeline::Options {
+        interval: interval_ms.map_or(DEFAULT_INTERVAL, |millis| {
+            Duration::from_millis(u32::from(millis).into())
+        }),
+        from: args.opt_value_from_fn("--from", point_in_time)?,
+        until: args.opt_value_from_fn("--until", point_in_time)?,
+    };
+    Ok(Command::Timeline {
+        options,
+        json: args.contains("--json"),
+        logs: parse_logs(args)?,
+    })
+}
+
+fn parse_logs(args: &mut Arguments) -> Result<Vec<PathBuf>, UsageError> {
     let mut logs = vec![args.free_from_str()?];
     while let Some(log) = args.opt_free_from_str()? {
         logs.push(log);
     }
-    Ok(Command::ExplainLogs { subject, logs })
+    Ok(logs)
+}
+
+/// Reads a point in time as logs show it.
+fn point_in_time(text: &str) -> Result<OffsetDateTime, String> {
+    OffsetDateTime::parse(text, &Rfc3339).map_err(|error| error.to_string())
 }
 
 /// Reads a time in seconds.
--- a/src/cli/help.rs
+++ b/src/cli/help.rs
@@ -50,6 +50,11 @@
         about: "find all decisions about a request or a flow in log files",
         help: HELP_EXPLAIN_LOGS,
     },
+    Entry {
+        name: "timeline",
+        about: "count the decisions in log files by interval",
+        help: HELP_TIMELINE,
+    },
     Entry {
         name: "explain-flow",
         about: "show where a flow or a request went, and why",
@@ -270,6 +275,25 @@
   berylvalve explain 2249f706c360af19 logs/*
 ";
 
+const HELP_TIMELINE: &str = "\
+berylvalve timeline: count the decisions in log files by interval
+
+USAGE:
+  berylvalve timeline [OPTIONS] FILE...
+
+Prints a line for each interval in which the processes logged something, with the number of lines by
+event and reason.
+
+OPTIONS:
+  --interval MS   length of an interval in milliseconds (default: 200)
+  --from TIME     earliest time of a line, in RFC 3339 as logs show it
+  --until TIME    time before which a line is
+  --json          print the intervals as one JSON array
+
+EXAMPLE:
+  berylvalve timeline --from 2026-09-20T06:07:45Z --until 2026-09-20T06:07:49Z logs/*
+";
+
 const HELP_EXPLAIN: &str = "\
 berylvalve explain-flow: show where a flow or a request went, and why
 
--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -27,6 +27,7 @@
     explain,
     load::{self, LoadReport},
     soak::{self, seeds::FAILED_SEEDS},
+    timeline::{self, Timeline, TimelineError},
     trial,
 };
 
@@ -53,6 +54,11 @@
             json,
         } => finish(fleet::explain(&fleet, &subject, json).await),
         Command::ExplainLogs { subject, logs } => run_explain(&subject, &logs),
+        Command::Timeline {
+            options,
+            json,
+            logs,
+        } => run_timeline(options, json, &logs),
         Command::Settings(options) => run_settings(&options).await,
         Command::Load(options) => match run_load(&options).await {
             Ok(code) => code,
@@ -171,6 +177,26 @@
     }
 }
 
+fn run_timeline(options: timeline::Options, json: bool, files: &[PathBuf]) -> ExitCode {
+    let mut timeline = Timeline::new(options);
+    for file in files {
+        let log = File::open(file).map_err(TimelineError::from);
+        let read = log.and_then(|log| timeline.read(BufReader::new(log)));
+        if let Err(error) = read {
+            return failure(&format!("{}: {error}", file.display()));
+        }
+    }
+    let intervals = timeline.intervals();
+    match json {
+        true => println!("{}", serde_json::json!(intervals)),
+        false => print!("{}", timeline::text(&intervals)),
+    }
+    match intervals.is_empty() {
+        true => failure("no line with a time and an event"),
+        false => ExitCode::SUCCESS,
+    }
+}
+
 fn run_trial(name: Option<&str>, seed: u64) -> ExitCode {
     let Some(name) = name else {
         for trial in trial::TRIALS {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod standin;
 pub mod steering;
 pub mod store;
+pub mod timeline;
 pub mod trial;
 
 pub use berylvalve_core::{
