--- a/core/src/l4/balancer.rs
+++ b/core/src/l4/balancer.rs
@@ -210,9 +210,14 @@
         }
     }
 
+    /// Returns whether the first routes have arrived.
+    pub fn has_routes(&self) -> bool {
+        self.routes.version > 0
+    }
+
     /// Returns whether the balancer has routes and knows an agent that is ready.
     pub fn has_routes_and_ready_agent(&self) -> bool {
-        self.routes.version > 0 && self.fleet.has_ready()
+        self.has_routes() && self.fleet.has_ready()
     }
 
     /// Returns whether the balancer may receive its share of the flows: it has routes, knows a ready
--- a/core/src/l4/balancer/opening.rs
+++ b/core/src/l4/balancer/opening.rs
@@ -189,8 +189,12 @@
     }
 
     /// Sends the opening segment to the best candidate that is left. Without one, resets the flow,
-    /// unless an agent may have accepted it, it waits at an agent, or the balancer is starting.
+    /// unless an agent may have accepted it, it waits at an agent, or the balancer is starting. Before the
+    /// first routes, the service of a flow is not known, and the opening is kept.
     fn try_next(&mut self, flow: &FlowKey, now: Time, out: &mut impl Outbox) {
+        if self.routes.version == 0 {
+            return;
+        }
         let tie_offset = self.random();
         let awaits_directives = self.awaits_directives(now);
         let service = self.service_of(flow).unwrap_or_default();
@@ -217,8 +221,7 @@
         let Some((candidate, forced)) = chosen else {
             opening.pending = None;
             let may_be_open = !opening.accepted.is_empty() || !opening.silent.is_empty();
-            let is_starting = self.starting || self.routes.version == 0;
-            if !may_be_open && opening.waiting_at.is_none() && !is_starting {
+            if !may_be_open && opening.waiting_at.is_none() && !self.starting {
                 let excluded = opening.excluded.len();
                 let reason = match self.fleet.is_all_evacuated(service.tag()) {
                     true => "evacuated",
@@ -286,9 +289,12 @@
             );
         }
         for flow in kept {
-            if self.service_of(&flow).is_none() {
-                self.reset_flow(&flow, 0, "no_route", now, out);
-            }
+            let reason = match self.routes.routes.get(&flow.address) {
+                Some(route) if route.service(&flow).is_some() => continue,
+                Some(_) => "no_target",
+                None => "no_route",
+            };
+            self.reset_flow(&flow, 0, reason, now, out);
         }
         self.starting = self.starting && !self.can_serve(now);
         self.retry_openings(now, out);
--- a/core/src/l4/daemon/balancer_loop.rs
+++ b/core/src/l4/daemon/balancer_loop.rs
@@ -139,9 +139,16 @@
     }
 
     /// Passes on the peers that have announced newer routes. One that finds the channel full is left out,
-    /// as the versions are compared again.
+    /// as the versions are compared again. A balancer without routes knows few members yet, and takes them
+    /// from any process that holds a fleet key; later on only members count.
     fn pull_announced_routes(&mut self) {
         while let Some(announcement) = self.balancer.take_route_announcement() {
+            let view = self.directory.view();
+            let mut members = view.members.values();
+            let is_member = members.any(|record| record.control == announcement.control);
+            if !is_member && self.balancer.has_routes() {
+                continue;
+            }
             let event = Event::Announced(announcement.control, announcement.version);
             let _ = self.route_events.try_send(event);
         }
--- a/core/src/l4/route_sync.rs
+++ b/core/src/l4/route_sync.rs
@@ -29,6 +29,10 @@
 /// cut off, so that the table is pulled from another one too.
 const PULL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Limit of peers with newer tables beyond which announcements are ignored. Frames between processes are
+/// not signed, so that a stranger may announce any number of them; the tables themselves are signed.
+const MAX_NEWER_PEERS: usize = 64;
+
 /// Limit of pulls at the same time.
 const MAX_PULLS: u32 = 2;
 
@@ -222,7 +226,11 @@
                 self.needs_latest = true;
                 self.read_due = self.read_due.min(now + self.retry_delay);
             }
-            Event::Announced(peer, version) => drop(self.newer_peers.insert(peer, version)),
+            Event::Announced(peer, version) => {
+                if self.newer_peers.len() < MAX_NEWER_PEERS {
+                    self.newer_peers.insert(peer, version);
+                }
+            }
             Event::PullEnded(table) => {
                 self.pulls = self.pulls.saturating_sub(1);
                 if self.apply_if_newer(table, &mut actions) {
