--- a/core/src/l4/balancer/route_spread.rs
+++ b/core/src/l4/balancer/route_spread.rs
@@ -2,7 +2,7 @@
 //! a newer table from the one that told.
 //!
 //! After a loss of power all processes start at once. The membership records that show a version then
-//! arrive late in the crowd of joins, so versions are also sent directly.
+//! arrive late among the joins of all processes, so versions are also sent directly.
 
 use std::{collections::VecDeque, net::SocketAddrV4, time::Duration};
 
--- a/core/tests/l4/balancer.rs
+++ b/core/tests/l4/balancer.rs
@@ -82,6 +82,26 @@
     base.next(members)
 }
 
+/// Returns a table with the route of all flows of the tests.
+pub fn routes(version: u64, target_ms: u32, timeout_ms: u32) -> RouteTable {
+    let route = Route {
+        name: "r".into(),
+        idempotent: true,
+        priority: 1,
+        target_ms,
+        timeout_ms,
+        targets: vec![Target {
+            service: ServiceKey::of("desk"),
+            weight: 1,
+        }],
+    };
+    RouteTable {
+        version,
+        idle_ms: 15_000,
+        routes: HashMap::from([(flow(0).address, route)]),
+    }
+}
+
 pub struct Harness {
     pub balancer: Balancer<TestCodec>,
     pub sent: RecordingOutbox,
@@ -103,23 +123,8 @@
             domain: "a".into(),
             link_rate: LINK_RATE,
         };
-        let route = Route {
-            name: "r".into(),
-            idempotent: true,
-            priority: 1,
-            target_ms,
-            timeout_ms,
-            targets: vec![Target {
-                service: ServiceKey::of("desk"),
-                weight: 1,
-            }],
-        };
         let mut balancer = Balancer::new(TestCodec, &options, 1);
-        balancer.apply_routes(Arc::new(RouteTable {
-            version: 1,
-            idle_ms: 15_000,
-            routes: HashMap::from([(flow(0).address, route)]),
-        }));
+        balancer.apply_routes(Arc::new(routes(1, target_ms, timeout_ms)));
         let mut harness = Self {
             balancer,
             sent: RecordingOutbox::default(),
--- a/core/tests/l4/route_spread.rs
+++ b/core/tests/l4/route_spread.rs
@@ -1,10 +1,10 @@
 //! Spread of the route table in a fleet that starts as a whole while the store serves few processes.
 //!
 //! Without it, each balancer waited for its own read of the store, a second and more after the first one
-//! had routes, since the membership records that show versions are late in the crowd of joins.
+//! had routes, since the membership records that show versions are late among the joins of all processes.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::BTreeMap,
     net::{Ipv4Addr, SocketAddrV4},
     sync::Arc,
     time::Duration,
@@ -17,7 +17,7 @@
         message::{self, Message},
         outbox::Outbox,
         route_sync::{Action, Event, RouteSync},
-        routes::{Route, RouteTable, ServiceKey, Target},
+        routes::RouteTable,
     },
     member::{MemberState, Record, Role, View},
     owner_id::{Incarnation, ServiceTag},
@@ -26,8 +26,8 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
 use crate::{
-    balancer::{RecordingOutbox, agent, view},
-    codec::{OPENING, TestCodec, flow},
+    balancer::{RecordingOutbox, agent, routes, view},
+    codec::{OPENING, TestCodec},
 };
 
 const BALANCERS: u8 = 24;
@@ -42,23 +42,12 @@
     SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, index), 7001)
 }
 
+fn domain(index: u8) -> &'static str {
+    ["a", "b", "c", "d"][usize::from(index % 4)]
+}
+
 fn table(version: u64) -> RouteTable {
-    let route = Route {
-        name: "r".into(),
-        idempotent: true,
-        priority: 1,
-        target_ms: 1_000,
-        timeout_ms: 0,
-        targets: vec![Target {
-            service: ServiceKey::of("desk"),
-            weight: 1,
-        }],
-    };
-    RouteTable {
-        version,
-        idle_ms: 15_000,
-        routes: HashMap::from([(flow(0).address, route)]),
-    }
+    routes(version, 1_000, 0)
 }
 
 fn new_balancer(index: u8) -> Balancer<TestCodec> {
@@ -78,7 +67,7 @@
             address: balancer_address(index),
             control: balancer_address(index),
             incarnation: Incarnation(1),
-            domain: ["a", "b", "c", "d"][usize::from(index % 4)].into(),
+            domain: domain(index).into(),
             role: Role::Balancer,
             service: ServiceTag(0),
             state: MemberState::Ready,
@@ -130,10 +119,7 @@
         for index in 0..BALANCERS {
             let mut balancer = new_balancer(index);
             balancer.apply_view(&view, Time::default(), &mut RecordingOutbox::default());
-            let mut sync = RouteSync::new(
-                balancer_address(index),
-                ["a", "b", "c", "d"][usize::from(index % 4)],
-            );
+            let mut sync = RouteSync::new(balancer_address(index), domain(index));
             sync.apply_view(&view);
             processes.push((balancer, sync));
         }
