--- /dev/null
+++ b/review/stand-in/cases.rs
@@ -0,0 +1,359 @@
+//! The cases.
+
+use std::{
+    net::{Ipv4Addr, SocketAddrV4},
+    sync::{Arc, Mutex},
+    thread::sleep,
+    time::{Duration, Instant},
+};
+
+use crate::{
+    consumer::{Consumers, Stage},
+    packet::Flow,
+    record::Record,
+    server::{Seen, Server},
+    world::{CONFIG_APPLY, CONTACT, DRAIN, World, config},
+};
+
+pub enum Outcome {
+    Held,
+    Broken(Vec<String>),
+    Unable(String),
+}
+
+const SERVICE: &str = "desk";
+const LEAD: Duration = Duration::from_secs(30);
+
+/// Everything that a case plays with.
+struct Deployment {
+    world: Arc<World>,
+    seen: Arc<Mutex<Seen>>,
+    servers: Vec<Arc<Server>>,
+    consumers: Arc<Consumers>,
+    route: SocketAddrV4,
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        self.world.end();
+    }
+}
+
+fn route(port: u16) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(127, 255, 0, 1), port)
+}
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+impl Deployment {
+    /// Starts a deployment with one service and waits until its fronts are in rotation and all of it
+    /// is in touch. The last `later` sides and their servers don't start yet.
+    fn start(
+        record: &Arc<Record>,
+        fronts: usize,
+        sides: usize,
+        later: usize,
+    ) -> Result<Self, Outcome> {
+        let world = World::new(record.clone(), fronts, &vec![SERVICE; sides]);
+        let seen = Arc::new(Mutex::new(Seen::default()));
+        let servers: Vec<_> = (0..sides)
+            .map(|index| Server::new(&world, &seen, index, SERVICE))
+            .collect();
+        let consumers = Consumers::new(&world, 4);
+        let deployment = Self {
+            world,
+            seen,
+            servers,
+            consumers,
+            route: route(443),
+        };
+        deployment.world.store.put(
+            "op/config",
+            &config(11, &[(deployment.route, SERVICE, "unsafe")], 5000),
+        );
+        for daemon in deployment
+            .world
+            .fronts
+            .iter()
+            .chain(&deployment.world.sides[..sides - later])
+        {
+            deployment.world.start(daemon);
+        }
+        sleep(ms(500));
+        for (index, server) in deployment.servers[..sides - later].iter().enumerate() {
+            server.start(&format!("i-{}", index + 1), 0);
+        }
+        if !deployment.world.wait_ready(LEAD) {
+            return Err(Outcome::Unable("the fronts are not in rotation".to_owned()));
+        }
+        sleep(CONTACT + ms(1500));
+        Ok(deployment)
+    }
+
+    /// Opens flows, one every 20 ms, and waits until all have an answer.
+    fn open_flows(&self, count: usize) -> Result<Vec<Flow>, Outcome> {
+        let flows: Vec<Flow> = (0..count)
+            .map(|index| self.consumers.new_flow(index % 4, self.route))
+            .collect();
+        for (index, flow) in flows.iter().enumerate() {
+            self.consumers.open(*flow, &format!("first-{index}"), None);
+            sleep(ms(20));
+        }
+        sleep(ms(600));
+        let answered = flows
+            .iter()
+            .filter(|flow| !self.consumers.get(flow).answered.is_empty())
+            .count();
+        match answered == count {
+            true => Ok(flows),
+            false => Err(Outcome::Unable(format!(
+                "{answered} of {count} flows were served in the lead"
+            ))),
+        }
+    }
+
+    /// Returns the resets of the system's own that consumers got on flows that were open at a server
+    /// that lives on.
+    fn broken_flows(&self, flows: &[Flow]) -> Vec<String> {
+        let seen = self.seen.lock().unwrap();
+        let mut broken = Vec::new();
+        for flow in flows {
+            let Some((at, from, _)) = self.consumers.get(flow).reset else {
+                continue;
+            };
+            let Some(home) = seen.opened.get(flow).filter(|home| home.at < at) else {
+                continue;
+            };
+            if self.servers[home.server].is_alive(&home.id) {
+                broken.push(format!(
+                    "FLOW: {}>{} is open at server {} since {:.3}, which lives, and its consumer gets a reset from {from} at {:.3}",
+                    flow.consumer, flow.route, home.id, self.world.record.seconds(home.at), self.world.record.seconds(at)
+                ));
+            }
+        }
+        broken
+    }
+
+    fn judge(&self, mut broken: Vec<String>) -> Outcome {
+        let wrong = self.consumers.wrong.lock().unwrap();
+        broken.extend(wrong.iter().map(|line| format!("MIXED: {line}")));
+        broken.extend(
+            self.seen
+                .lock()
+                .unwrap()
+                .wrong
+                .iter()
+                .map(|line| format!("UNASKED: {line}")),
+        );
+        for daemon in self.world.fronts.iter().chain(&self.world.sides) {
+            if !self.world.runs(daemon) {
+                return Outcome::Unable(format!("{} does not run at the end", daemon.name));
+            }
+        }
+        match broken.is_empty() {
+            true => Outcome::Held,
+            false => Outcome::Broken(broken),
+        }
+    }
+}
+
+fn run(play: impl FnOnce() -> Result<Outcome, Outcome>) -> Outcome {
+    play().unwrap_or_else(|outcome| outcome)
+}
+
+/// An agent gets SIGTERM, starts again, and gets SIGTERM again before the next report of its server.
+pub fn restart_twice(record: &Arc<Record>, trouble: bool) -> Outcome {
+    run(|| {
+        let deployment = Deployment::start(record, 2, 6, 0)?;
+        let flows = deployment.open_flows(24)?;
+        if trouble {
+            let agent = &deployment.world.sides[0];
+            deployment.servers[0].wait_for_report();
+            // The report after the next one comes 1.1 s after the second start.
+            sleep(ms(450));
+            deployment.world.stop(agent);
+            sleep(ms(540));
+            deployment.world.start(agent);
+            sleep(ms(900));
+            deployment.world.stop(agent);
+            sleep(ms(540));
+            deployment.world.start(agent);
+        }
+        sleep(ms(3000));
+        for (index, flow) in flows.iter().enumerate() {
+            deployment
+                .consumers
+                .request(flow, &format!("second-{index}"));
+        }
+        sleep(ms(3000));
+        Ok(deployment.judge(deployment.broken_flows(&flows)))
+    })
+}
+
+/// All open channels to the store go silent, and the config changes soon after.
+pub fn silent_watch(record: &Arc<Record>, trouble: bool) -> Outcome {
+    run(|| {
+        let deployment = Deployment::start(record, 2, 3, 0)?;
+        let (kept, dropped, added) = (deployment.route, route(444), route(445));
+        let _ = deployment.open_flows(8)?;
+        let table = [(kept, SERVICE, "unsafe"), (dropped, SERVICE, "unsafe")];
+        deployment
+            .world
+            .store
+            .put("op/config", &config(14, &table, 5000));
+        sleep(ms(300));
+        let silent = Instant::now();
+        if trouble {
+            let count = deployment.world.way.silence();
+            record.say(&format!(
+                "the {count} channels to the store that were opened so far go silent for good"
+            ));
+        }
+        sleep(ms(300));
+        let table = [(kept, SERVICE, "unsafe"), (added, SERVICE, "unsafe")];
+        let ack = deployment
+            .world
+            .store
+            .put("op/config", &config(17, &table, 5000));
+        let mut probes = Vec::new();
+        while ack.elapsed() < ms(11_000) {
+            for front in 0..deployment.world.fronts.len() {
+                for address in [dropped, added] {
+                    let flow = deployment.consumers.new_flow(probes.len() % 4, address);
+                    let request = format!("probe-{}-{}", probes.len(), address.port());
+                    deployment.consumers.open(flow, &request, Some(front));
+                    probes.push((flow, request, address, front));
+                }
+            }
+            sleep(ms(100));
+        }
+        sleep(ms(2000));
+        let seen = deployment.seen.lock().unwrap();
+        let mut broken = Vec::new();
+        // From here on the bound holds and all machines are in touch again.
+        let bound = (ack + CONFIG_APPLY).max(silent + CONTACT) + ms(100);
+        for (flow, request, address, front) in &probes {
+            let end = deployment.consumers.get(flow);
+            if end.first_sent <= bound {
+                continue;
+            }
+            let after = end.first_sent.duration_since(ack).as_millis();
+            let at = record.seconds(end.first_sent);
+            if *address == dropped && seen.runs.iter().any(|run| run.request == *request) {
+                broken.push(format!("CONFIG: {request}, sent at {at:.3} through front-{}, {after} ms after the ack of version 17, is run with the dropped route", front + 1));
+            }
+            if *address == added
+                && end
+                    .reset
+                    .as_ref()
+                    .is_some_and(|(_, _, at)| *at == Stage::Opening)
+            {
+                broken.push(format!("CONFIG: {request}, sent at {at:.3} through front-{}, {after} ms after the ack of version 17, is refused though the route is there", front + 1));
+            }
+        }
+        drop(seen);
+        Ok(deployment.judge(broken))
+    })
+}
+
+/// A server is added and crashes, the time of day of its machine jumps back, and the server starts
+/// again; later it drains.
+pub fn clock_back(record: &Arc<Record>, trouble: bool) -> Outcome {
+    const JUMP_MS: i64 = 2400;
+    run(|| {
+        let deployment = Deployment::start(record, 2, 7, 1)?;
+        let (agent, server) = (&deployment.world.sides[6], &deployment.servers[6]);
+        deployment.world.start(agent);
+        sleep(ms(500));
+        server.start("i-7", 0);
+        sleep(ms(800));
+        if trouble {
+            server.crash();
+            sleep(ms(200));
+            record.say(&format!(
+                "the time of day on the machine of side-7 jumps back by {JUMP_MS} ms"
+            ));
+            sleep(ms(300));
+            server.start("i-7b", -JUMP_MS);
+        }
+        let id = if trouble { "i-7b" } else { "i-7" };
+        let mut count = 0;
+        let mut traffic = |time: Duration| {
+            let end = Instant::now() + time;
+            while Instant::now() < end {
+                let flow = deployment.consumers.new_flow(count % 4, deployment.route);
+                deployment
+                    .consumers
+                    .open(flow, &format!("request-{count}"), None);
+                count += 1;
+                sleep(ms(25));
+            }
+        };
+        traffic(ms(10_000));
+        server.drain();
+        traffic(ms(9_000));
+        sleep(ms(1500));
+        let seen = deployment.seen.lock().unwrap();
+        let Some(drained) = seen.drained.get(id).copied() else {
+            return Err(Outcome::Unable(
+                "the draining was not acknowledged".to_owned(),
+            ));
+        };
+        let mut broken = Vec::new();
+        for opening in seen
+            .openings
+            .iter()
+            .filter(|opening| opening.id == id && opening.at > drained + DRAIN)
+        {
+            let after = opening.at.duration_since(drained).as_millis();
+            broken.push(format!("DRAIN: the opening packet of {} reaches server {id} {after} ms after its draining was acknowledged", opening.flow.consumer));
+        }
+        drop(seen);
+        Ok(deployment.judge(broken))
+    })
+}
+
+/// All agents and all fronts are restarted in turn while few consumers send with pauses.
+pub fn roll_quiet(record: &Arc<Record>, trouble: bool) -> Outcome {
+    run(|| {
+        let deployment = Deployment::start(record, 3, 5, 0)?;
+        let flows = deployment.open_flows(20)?;
+        let end = Instant::now() + ms(36_000);
+        let world = deployment.world.clone();
+        let rolling = std::thread::spawn(move || {
+            if !trouble {
+                return;
+            }
+            let fronts = world.clone();
+            let roll_fronts = std::thread::spawn(move || {
+                for front in &fronts.fronts {
+                    fronts.stop(front);
+                    sleep(ms(500));
+                    fronts.start(front);
+                    sleep(ms(2500));
+                }
+            });
+            for _ in 0..2 {
+                for side in &world.sides {
+                    world.stop(side);
+                    sleep(ms(500));
+                    world.start(side);
+                    sleep(ms(1300));
+                }
+            }
+            let _ = roll_fronts.join();
+        });
+        let mut turn = 0;
+        while Instant::now() < end {
+            let flow = &flows[turn % flows.len()];
+            deployment.consumers.request(flow, &format!("later-{turn}"));
+            turn += 1;
+            sleep(ms(200));
+        }
+        let _ = rolling.join();
+        sleep(ms(3000));
+        Ok(deployment.judge(deployment.broken_flows(&flows)))
+    })
+}
