--- a/review/stand-in/cases.rs
+++ b/review/stand-in/cases.rs
@@ -12,7 +12,7 @@
     packet::Flow,
     record::Record,
     server::{Seen, Server},
-    world::{CONFIG_APPLY, CONTACT, DRAIN, World, config},
+    world::{CONFIG_APPLY, CONTACT, DRAIN, Daemon, World, config},
 };
 
 pub enum Outcome {
@@ -22,6 +22,10 @@
 }
 
 const SERVICE: &str = "desk";
+/// Slots of a server, and the time that a request takes.
+const POWER: (usize, Duration) = (7, Duration::from_millis(10));
+/// Time from the end of a process to its next start.
+const RESTART: Duration = Duration::from_millis(540);
 const LEAD: Duration = Duration::from_secs(30);
 
 /// Everything that a case plays with.
@@ -55,11 +59,12 @@
         fronts: usize,
         sides: usize,
         later: usize,
+        power: (usize, Duration),
     ) -> Result<Self, Outcome> {
         let world = World::new(record.clone(), fronts, &vec![SERVICE; sides]);
         let seen = Arc::new(Mutex::new(Seen::default()));
         let servers: Vec<_> = (0..sides)
-            .map(|index| Server::new(&world, &seen, index, SERVICE))
+            .map(|index| Server::new(&world, &seen, index, SERVICE, power))
             .collect();
         let consumers = Consumers::new(&world, 4);
         let deployment = Self {
@@ -166,7 +171,7 @@
 /// An agent gets SIGTERM, starts again, and gets SIGTERM again before the next report of its server.
 pub fn restart_twice(record: &Arc<Record>, trouble: bool) -> Outcome {
     run(|| {
-        let deployment = Deployment::start(record, 2, 6, 0)?;
+        let deployment = Deployment::start(record, 2, 6, 0, POWER)?;
         let flows = deployment.open_flows(24)?;
         if trouble {
             let agent = &deployment.world.sides[0];
@@ -174,11 +179,11 @@
             // The report after the next one comes 1.1 s after the second start.
             sleep(ms(450));
             deployment.world.stop(agent);
-            sleep(ms(540));
+            sleep(RESTART);
             deployment.world.start(agent);
             sleep(ms(900));
             deployment.world.stop(agent);
-            sleep(ms(540));
+            sleep(RESTART);
             deployment.world.start(agent);
         }
         sleep(ms(3000));
@@ -195,7 +200,7 @@
 /// All open channels to the store go silent, and the config changes soon after.
 pub fn silent_watch(record: &Arc<Record>, trouble: bool) -> Outcome {
     run(|| {
-        let deployment = Deployment::start(record, 2, 3, 0)?;
+        let deployment = Deployment::start(record, 2, 3, 0, POWER)?;
         let (kept, dropped, added) = (deployment.route, route(444), route(445));
         let _ = deployment.open_flows(8)?;
         let table = [(kept, SERVICE, "unsafe"), (dropped, SERVICE, "unsafe")];
@@ -263,7 +268,7 @@
 pub fn clock_back(record: &Arc<Record>, trouble: bool) -> Outcome {
     const JUMP_MS: i64 = 2400;
     run(|| {
-        let deployment = Deployment::start(record, 2, 7, 1)?;
+        let deployment = Deployment::start(record, 2, 7, 1, POWER)?;
         let (agent, server) = (&deployment.world.sides[6], &deployment.servers[6]);
         deployment.world.start(agent);
         sleep(ms(500));
@@ -315,45 +320,79 @@
     })
 }
 
-/// All agents and all fronts are restarted in turn while few consumers send with pauses.
+/// All agents are restarted in turn, then two of three fronts, while few consumers send: one request
+/// comes while an agent is down, and another one some seconds later.
 pub fn roll_quiet(record: &Arc<Record>, trouble: bool) -> Outcome {
+    const TARGET: usize = 0;
     run(|| {
-        let deployment = Deployment::start(record, 3, 5, 0)?;
-        let flows = deployment.open_flows(20)?;
-        let end = Instant::now() + ms(36_000);
-        let world = deployment.world.clone();
-        let rolling = std::thread::spawn(move || {
-            if !trouble {
-                return;
+        let deployment = Deployment::start(record, 3, 8, 0, POWER)?;
+        let world = &deployment.world;
+        sleep(ms(6500));
+        let flows = deployment.open_flows(48)?;
+        let opened = deployment.seen.lock().unwrap().opened.clone();
+        // Flows at the first agent's server whose packets come to front-2 only while others are out.
+        let moves_to_second = |flow: &Flow, rotation: &[usize]| {
+            opened.get(flow).is_some_and(|home| home.server == TARGET)
+                && world.front_among(flow, &[0, 1, 2]) != 1
+                && world.front_among(flow, rotation) == 1
+        };
+        let Some(first) = flows.iter().find(|flow| moves_to_second(flow, &[1, 2])) else {
+            return Err(Outcome::Unable("no flow fits the first request".to_owned()));
+        };
+        let later = flows
+            .iter()
+            .filter(|flow| *flow != first && moves_to_second(flow, &[0, 1]));
+        let later: Vec<&Flow> = later.collect();
+        if later.is_empty() {
+            return Err(Outcome::Unable("no flow fits the later request".to_owned()));
+        }
+        let restart = |daemon: &Arc<Daemon>| {
+            let (world, daemon) = (world.clone(), daemon.clone());
+            std::thread::spawn(move || {
+                world.stop(&daemon);
+                sleep(RESTART);
+                world.start(&daemon);
+            })
+        };
+        let wait = |front: usize, is_in: bool| {
+            let end = Instant::now() + ms(8000);
+            while trouble && world.in_rotation(front) != is_in && Instant::now() < end {
+                sleep(ms(2));
             }
-            let fronts = world.clone();
-            let roll_fronts = std::thread::spawn(move || {
-                for front in &fronts.fronts {
-                    fronts.stop(front);
-                    sleep(ms(500));
-                    fronts.start(front);
-                    sleep(ms(2500));
-                }
-            });
-            for _ in 0..2 {
-                for side in &world.sides {
-                    world.stop(side);
-                    sleep(ms(500));
-                    world.start(side);
-                    sleep(ms(1300));
-                }
+        };
+        let mut restarts = Vec::new();
+        if trouble {
+            for side in world.sides.iter().skip(1) {
+                restarts.push(restart(side));
+                sleep(ms(1000));
             }
-            let _ = roll_fronts.join();
-        });
-        let mut turn = 0;
-        while Instant::now() < end {
-            let flow = &flows[turn % flows.len()];
-            deployment.consumers.request(flow, &format!("later-{turn}"));
-            turn += 1;
-            sleep(ms(200));
+            restarts.push(restart(&world.fronts[0]));
         }
-        let _ = rolling.join();
-        sleep(ms(3000));
+        wait(0, false);
+        if trouble {
+            restarts.push(restart(&world.sides[TARGET]));
+            sleep(ms(450));
+        }
+        deployment.consumers.request(first, "first-request");
+        sleep(ms(150));
+        deployment.consumers.give_up(first);
+        let sent = Instant::now();
+        wait(0, true);
+        if trouble {
+            restarts.push(restart(&world.fronts[2]));
+        }
+        wait(2, false);
+        sleep((sent + ms(3900)).saturating_duration_since(Instant::now()));
+        for (index, flow) in later.into_iter().enumerate() {
+            deployment
+                .consumers
+                .request(flow, &format!("later-{index}"));
+            sleep(ms(100));
+        }
+        restarts
+            .into_iter()
+            .for_each(|restart| drop(restart.join()));
+        sleep(ms(2000));
         Ok(deployment.judge(deployment.broken_flows(&flows)))
     })
 }
--- a/review/stand-in/consumer.rs
+++ b/review/stand-in/consumer.rs
@@ -17,6 +17,8 @@
 const OPENING: Duration = Duration::from_millis(1400);
 const FIRST_RESEND: Duration = Duration::from_millis(200);
 const MAX_RESEND: Duration = Duration::from_millis(1600);
+/// Distance from the consumer's last ack within which the `seq` of a reset on an open flow must be.
+const RESET_WINDOW: u32 = 76_800;
 pub const DEADLINE: Duration = Duration::from_secs(5);
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -37,6 +39,8 @@
     /// When a reset of the system's own came, from which daemon, and at which stage.
     pub reset: Option<(Instant, String, Stage)>,
     pub answered: Vec<String>,
+    /// Requests that the server says it has not run.
+    pub refused: usize,
     /// The request that waits for its answer.
     pub request: Option<String>,
     began: Instant,
@@ -106,6 +110,7 @@
             first_sent: now,
             reset: None,
             answered: Vec::new(),
+            refused: 0,
             request: Some(request.to_owned()),
             began: now,
             via,
@@ -144,6 +149,16 @@
         true
     }
 
+    /// Gives a flow up without a word, as a consumer does that goes away.
+    pub fn give_up(&self, flow: &Flow) {
+        let mut flows = self.flows.lock().unwrap();
+        if let Some(end) = flows.get_mut(flow) {
+            end.stage = Stage::Closed;
+            let line = format!("{}>{} is given up", flow.consumer, flow.route);
+            self.world.record.say(&line);
+        }
+    }
+
     pub fn get(&self, flow: &Flow) -> End {
         self.flows.lock().unwrap()[flow].clone()
     }
@@ -185,22 +200,30 @@
             return;
         }
         if packet.flags & RST != 0 {
+            // On an open flow, a reset of the system's own is one only near the consumer's last ack.
+            let distance = (packet.seq.wrapping_sub(end.ack) as i32).unsigned_abs();
+            let is_near = end.stage == Stage::Opening || distance <= RESET_WINDOW;
             let word = if is_whole {
                 "its server"
             } else {
                 from.as_str()
             };
-            self.world.record.say_at(
-                now,
-                &format!(
-                    "{}>{} gets RST from {word} while {:?}",
-                    flow.consumer, flow.route, end.stage
-                ),
+            let what = if is_whole || is_near {
+                "gets RST"
+            } else {
+                "ignores RST"
+            };
+            let line = format!(
+                "{}>{} {what} from {word} while {:?}",
+                flow.consumer, flow.route, end.stage
             );
-            if !is_whole {
-                end.reset = Some((now, from, end.stage));
+            self.world.record.say_at(now, &line);
+            if is_whole || is_near {
+                if !is_whole {
+                    end.reset = Some((now, from, end.stage));
+                }
+                end.stage = Stage::Reset;
             }
-            end.stage = Stage::Reset;
             return;
         }
         if end.stage == Stage::Opening {
@@ -243,6 +266,13 @@
                         ),
                     );
                     end.answered.push(awaited);
+                } else if text.starts_with("HTTP/1.1 503") && text.contains(&awaited) {
+                    let line = format!(
+                        "{}>{} is told that {awaited} has not run",
+                        flow.consumer, flow.route
+                    );
+                    self.world.record.say_at(now, &line);
+                    end.refused += 1;
                 } else {
                     self.wrong
                         .lock()
--- a/review/stand-in/server.rs
+++ b/review/stand-in/server.rs
@@ -1,7 +1,7 @@
 //! Servers as PROTOCOL.md ("Flows", "Servers", "Service discovery") describes them.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, VecDeque},
     net::{SocketAddrV4, UdpSocket},
     sync::{Arc, Mutex},
     thread,
@@ -14,7 +14,8 @@
     world::{HEARTBEAT, World},
 };
 
-const WORK: Duration = Duration::from_millis(10);
+/// Requests that wait for a slot.
+const QUEUE: usize = 8;
 const FIRST_RESEND: Duration = Duration::from_millis(200);
 const MAX_RESEND: Duration = Duration::from_millis(1600);
 const MAX_RESENDS: u32 = 8;
@@ -55,7 +56,9 @@
     sequence: u64,
     draining: bool,
     flows: HashMap<Flow, End>,
+    /// Requests in slots, with the time at which each is done.
     work: Vec<(Instant, Flow, String)>,
+    queue: VecDeque<(Flow, String)>,
 }
 
 struct End {
@@ -79,6 +82,8 @@
     seen: Arc<Mutex<Seen>>,
     index: usize,
     service: String,
+    slots: usize,
+    work: Duration,
     socket: UdpSocket,
     life: Mutex<Option<Life>>,
     reported: Mutex<Option<Instant>>,
@@ -92,6 +97,7 @@
         seen: &Arc<Mutex<Seen>>,
         index: usize,
         service: &str,
+        (slots, work): (usize, Duration),
     ) -> Arc<Self> {
         let address = SocketAddrV4::new(world.sides[index].ip, world.ports.app);
         let server = Arc::new(Self {
@@ -99,6 +105,8 @@
             seen: seen.clone(),
             index,
             service: service.to_owned(),
+            slots,
+            work,
             socket: UdpSocket::bind(address).expect("address of a server"),
             life: Mutex::new(None),
             reported: Mutex::new(None),
@@ -132,6 +140,7 @@
             draining: false,
             flows: HashMap::new(),
             work: Vec::new(),
+            queue: VecDeque::new(),
         });
         self.world.record.say(&format!(
             "server {id} starts beside side-{}, born {born}",
@@ -192,11 +201,12 @@
         let draining = life.draining;
         let state = if draining { "draining" } else { "ready" };
         let body = format!(
-            "{{\"service\":\"{}\",\"address\":\"{}:{}\",\"zone\":\"zone-a\",\"version\":\"v1\",\"slots\":7,\"state\":\"{state}\",\
+            "{{\"service\":\"{}\",\"address\":\"{}:{}\",\"zone\":\"zone-a\",\"version\":\"v1\",\"slots\":{},\"state\":\"{state}\",\
              \"warmup_left_ms\":0,\"sequence\":{},\"born\":{}}}",
             self.service,
             self.world.sides[self.index].ip,
             self.world.ports.app,
+            self.slots,
             life.sequence,
             life.born
         );
@@ -330,17 +340,17 @@
                     .split_once(ID_HEADER)
                     .and_then(|(_, rest)| rest.split('\r').next());
                 let request = id.unwrap_or("none").to_owned();
-                self.world.record.say_at(
-                    now,
-                    &format!(
-                        "server {} runs {request} of {}>{}",
-                        life.id, flow.consumer, flow.route
-                    ),
-                );
-                seen.runs.push(Run {
-                    request: request.clone(),
-                });
-                life.work.push((now + WORK, flow, request));
+                if life.queue.len() < QUEUE {
+                    life.queue.push_back((flow, request));
+                } else {
+                    let text = format!(
+                        "HTTP/1.1 503 busy\r\n{ID_HEADER}{request}\r\nX-Berylvalve-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+                    );
+                    let answer = end.write(&flow, end.next, ACK, text.into_bytes());
+                    end.next = answer.end();
+                    answers.push(answer.encode());
+                    end.sent.push(Sent::new(answer, now));
+                }
             }
             answers.push(end.write(&flow, end.next, ACK, Vec::new()).encode());
         }
@@ -353,9 +363,28 @@
                 end.sent.push(Sent::new(fin, now));
             }
         }
+        self.begin(life, &mut seen, now);
         answers
     }
 
+    /// Takes requests from the queue while there are free slots.
+    fn begin(&self, life: &mut Life, seen: &mut Seen, now: Instant) {
+        while life.work.len() < self.slots {
+            let Some((flow, request)) = life.queue.pop_front() else {
+                return;
+            };
+            let line = format!(
+                "server {} runs {request} of {}>{}",
+                life.id, flow.consumer, flow.route
+            );
+            self.world.record.say_at(now, &line);
+            seen.runs.push(Run {
+                request: request.clone(),
+            });
+            life.work.push((now + self.work, flow, request));
+        }
+    }
+
     /// Ends work, and sends again what was not acknowledged.
     fn tick(&self) {
         let mut packets = Vec::new();
@@ -367,6 +396,7 @@
             .into_iter()
             .partition(|(due, ..)| *due <= now);
         life.work = work;
+        self.begin(life, &mut self.seen.lock().unwrap(), now);
         for (_, flow, request) in done {
             let Some(end) = life.flows.get_mut(&flow) else {
                 continue;
--- a/review/stand-in/world.rs
+++ b/review/stand-in/world.rs
@@ -219,8 +219,16 @@
             true => (0..rotation.len()).collect(),
             false => ready,
         };
-        let hash = hash(flow) as usize;
-        (!used.is_empty()).then(|| used[hash % used.len()])
+        (!used.is_empty()).then(|| self.front_among(flow, &used))
+    }
+
+    /// Returns the front to which the routers send a flow if only these are used.
+    pub fn front_among(&self, flow: &Flow, used: &[usize]) -> usize {
+        used[hash(flow) as usize % used.len()]
+    }
+
+    pub fn in_rotation(&self, front: usize) -> bool {
+        self.rotation.lock().unwrap()[front]
     }
 
     pub fn send_to_front(&self, front: usize, packet: &Packet) {
