--- a/review/stand-in/cases.rs
+++ b/review/stand-in/cases.rs
@@ -12,7 +12,7 @@
     packet::Flow,
     record::Record,
     server::{Seen, Server},
-    world::{CONFIG_APPLY, CONTACT, DRAIN, Daemon, World, config},
+    world::{CONFIG_APPLY, CONTACT, DRAIN, Daemon, World, config, weighted_config},
 };
 
 pub enum Outcome {
@@ -57,15 +57,17 @@
     fn start(
         record: &Arc<Record>,
         fronts: usize,
-        sides: usize,
+        services: &[&str],
         later: usize,
         power: (usize, Duration),
     ) -> Result<Self, Outcome> {
-        let world = World::new(record.clone(), fronts, &vec![SERVICE; sides]);
+        let sides = services.len();
+        let world = World::new(record.clone(), fronts, services);
         let seen = Arc::new(Mutex::new(Seen::default()));
-        let servers: Vec<_> = (0..sides)
-            .map(|index| Server::new(&world, &seen, index, SERVICE, power))
-            .collect();
+        let servers = services.iter().enumerate();
+        let servers =
+            servers.map(|(index, service)| Server::new(&world, &seen, index, service, power));
+        let servers: Vec<_> = servers.collect();
         let consumers = Consumers::new(&world, 4);
         let deployment = Self {
             world,
@@ -171,7 +173,7 @@
 /// An agent gets SIGTERM, starts again, and gets SIGTERM again before the next report of its server.
 pub fn restart_twice(record: &Arc<Record>, trouble: bool) -> Outcome {
     run(|| {
-        let deployment = Deployment::start(record, 2, 6, 0, POWER)?;
+        let deployment = Deployment::start(record, 2, &[SERVICE; 6], 0, POWER)?;
         let flows = deployment.open_flows(24)?;
         if trouble {
             let agent = &deployment.world.sides[0];
@@ -200,7 +202,7 @@
 /// All open channels to the store go silent, and the config changes soon after.
 pub fn silent_watch(record: &Arc<Record>, trouble: bool) -> Outcome {
     run(|| {
-        let deployment = Deployment::start(record, 2, 3, 0, POWER)?;
+        let deployment = Deployment::start(record, 2, &[SERVICE; 3], 0, POWER)?;
         let (kept, dropped, added) = (deployment.route, route(444), route(445));
         let _ = deployment.open_flows(8)?;
         let table = [(kept, SERVICE, "unsafe"), (dropped, SERVICE, "unsafe")];
@@ -268,7 +270,7 @@
 pub fn clock_back(record: &Arc<Record>, trouble: bool) -> Outcome {
     const JUMP_MS: i64 = 2400;
     run(|| {
-        let deployment = Deployment::start(record, 2, 7, 1, POWER)?;
+        let deployment = Deployment::start(record, 2, &[SERVICE; 7], 1, POWER)?;
         let (agent, server) = (&deployment.world.sides[6], &deployment.servers[6]);
         deployment.world.start(agent);
         sleep(ms(500));
@@ -325,7 +327,7 @@
 pub fn roll_quiet(record: &Arc<Record>, trouble: bool) -> Outcome {
     const TARGET: usize = 0;
     run(|| {
-        let deployment = Deployment::start(record, 3, 8, 0, POWER)?;
+        let deployment = Deployment::start(record, 3, &[SERVICE; 8], 0, POWER)?;
         let world = &deployment.world;
         sleep(ms(6500));
         let flows = deployment.open_flows(48)?;
@@ -396,3 +398,46 @@
         Ok(deployment.judge(deployment.broken_flows(&flows)))
     })
 }
+
+/// In a fleet of more than 128 agents, the weights of a route change, and then a front is restarted.
+pub fn weights_many(record: &Arc<Record>, trouble: bool) -> Outcome {
+    const OTHER: &str = "maps";
+    run(|| {
+        let mut services = vec![SERVICE; 100];
+        services.resize(130, OTHER);
+        let deployment = Deployment::start(record, 2, &services, 0, POWER)?;
+        let world = &deployment.world;
+        let weights = |version, desk: u64| {
+            let targets = [(SERVICE, desk), (OTHER, 100 - desk)];
+            world.store.put(
+                "op/config",
+                &weighted_config(version, deployment.route, &targets),
+            );
+        };
+        weights(14, 90);
+        sleep(ms(500));
+        let flows = deployment.open_flows(40)?;
+        if trouble {
+            weights(17, 10);
+        }
+        sleep(CONFIG_APPLY + ms(1000));
+        for (index, flow) in flows.iter().enumerate() {
+            deployment
+                .consumers
+                .request(flow, &format!("second-{index}"));
+        }
+        sleep(ms(1000));
+        if trouble {
+            world.stop(&world.fronts[0]);
+            sleep(RESTART);
+            world.start(&world.fronts[0]);
+        }
+        for (index, flow) in flows.iter().enumerate() {
+            deployment
+                .consumers
+                .request(flow, &format!("third-{index}"));
+        }
+        sleep(ms(4000));
+        Ok(deployment.judge(deployment.broken_flows(&flows)))
+    })
+}
--- a/review/stand-in/world.rs
+++ b/review/stand-in/world.rs
@@ -321,6 +321,25 @@
     sender
 }
 
+/// Writes a config with one route whose flows several services share.
+pub fn weighted_config(version: u64, address: SocketAddrV4, targets: &[(&str, u64)]) -> String {
+    let rows = targets
+        .iter()
+        .map(|(service, weight)| format!("{{\"service\":\"{service}\",\"weight\":{weight}}}"));
+    let services = targets
+        .iter()
+        .map(|(name, _)| format!("{{\"name\":\"{name}\",\"health_check_path\":\"/health\"}}"));
+    format!(
+        "{{\"version\":{version},\"routes\":[{{\"name\":\"r\",\"hostname\":\"{}\",\"prefix\":\"/{}/\",\"weighted_targets\":[{}],\
+         \"type\":\"unsafe\",\"timeout_ms\":5000,\"target_latency_ms\":300,\"max_attempts\":1,\"priority\":1}}],\
+         \"services\":[{}],\"limits\":{{\"idle_timeout_ms\":15000}}}}",
+        address.ip(),
+        address.port(),
+        rows.collect::<Vec<_>>().join(","),
+        services.collect::<Vec<_>>().join(",")
+    )
+}
+
 /// Mixes the four addresses and ports as a router may.
 fn hash(flow: &Flow) -> u32 {
     let mut hash: u32 = 0x9e37_79b9;
