--- a/review/stand-in/cases.rs
+++ b/review/stand-in/cases.rs
@@ -8,7 +8,7 @@
 };
 
 use crate::{
-    consumer::Consumers,
+    consumer::{Consumers, DEADLINE},
     packet::Flow,
     record::Record,
     server::{Seen, Server},
@@ -21,6 +21,8 @@
     Unable(String),
 }
 
+/// `evac_ms`.
+const EVACUATION: Duration = Duration::from_millis(5000);
 const SERVICE: &str = "desk";
 /// Slots of a server, and the time that a request takes.
 const POWER: (usize, Duration) = (7, Duration::from_millis(10));
@@ -204,7 +206,7 @@
 pub fn clock_back(record: &Arc<Record>, trouble: bool) -> Outcome {
     const JUMP_MS: i64 = 2400;
     run(|| {
-        let deployment = Deployment::start(record, 2, &[SERVICE; 7], 1, POWER)?;
+        let deployment = Deployment::start(record, 2, &[SERVICE; 7], 1, (7, ms(300)))?;
         let (agent, server) = (&deployment.world.sides[6], &deployment.servers[6]);
         deployment.world.start(agent);
         sleep(ms(500));
@@ -234,8 +236,11 @@
         };
         traffic(ms(10_000));
         server.drain();
-        traffic(ms(9_000));
-        sleep(ms(1500));
+        // `drain_ms` and a little longer; then the server leaves and exits.
+        traffic(DRAIN + ms(2000));
+        server.leave();
+        traffic(ms(2000));
+        sleep(DEADLINE + ms(500));
         let seen = deployment.seen.lock().unwrap();
         let Some(drained) = seen.drained.get(id).copied() else {
             return Err(Outcome::Unable(
@@ -250,6 +255,12 @@
         {
             let after = opening.at.duration_since(drained).as_millis();
             broken.push(format!("DRAIN: the opening packet of {} reaches server {id} {after} ms after its draining was acknowledged", opening.flow.consumer));
+            if deployment.consumers.get(&opening.flow).answered.is_empty() {
+                let consumer = opening.flow.consumer;
+                record.say(&format!(
+                    "the request of {consumer} to server {id} was never answered"
+                ));
+            }
         }
         drop(seen);
         Ok(deployment.judge(broken))
@@ -386,3 +397,55 @@
         Ok(deployment.judge(deployment.broken_flows(&flows)))
     })
 }
+
+/// A zone is evacuated, and later another writer overwrites the operator's key with bytes that can't
+/// be read.
+pub fn evacuation_overwritten(record: &Arc<Record>, trouble: bool) -> Outcome {
+    const KEY: &str = "op/evacuate/zone-b";
+    run(|| {
+        let sides = [
+            "desk",
+            "desk",
+            "desk",
+            "desk@zone-b",
+            "desk@zone-b",
+            "desk@zone-b",
+        ];
+        let deployment = Deployment::start(record, 2, &sides, 0, POWER)?;
+        let mut count = 0;
+        let mut traffic = |time: Duration| {
+            let end = Instant::now() + time;
+            while Instant::now() < end {
+                let flow = deployment.consumers.new_flow(count % 4, deployment.route);
+                deployment
+                    .consumers
+                    .open(flow, &format!("request-{count}"), None);
+                count += 1;
+                sleep(ms(25));
+            }
+        };
+        traffic(ms(2000));
+        let ack = deployment.world.store.put(KEY, "{}");
+        traffic(EVACUATION + ms(2000));
+        if trouble {
+            deployment.world.store.put(KEY, [0xff, 0xfe, 0x00]);
+        }
+        traffic(ms(9000));
+        sleep(ms(1500));
+        let seen = deployment.seen.lock().unwrap();
+        let late = seen
+            .openings
+            .iter()
+            .filter(|opening| opening.server >= 3 && opening.at > ack + EVACUATION);
+        let broken = late.map(|opening| {
+            let after = opening.at.duration_since(ack).as_millis();
+            format!(
+                "EVAC: the opening packet of {} reaches server {} in zone-b {after} ms after its evacuation was acknowledged",
+                opening.flow.consumer, opening.id
+            )
+        });
+        let broken: Vec<String> = broken.collect();
+        drop(seen);
+        Ok(deployment.judge(broken))
+    })
+}
--- a/review/stand-in/main.rs
+++ b/review/stand-in/main.rs
@@ -36,6 +36,7 @@
         "clock-back" => cases::clock_back(&record, trouble),
         "roll-quiet" => cases::roll_quiet(&record, trouble),
         "weights-many" => cases::weights_many(&record, trouble),
+        "evacuation-overwritten" => cases::evacuation_overwritten(&record, trouble),
         _ => Outcome::Unable("unknown case".to_owned()),
     };
     let (code, lines) = match outcome {
--- a/review/stand-in/server.rs
+++ b/review/stand-in/server.rs
@@ -11,7 +11,7 @@
 use crate::{
     http,
     packet::{self, ACK, FIN, Flow, Packet, RST, SYN},
-    world::{HEARTBEAT, World},
+    world::{HEARTBEAT, World, place},
 };
 
 /// Requests that wait for a slot.
@@ -76,6 +76,7 @@
     seen: Arc<Mutex<Seen>>,
     index: usize,
     service: String,
+    zone: String,
     slots: usize,
     work: Duration,
     socket: UdpSocket,
@@ -90,15 +91,17 @@
         world: &Arc<World>,
         seen: &Arc<Mutex<Seen>>,
         index: usize,
-        service: &str,
+        side: &str,
         (slots, work): (usize, Duration),
     ) -> Arc<Self> {
+        let (service, zone) = place(side);
         let address = SocketAddrV4::new(world.sides[index].ip, world.ports.app);
         let server = Arc::new(Self {
             world: world.clone(),
             seen: seen.clone(),
             index,
             service: service.to_owned(),
+            zone: zone.to_owned(),
             slots,
             work,
             socket: UdpSocket::bind(address).expect("address of a server"),
@@ -165,6 +168,26 @@
         }
     }
 
+    /// Says that the server leaves, and ends it, acknowledged or not.
+    pub fn leave(&self) {
+        let id = self
+            .life
+            .lock()
+            .unwrap()
+            .as_ref()
+            .map(|life| life.id.clone());
+        let Some(id) = id else { return };
+        let ip = self.world.sides[self.index].ip;
+        let control = SocketAddrV4::new(ip, self.world.ports.control);
+        let path = format!("/-/instances/{id}/leave");
+        let status = http::call(control, "POST", &path, "{}", Duration::from_secs(1));
+        self.world
+            .record
+            .say(&format!("server {id} leaves: {status:?}"));
+        *self.life.lock().unwrap() = None;
+        self.seen.lock().unwrap().ended.insert(id, Instant::now());
+    }
+
     /// Reports from now on that the server is draining, the first time at once.
     pub fn drain(&self) {
         let id = self.life.lock().unwrap().as_mut().map(|life| {
@@ -195,11 +218,12 @@
         let draining = life.draining;
         let state = if draining { "draining" } else { "ready" };
         let body = format!(
-            "{{\"service\":\"{}\",\"address\":\"{}:{}\",\"zone\":\"zone-a\",\"version\":\"v1\",\"slots\":{},\"state\":\"{state}\",\
+            "{{\"service\":\"{}\",\"address\":\"{}:{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":{},\"state\":\"{state}\",\
              \"warmup_left_ms\":0,\"sequence\":{},\"born\":{}}}",
             self.service,
             self.world.sides[self.index].ip,
             self.world.ports.app,
+            self.zone,
             self.slots,
             life.sequence,
             life.born
--- a/review/stand-in/store.rs
+++ b/review/stand-in/store.rs
@@ -68,9 +68,9 @@
     }
 
     /// The operator's write; its return is the ack.
-    pub fn put(&self, key: &str, value: &str) -> Instant {
+    pub fn put(&self, key: &str, value: impl AsRef<[u8]>) -> Instant {
         let mut contents = self.contents.lock().unwrap();
-        contents.set(key, base64(value.as_bytes()), 0);
+        contents.set(key, base64(value.as_ref()), 0);
         let revision = contents.revision;
         drop(contents);
         self.changed.notify_all();
--- a/review/stand-in/world.rs
+++ b/review/stand-in/world.rs
@@ -70,7 +70,8 @@
 type Spawn = (Command, mpsc::Sender<Child>);
 
 impl World {
-    /// Starts the store and the routers. No daemon runs yet: `sides` names the service of each.
+    /// Starts the store and the routers. No daemon runs yet: `sides` names the service of each, and
+    /// behind `@` its zone, if that is not the first one.
     pub fn new(record: Arc<Record>, fronts: usize, sides: &[&str]) -> Arc<Self> {
         let root = PathBuf::from(std::env::var("REVIEW_ROOT").expect("REVIEW_ROOT"));
         let net = (std::process::id() % 250) as u8 + 1;
@@ -80,9 +81,10 @@
         let at = |kind, index: usize| Ipv4Addr::new(127, net, kind, index as u8 + 1);
         let store_address = SocketAddrV4::new(at(5, 0), ports.store);
         let store = Store::start(store_address, record.clone());
-        let daemon = |role, name: String, ip, service: Option<&str>| {
+        let zones = zones(sides);
+        let daemon = |role, name: String, ip, side: Option<&str>| {
             let settings = folder.join(format!("{name}.json"));
-            let text = settings_text(&name, ip, &ports, store_address, service, at(0, 0));
+            let text = settings_text(&name, ip, &ports, store_address, side, &zones, at(0, 0));
             fs::write(&settings, text).expect("settings");
             Arc::new(Daemon {
                 name,
@@ -370,15 +372,43 @@
     }
 }
 
+/// Zone of the fronts.
+const FIRST_ZONE: &str = "zone-a";
+
+/// Returns the service and the zone of a side machine.
+pub fn place(side: &str) -> (&str, &str) {
+    side.split_once('@').unwrap_or((side, FIRST_ZONE))
+}
+
+fn zones(sides: &[&str]) -> Vec<String> {
+    let mut zones = vec![FIRST_ZONE.to_owned()];
+    zones.extend(sides.iter().map(|side| place(side).1.to_owned()));
+    zones.sort_unstable();
+    zones.dedup();
+    zones
+}
+
 /// The fields of DEPLOY.md's example as JSON, which is what the project's template makes of them.
 fn settings_text(
     name: &str,
     ip: Ipv4Addr,
     ports: &Ports,
     store: SocketAddrV4,
-    service: Option<&str>,
+    side: Option<&str>,
+    zones: &[String],
     seed: Ipv4Addr,
 ) -> String {
+    let (service, zone) = match side.map(place) {
+        Some((service, zone)) => (Some(service), zone),
+        None => (None, FIRST_ZONE),
+    };
+    // Contracts with evacuation where there are several zones, as on the sites that have them.
+    let evacuation = match zones.len() {
+        1 => "",
+        _ => ",\"evac_ms\":5000,\"warmup_overage\":1.5,\"warmup_slack\":5",
+    };
+    let zones = zones.iter().map(|zone| format!("\"{zone}\":\"region\""));
+    let zones = zones.collect::<Vec<_>>().join(",");
     let (class, serves) = match service {
         None => ("front", "\"front\",\"control\""),
         Some(_) => ("side", "\"side\""),
@@ -399,7 +429,7 @@
     };
     format!(
         "{{\"node\":\"{name}\",\"role\":\"{role}\",\"machine_class\":\"{class}\",\"serves\":[{serves}],\"ip\":\"{ip}\",\
-         \"zone\":\"zone-a\",\"region\":\"region\",\"zones\":{{\"zone-a\":\"region\"}},\
+         \"zone\":\"{zone}\",\"region\":\"region\",\"zones\":{{{zones}}},\
          \"listen_addrs\":{{\"datagram_address\":\"{ip}:{}\",\"ready\":\"{ip}:{}\",\"control\":\"{ip}:{control}\"{outbound}}},\
          \"internal_ports\":[{},{}],\"seeds\":[\"{seed}:{control}\"],\"bootstrap\":true,\"in_fault_budget\":false,\
          \"limits\":{{\"cpu_share\":0.25,\"cores\":1,\"memory_mb\":260,\"max_fds\":4100,\"link_mbps\":1000.0,\"disk_mb\":0}},\
@@ -408,7 +438,7 @@
          \"fault_tolerance\":{{\"machines\":1,\"zones\":0,\"regions\":0}},\
          \"bounds\":{{\"seed_lag_s\":3,\"reuse_after_s\":2,\"contact_ms\":4000,\"ack_ms\":5000,\"catch_up_s\":4,\
          \"drain_ms\":3000,\"grace_s\":6,\"loss_slack_ms\":200,\"config_apply_ms\":3000,\"rollback_slack_ms\":250,\
-         \"max_stretch_ms\":12000,\"recover_s\":12,\"flow_ms\":2000,\"max_flow_s\":60}},\
+         \"max_stretch_ms\":12000,\"recover_s\":12,\"flow_ms\":2000,\"max_flow_s\":60{evacuation}}},\
          \"hash\":\"mod\",\"forwarding_mode\":\"agent\",\
          \"platform\":{{\"address\":\"{store}\",\"forwarding_mode\":\"kv\",\"writes_per_s\":400,\"reads_per_s\":2000,\
          \"history_s\":20,\"value_bytes\":1048576,\"ttl_min_ms\":1000}}{more}}}",
