--- a/review/stand-in/cases.rs
+++ b/review/stand-in/cases.rs
@@ -180,12 +180,12 @@
         if trouble {
             let agent = &deployment.world.sides[0];
             deployment.servers[0].wait_for_report();
-            // The report after the next one comes 1.1 s after the second start.
-            sleep(ms(450));
+            // The report after the next one comes 1.15 s after the second start.
+            sleep(ms(400));
             deployment.world.stop(agent);
             sleep(RESTART);
             deployment.world.start(agent);
-            sleep(ms(900));
+            sleep(ms(1000));
             deployment.world.stop(agent);
             sleep(RESTART);
             deployment.world.start(agent);
