Balancer: an agent is absent only if it leaves a series of queries unanswered

Cause: one unanswered search was noted, and the note ended only with a message of the agent. Nobody asked it in between, so a second silence 3.5 s later counted as the end of one that had lasted as long. The agent had lived for 3 s between them.

Change: an agent that leaves a search unanswered is queried every 120 ms. It counts as absent after 3.5 s in which it answered none of the queries, no two of which lie further apart than 250 ms. A stopping agent answers for 300 ms until it ends, so that no life of an agent fits between two queries. Any message of the agent, a newer record of it in the membership, or a gap between the queries ends the series; a verdict needs the series to be unbroken when it is given. The queries end after the idle timeout of flows without another search, and cost at most half of the budget of searches.

--- a/core/src/consts.rs
+++ b/core/src/consts.rs
@@ -25,6 +25,10 @@
 /// A process that stops waits a multiple of it after it has announced that it leaves.
 pub const PROPAGATION_DELAY: Duration = Duration::from_millis(250);
 
+/// Time for which a stopping process of the five-tuple data plane goes on running, and answering, so that
+/// its last state reaches the others.
+pub const LEAVE_ANNOUNCE_DELAY: Duration = Duration::from_millis(300);
+
 /// Largest request or response body that an agent buffers, in bytes.
 pub const MAX_BODY_BYTES: usize = 1 << 20;
 
--- a/core/src/l4/balancer.rs
+++ b/core/src/l4/balancer.rs
@@ -15,6 +15,7 @@
 pub mod reply_time;
 mod route_spread;
 mod search;
+mod silence;
 mod stability;
 
 use std::{
@@ -39,6 +40,7 @@
     reply_time::ReplyTime,
     route_spread::RouteSpread,
     search::{Search, budget::SearchBudget, round::Rounds},
+    silence::Silences,
     stability::Stability,
 };
 use super::{
@@ -163,6 +165,7 @@
     reachability: Reachability,
     reply_time: ReplyTime,
     dead_agents: DeadAgents,
+    silences: Silences,
     next_expiry: Time,
     rng: SmallRng,
     /// Reused for each frame and reset, to avoid allocations.
@@ -203,6 +206,7 @@
             reachability: Reachability::default(),
             reply_time: ReplyTime::default(),
             dead_agents: DeadAgents::default(),
+            silences: Silences::default(),
             next_expiry: Time::default(),
             rng,
             buffer: Vec::new(),
@@ -285,6 +289,9 @@
         }
         let changes = self.fleet.apply_view(view, &self.domain);
         self.update_known_agents(&changes, view, now);
+        for agent in &changes.renewed {
+            self.silences.end(*agent, "newer_record", now);
+        }
         self.stability.apply_view(view, now);
         self.joined = view.joined;
         if self.fleet.has_ready() {
@@ -350,7 +357,7 @@
     /// Handles a message of an agent or of another balancer.
     pub fn receive_from_peer(&mut self, received: &Received<'_>, now: Time, out: &mut impl Outbox) {
         let from = received.from;
-        self.fleet.record_message(from);
+        self.silences.end(from, "message", now);
         self.dead_agents.record_message(from, now);
         if self.fleet.get(from).is_some() {
             self.reachability.record_message();
@@ -421,6 +428,7 @@
         while let Some(flow) = pop_due(&mut self.search_timers, now) {
             self.handle_search_timeout(&flow, now, out);
         }
+        self.query_silent_agents(now, out);
         self.run_rounds(now, out);
         let first_tick = *self.first_tick.get_or_insert(now);
         let has_timed_out = now.since(first_tick) >= START_TIMEOUT && !self.awaits_directives(now);
@@ -445,6 +453,7 @@
         let search = self.search_timers.peek().map(|Reverse((due, _))| *due);
         let next = opening.into_iter().chain(search);
         let next = next.chain(self.rounds.due()).chain(self.dead_agents.due());
+        let next = next.chain(self.silences.due());
         let gossip = self.gossip.as_ref().and_then(Gossip::due);
         let routes = self.route_spread.as_ref().and_then(RouteSpread::due);
         let next = next.chain(gossip).chain(routes).min();
--- a/core/src/l4/balancer/dead_agents.rs
+++ b/core/src/l4/balancer/dead_agents.rs
@@ -47,6 +47,11 @@
         self.0.keys().copied()
     }
 
+    /// Returns whether an agent is being probed and may still hold flows.
+    pub(super) fn contains(&self, agent: SocketAddrV4) -> bool {
+        self.0.contains_key(&agent)
+    }
+
     /// Returns when an agent has to be probed or its flows be reset next, or `None` if no agent is being
     /// probed.
     pub(super) fn due(&self) -> Option<Time> {
--- a/core/src/l4/balancer/fleet.rs
+++ b/core/src/l4/balancer/fleet.rs
@@ -16,18 +16,13 @@
         workload::Load,
     },
     member::{MemberState, Role, View},
-    owner_id::ServiceTag,
+    owner_id::{Incarnation, ServiceTag},
 };
 
 /// Time for which an agent that did not reply to an opening in time gets new flows only if no other
 /// agent can take them.
 const TIMEOUT_BACKOFF: Duration = Duration::from_secs(1);
 
-/// Time without a message from an agent that did not reply to a repeated query, after which the agent
-/// counts as gone if it does not reply to a round either. It is longer than a planned restart of an agent
-/// whose backend server keeps running.
-const UNREACHABLE_TIMEOUT: Duration = Duration::from_millis(3500);
-
 /// Time for which an agent that refused a flow for another reason than `Busy` or `Failing` gets new
 /// flows only if no other agent can take them. Both backoffs end when the agent
 /// accepts a flow or lets it wait.
@@ -51,8 +46,8 @@
     backoff_until: Time,
     /// When the agent gets its full share of new flows after an evacuation of its domain.
     ramp_end: Time,
-    /// When a repeated query was first found unanswered, if no message has arrived since.
-    unanswered_since: Option<Time>,
+    /// Incarnation and version of the agent's membership record.
+    announced: (Incarnation, u64),
 }
 
 impl AgentEntry {
@@ -68,16 +63,8 @@
     pub gone: Vec<SocketAddrV4>,
     /// Whether an agent has appeared, or come back.
     pub has_new: bool,
-}
-
-/// The agents that may hold a flow.
-#[derive(Clone, Debug, Default)]
-pub struct PossibleOwners {
-    /// Agents in the order in which they are asked.
-    pub reachable: Vec<SocketAddrV4>,
-    /// Agents that have not replied for `UNREACHABLE_TIMEOUT`, to be asked last. The membership may not
-    /// have detected their failure yet.
-    pub unreachable: Vec<SocketAddrV4>,
+    /// Agents that have announced a newer record: they live, or lived when they announced it.
+    pub renewed: Vec<SocketAddrV4>,
 }
 
 /// All agents of the view.
@@ -111,6 +98,7 @@
             if is_gone && was_live {
                 changes.gone.push(*address);
             }
+            let announced = (record.incarnation, record.version);
             let ramp_end = self.ramp_ends.get(&record.domain).copied();
             let agent = self.agents.entry(*address).or_insert_with(|| AgentEntry {
                 domain: record.domain.clone(),
@@ -121,8 +109,12 @@
                 placed: 0,
                 backoff_until: Time::default(),
                 ramp_end: ramp_end.unwrap_or_default(),
-                unanswered_since: None,
+                announced,
             });
+            if announced > agent.announced {
+                changes.renewed.push(*address);
+            }
+            agent.announced = announced;
             agent.state = record.state;
             agent.service = record.service;
             if agent.domain != record.domain {
@@ -147,24 +139,20 @@
 
     /// Returns the agents of all services that are not gone, those of some services first: an earlier
     /// route table may have sent a flow to another service than the present one does.
-    pub fn possible_owners(&self, first: &BTreeSet<ServiceTag>, now: Time) -> PossibleOwners {
-        let mut owners = PossibleOwners::default();
+    pub fn possible_owners(&self, first: &BTreeSet<ServiceTag>) -> Vec<SocketAddrV4> {
+        let mut owners = Vec::new();
         let mut others = Vec::new();
         for (address, agent) in &self.agents {
             if agent.state.is_gone() {
                 continue;
             }
-            let unanswered_since = agent.unanswered_since;
-            let is_unreachable =
-                unanswered_since.is_some_and(|since| now.since(since) >= UNREACHABLE_TIMEOUT);
-            let group = match is_unreachable {
-                true => &mut owners.unreachable,
-                false if first.contains(&agent.service) => &mut owners.reachable,
+            let group = match first.contains(&agent.service) {
+                true => &mut owners,
                 false => &mut others,
             };
             group.push(*address);
         }
-        owners.reachable.extend(others);
+        owners.extend(others);
         owners
     }
 
@@ -183,20 +171,6 @@
         agents.map(|(address, _)| *address)
     }
 
-    /// Records that a message of an agent has arrived.
-    pub fn record_message(&mut self, address: SocketAddrV4) {
-        if let Some(agent) = self.agents.get_mut(&address) {
-            agent.unanswered_since = None;
-        }
-    }
-
-    /// Records that an agent has not replied to a query that was repeated.
-    pub fn record_unanswered(&mut self, address: SocketAddrV4, now: Time) {
-        if let Some(agent) = self.agents.get_mut(&address) {
-            agent.unanswered_since.get_or_insert(now);
-        }
-    }
-
     /// Rebuilds the agents and the homes of each service.
     fn update_services(&mut self, view: &View) {
         let mut services: HashMap<ServiceTag, Vec<SocketAddrV4>> = HashMap::new();
--- a/core/src/l4/balancer/search.rs
+++ b/core/src/l4/balancer/search.rs
@@ -23,7 +23,7 @@
 
 pub(super) mod budget;
 mod evidence;
-mod query;
+pub(super) mod query;
 pub(super) mod round;
 mod verdict;
 
--- a/core/src/l4/balancer/search/budget.rs
+++ b/core/src/l4/balancer/search/budget.rs
@@ -44,7 +44,7 @@
     }
 
     /// Removes bytes that are sent or received in any case.
-    pub(super) fn charge(&mut self, bytes: u64) {
+    pub(in crate::l4::balancer) fn charge(&mut self, bytes: u64) {
         let bytes = i64::try_from(bytes).unwrap_or(i64::MAX);
         self.bytes = self.bytes.saturating_sub(bytes);
     }
@@ -70,6 +70,13 @@
         self.time_for(bytes) / LINK_DIVISOR as u32
     }
 
+    /// Returns how many messages of some bytes half of the budget carries in an interval.
+    pub(in crate::l4::balancer) fn half_count(&self, bytes: u64, interval: Duration) -> usize {
+        let rate = self.rate.max(1).unsigned_abs();
+        let earned = rate.saturating_mul(interval.as_millis() as u64) / 1000;
+        (earned / 2 / bytes) as usize
+    }
+
     fn refill(&mut self, now: Time) {
         let millis = now.since(self.refilled_at).as_millis() as i64;
         if millis > 0 {
--- a/core/src/l4/balancer/search/evidence.rs
+++ b/core/src/l4/balancer/search/evidence.rs
@@ -1,6 +1,8 @@
 //! What the verdict on a search rests on.
 
-use std::{net::SocketAddrV4, sync::Arc};
+use std::sync::Arc;
+
+use crate::l4::balancer::silence::Absence;
 
 /// Replies to the last round of a search.
 #[derive(Clone, Debug, Default)]
@@ -11,6 +13,6 @@
     pub(super) sure: usize,
     /// Number of agents that replied and may lack flows of their servers.
     pub(super) unsure: usize,
-    /// Agents that did not reply to the round and count as gone, since they have not replied for long.
-    pub(super) unreachable: Arc<[SocketAddrV4]>,
+    /// Agents that did not reply to the round and were absent at its end.
+    pub(super) unreachable: Arc<[Absence]>,
 }
--- a/core/src/l4/balancer/search/query.rs
+++ b/core/src/l4/balancer/search/query.rs
@@ -17,7 +17,7 @@
 pub(super) const QUERY_TIMEOUT: Duration = Duration::from_millis(25);
 
 /// Size of a query on the wire, with all headers.
-pub(super) const QUERY_BYTES: u64 = 100;
+pub(in crate::l4::balancer) const QUERY_BYTES: u64 = 100;
 
 /// Number of times that an agent is queried, for a round as for one flow.
 pub(super) const MAX_TRIES: u8 = 3;
@@ -48,7 +48,7 @@
             }
             let has_unsure = !search.agents_with(Some(Ownership::Unsure)).is_empty();
             for agent in silent {
-                self.fleet.record_unanswered(agent, now);
+                self.record_unanswered(agent, now);
             }
             match has_unsure {
                 true => self.advance_if_complete(flow, now, out),
--- a/core/src/l4/balancer/search/round.rs
+++ b/core/src/l4/balancer/search/round.rs
@@ -27,7 +27,7 @@
 use crate::{
     clock::Time,
     l4::{
-        balancer::FlowState,
+        balancer::{FlowState, silence::Absence},
         flow_set::{FlowHash, FlowSet},
         message::{Message, Ownership},
         outbox::Outbox,
@@ -78,8 +78,6 @@
     unasked: Vec<SocketAddrV4>,
     /// Agents that have been asked, with whether they are sure once they have replied.
     replies: BTreeMap<SocketAddrV4, Option<bool>>,
-    /// Agents that have not replied for long. They count as gone unless they reply to this round.
-    unreachable: Vec<SocketAddrV4>,
     /// Whether no agent that replied knows an agent that is unknown here.
     knows_all: bool,
 }
@@ -184,13 +182,14 @@
         if flows.is_empty() {
             return;
         }
-        let owners = self.fleet.possible_owners(&services, now);
-        let mut unasked = owners.reachable;
+        let mut unasked = self.fleet.possible_owners(&services);
         // An agent that was declared dead may have come back since.
         let dead = self.dead_agents.addresses();
         let dead: Vec<_> = dead.filter(|agent| !unasked.contains(agent)).collect();
         unasked.extend(dead);
-        unasked.extend(&owners.unreachable);
+        // Absent agents come last: their batch ends only after all tries.
+        let is_absent = |agent: &SocketAddrV4| self.silences.absence(*agent, now).is_some();
+        unasked.sort_by_key(is_absent);
         self.rounds.current = Some(Round {
             number,
             started: now,
@@ -201,7 +200,6 @@
             batch: Vec::new(),
             unasked,
             replies: BTreeMap::new(),
-            unreachable: owners.unreachable,
             knows_all: true,
         });
         self.start_batch(now, out);
@@ -323,9 +321,17 @@
         let mut silent = round.agents_with(None);
         let unsure = round.agents_with(Some(false));
         let sure = round.agents_with(Some(true)).len();
-        let is_unreachable = |agent: &SocketAddrV4| round.unreachable.contains(agent);
-        let unreachable: Arc<[SocketAddrV4]> =
-            silent.extract_if(.., |a| is_unreachable(a)).collect();
+        let mut absent = Vec::new();
+        for agent in std::mem::take(&mut silent) {
+            match self.silences.absence(agent, now) {
+                Some(absence) => absent.push(absence),
+                None => silent.push(agent),
+            }
+        }
+        for absence in &absent {
+            self.record_unanswered(absence.agent, now);
+        }
+        let unreachable: Arc<[Absence]> = absent.into();
         if !silent.is_empty() {
             // Half of the budget is left for the queries to the agents that ignore rounds.
             let bytes = round.replies.len() as u64 * (QUERY_BYTES + REPLY_BYTES);
@@ -340,7 +346,7 @@
             silent = silent.len(),
             unsure = unsure.len(),
             unasked = round.unasked.len(),
-            ?unreachable,
+            unreachable = describe(&unreachable),
             took_us = now.since(round.started).as_micros() as u64,
         );
         let counts = [
@@ -399,6 +405,12 @@
     }
 }
 
+/// Returns the absent agents as one field of a log line.
+pub(super) fn describe(absent: &[Absence]) -> String {
+    let absent: Vec<String> = absent.iter().map(Absence::to_string).collect();
+    format!("[{}]", absent.join(", "))
+}
+
 fn is_queried(queried: &[(SocketAddrV4, Option<Ownership>)], agent: SocketAddrV4) -> bool {
     queried.iter().any(|(known, _)| *known == agent)
 }
--- a/core/src/l4/balancer/search/verdict.rs
+++ b/core/src/l4/balancer/search/verdict.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddrV4, time::Duration};
 
-use super::{Balancer, Stage};
+use super::{Balancer, Stage, round::describe};
 use crate::{
     clock::Time,
     l4::{
@@ -41,6 +41,10 @@
         let is_stable = search.round_started >= self.stability.stable_at(search.all_sure, now);
         let is_current = search.round_started >= search.changed_at;
         let knows_members = self.joined && self.known_agents.summary().count > 0;
+        // An agent may have answered between the end of the round and the replies to the last queries.
+        let mut unreachable = search.evidence.unreachable.iter();
+        let is_current = is_current
+            && unreachable.all(|absent| self.silences.absence(absent.agent, now).is_some());
         if search.is_conclusive && knows_members && is_stable && is_current {
             let evidence = &search.evidence;
             tracing::info!(
@@ -49,7 +53,7 @@
                 round = evidence.round,
                 sure = evidence.sure,
                 returned = evidence.unsure,
-                unreachable = ?evidence.unreachable,
+                unreachable = describe(&evidence.unreachable),
                 gone = self.fleet.count_gone(),
                 view = self.view_version,
             );
--- /dev/null
+++ b/core/src/l4/balancer/silence.rs
@@ -0,0 +1,207 @@
+//! Agents that do not answer, and the proof that they are absent.
+//!
+//! Two unanswered queries tell nothing about the time between them: an agent that is restarted twice is
+//! silent twice and alive in between. So a silent agent is queried again and again, at intervals shorter
+//! than any planned life of an agent, and counts as absent only if it has answered none of the queries for
+//! [`ABSENCE_TIME`]. Any message of the agent, and any newer record that the membership has of it, ends the
+//! silence. A gap between the queries, as after a freeze of this process, starts it anew.
+
+use std::{
+    collections::BTreeMap,
+    fmt::{self, Display, Formatter},
+    net::SocketAddrV4,
+    time::Duration,
+};
+
+use super::{Balancer, idle_timeout, search::query::QUERY_BYTES};
+use crate::{
+    clock::Time,
+    consts::LEAVE_ANNOUNCE_DELAY,
+    l4::{outbox::Outbox, segment::Codec},
+};
+
+/// Time for which an agent has to leave all queries unanswered before it counts as absent. A planned
+/// restart of an agent whose backend server keeps running is shorter.
+const ABSENCE_TIME: Duration = Duration::from_millis(3500);
+
+/// Interval of the queries to a silent agent.
+const QUERY_INTERVAL: Duration = Duration::from_millis(120);
+
+/// Longest time between two queries that count as one series.
+const MAX_QUERY_GAP: Duration = Duration::from_millis(250);
+
+// An agent that is stopped as planned answers until it ends, so each of its lives gets a query, and two of
+// them as long as this process is not delayed.
+const _: () = assert!(MAX_QUERY_GAP.as_millis() < LEAVE_ANNOUNCE_DELAY.as_millis());
+const _: () = assert!(2 * QUERY_INTERVAL.as_millis() < LEAVE_ANNOUNCE_DELAY.as_millis());
+
+/// A series of unanswered queries to one agent.
+#[derive(Clone, Copy, Debug)]
+struct Silence {
+    /// When the series began.
+    since: Time,
+    /// When the last query was sent.
+    queried_at: Time,
+    /// Number of queries since `since`.
+    queries: u32,
+    /// Whether the agent was logged as absent.
+    is_logged: bool,
+    /// When the agent is no longer queried: the idle timeout of flows after the last search that missed its
+    /// reply. A flow that it held is searched for or idle until then.
+    needed_until: Time,
+}
+
+impl Silence {
+    fn starts(now: Time, needed_until: Time) -> Self {
+        Self {
+            since: now,
+            queried_at: now,
+            queries: 0,
+            is_logged: false,
+            needed_until,
+        }
+    }
+
+    /// Returns whether the series is unbroken until now.
+    fn is_current(&self, now: Time) -> bool {
+        now.since(self.queried_at) <= MAX_QUERY_GAP
+    }
+
+    fn due(&self) -> Time {
+        match self.queries {
+            0 => self.since,
+            _ => self.queried_at + QUERY_INTERVAL,
+        }
+    }
+}
+
+/// What shows that an agent is absent.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Absence {
+    pub(super) agent: SocketAddrV4,
+    /// Time for which the agent has not answered.
+    silent: Duration,
+    /// Number of queries in this time.
+    queries: u32,
+}
+
+impl Display for Absence {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let silent_ms = self.silent.as_millis();
+        write!(f, "{}/{silent_ms}ms/{}q", self.agent, self.queries)
+    }
+}
+
+/// The agents that have left a search without an answer and are queried since.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Silences(BTreeMap<SocketAddrV4, Silence>);
+
+impl Silences {
+    /// Returns when an agent has to be queried next, or `None` if none is silent.
+    pub(super) fn due(&self) -> Option<Time> {
+        self.0.values().map(Silence::due).min()
+    }
+
+    /// Records that a search misses the reply of an agent. If the agent is not queried yet and `limit`
+    /// others are, it is left out, and does not count as absent.
+    fn record_unanswered(
+        &mut self,
+        agent: SocketAddrV4,
+        needed_until: Time,
+        limit: usize,
+        now: Time,
+    ) {
+        if let Some(silence) = self.0.get_mut(&agent) {
+            silence.needed_until = needed_until;
+        } else if self.0.len() < limit {
+            tracing::info!(event = "agent_silence_started", %agent);
+            self.0.insert(agent, Silence::starts(now, needed_until));
+        }
+    }
+
+    /// Ends the silence of an agent that is known to live.
+    pub(super) fn end(&mut self, agent: SocketAddrV4, reason: &'static str, now: Time) {
+        let Some(silence) = self.0.remove(&agent) else {
+            return;
+        };
+        tracing::info!(
+            event = "agent_silence_ended",
+            %agent,
+            reason,
+            silent_ms = now.since(silence.since).as_millis() as u64,
+            queries = silence.queries,
+        );
+    }
+
+    /// Returns what shows that an agent is absent, or `None` if it may live.
+    pub(super) fn absence(&self, agent: SocketAddrV4, now: Time) -> Option<Absence> {
+        let silence = self.0.get(&agent)?;
+        let silent = now.since(silence.since);
+        let is_absent = silent >= ABSENCE_TIME && silence.is_current(now);
+        is_absent.then_some(Absence {
+            agent,
+            silent,
+            queries: silence.queries,
+        })
+    }
+}
+
+impl<C: Codec> Balancer<C> {
+    /// Records that a search misses the reply of an agent. At most half of the budget of searches is spent
+    /// on queries to silent agents.
+    pub(super) fn record_unanswered(&mut self, agent: SocketAddrV4, now: Time) {
+        let limit = self.budget.half_count(QUERY_BYTES, QUERY_INTERVAL);
+        let needed_until = now + idle_timeout(&self.routes);
+        self.silences
+            .record_unanswered(agent, needed_until, limit, now);
+    }
+
+    /// Queries the silent agents that are due, and forgets those that have left or that no search needs any
+    /// more.
+    pub(super) fn query_silent_agents(&mut self, now: Time, out: &mut impl Outbox) {
+        self.silences.0.retain(|agent, silence| {
+            let member = self.fleet.get(*agent);
+            let is_owner = member.is_some_and(|member| !member.state.is_gone())
+                || self.dead_agents.contains(*agent);
+            is_owner && now < silence.needed_until
+        });
+        let mut due = Vec::new();
+        for (agent, silence) in &mut self.silences.0 {
+            if now < silence.due() {
+                continue;
+            }
+            if !silence.is_current(now) {
+                *silence = Silence::starts(now, silence.needed_until);
+            }
+            silence.queries += 1;
+            silence.queried_at = now;
+            due.push(*agent);
+        }
+        for agent in due {
+            self.budget.charge(QUERY_BYTES);
+            self.send_probe(agent, out);
+            self.log_absence(agent, now);
+        }
+        self.metrics.silent_agents.set(self.silences.0.len() as i64);
+    }
+
+    /// Logs an agent that counts as absent from now on.
+    fn log_absence(&mut self, agent: SocketAddrV4, now: Time) {
+        let Some(absence) = self.silences.absence(agent, now) else {
+            return;
+        };
+        let Some(silence) = self.silences.0.get_mut(&agent) else {
+            return;
+        };
+        if std::mem::replace(&mut silence.is_logged, true) {
+            return;
+        }
+        self.metrics.absent_agents.inc();
+        tracing::info!(
+            event = "agent_absent",
+            %agent,
+            silent_ms = absence.silent.as_millis() as u64,
+            queries = absence.queries,
+        );
+    }
+}
--- a/core/src/l4/daemon.rs
+++ b/core/src/l4/daemon.rs
@@ -25,6 +25,7 @@
 };
 use crate::{
     clock::unix_ms,
+    consts::LEAVE_ANNOUNCE_DELAY,
     control::{self, ControlClient, ControlServer},
     kernel::{Kernel, KernelError},
     member::{Directory, MemberState, Record, Role, View},
@@ -45,9 +46,6 @@
 /// the wait may end before the first report.
 const FIRST_REPORT_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// Time for which a stopping process goes on running so that its last state reaches the others.
-const LEAVE_ANNOUNCE_DELAY: Duration = Duration::from_millis(300);
-
 /// Interval at which a process checks whether it needs seeds from the store. Seeds in the settings
 /// answer within some hundred milliseconds or not at all.
 const SEED_CHECK_INTERVAL: Duration = Duration::from_millis(1500);
--- a/core/src/l4/metrics.rs
+++ b/core/src/l4/metrics.rs
@@ -31,6 +31,10 @@
     pub round_replies: CounterFamily,
     /// Flows whose callers were sent a reset, by reason.
     pub reset: CounterFamily,
+    /// Agents that are queried because they left a search without an answer.
+    pub silent_agents: Gauge,
+    /// Silent agents that came to count as absent.
+    pub absent_agents: Counter,
     /// Failure domains that are evacuated.
     pub evacuated: Gauge,
 }
@@ -66,6 +70,10 @@
         metrics.register("flow_searches", help, self.searched.clone());
         let help = "Agents in the rounds of searches, by their replies";
         metrics.register("round_agents", help, self.round_replies.clone());
+        let help = "Agents that are queried because they left a search without an answer";
+        metrics.register("silent_agents", help, self.silent_agents.clone());
+        let help = "Silent agents that came to count as absent";
+        metrics.register("absent_agents", help, self.absent_agents.clone());
         let help = "Flows whose callers were sent a reset";
         metrics.register("flows_reset", help, self.reset.clone());
         register_evacuated(metrics, &self.evacuated);
--- a/core/tests/l4/reset_proof.rs
+++ b/core/tests/l4/reset_proof.rs
@@ -5,6 +5,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::{Ipv4Addr, SocketAddrV4},
+    ops::RangeInclusive,
     sync::Arc,
     time::Duration,
 };
@@ -40,6 +41,16 @@
 /// Time between two copies of a caller's segment.
 const RETRANSMIT_MS: u64 = 400;
 
+/// Time from a start of an agent to the end of its process, in milliseconds. A process that is told to stop
+/// at its start goes on for 300 ms.
+const LIFE_MS: RangeInclusive<u64> = 300..=5_000;
+
+/// Time from the end of an agent's process to its next start, in milliseconds.
+const RESTART_MS: RangeInclusive<u64> = 540..=2_500;
+
+/// Time between two segments of callers, in milliseconds.
+const PAUSE_MS: RangeInclusive<u64> = 20..=5_000;
+
 /// An agent that knows which flows its server holds.
 #[derive(Clone, Debug)]
 struct FakeAgent {
@@ -50,6 +61,8 @@
     held: BTreeSet<u16>,
     /// Held flows that the agent has learned of.
     learned: BTreeSet<u16>,
+    /// Restarts beside the running server, as the times of the end and of the next start.
+    restarts: Vec<(Time, Time)>,
 }
 
 /// A fleet whose flows were opened through other balancers, by an earlier route table.
@@ -83,6 +96,7 @@
                 has_restarted: rng.random_bool(restarted_share),
                 held: BTreeSet::new(),
                 learned: BTreeSet::new(),
+                restarts: Vec::new(),
             };
             agents.insert(address(index), agent);
         }
@@ -105,6 +119,7 @@
                 has_restarted: false,
                 held: BTreeSet::new(),
                 learned: BTreeSet::new(),
+                restarts: Vec::new(),
             };
             agents.insert(address(index), agent);
         }
@@ -188,7 +203,9 @@
             let Some(agent) = self.agents.get_mut(&peer) else {
                 continue;
             };
-            if agent.state.is_gone() || self.rng.random_range(0..100) < self.loss {
+            agent.start_again(self.now);
+            let is_lost = self.rng.random_range(0..100) < self.loss;
+            if agent.state.is_gone() || agent.is_down(self.now) || is_lost {
                 continue;
             }
             let Some((reply, datagram)) = agent.answer(&received, self.known) else {
@@ -204,13 +221,28 @@
     /// Sends a segment of each flow that was not reset.
     fn retransmit_all(&mut self) {
         for port in 0..FLOWS {
-            if self.sent.resets.contains(&port) {
-                continue;
+            if !self.sent.resets.contains(&port) {
+                self.send_segment(port);
+            }
+        }
+    }
+
+    fn send_segment(&mut self, port: u16) {
+        let [high, low] = port.to_be_bytes();
+        let segment = [DATA, low, ACKNOWLEDGED_TENS, high];
+        self.balancer
+            .receive_from_caller(&segment, self.now, &mut self.sent);
+    }
+
+    /// Draws a series of planned restarts for each agent until a time.
+    fn draw_restarts(&mut self, until: Time) {
+        for agent in self.agents.values_mut() {
+            let mut at = self.now;
+            while at < until {
+                let end = at + draw_time(&mut self.rng, LIFE_MS);
+                at = end + draw_time(&mut self.rng, RESTART_MS);
+                agent.restarts.push((end, at));
             }
-            let [high, low] = port.to_be_bytes();
-            let segment = [DATA, low, ACKNOWLEDGED_TENS, high];
-            self.balancer
-                .receive_from_caller(&segment, self.now, &mut self.sent);
         }
     }
 
@@ -265,6 +297,21 @@
         }
     }
 
+    fn is_down(&self, now: Time) -> bool {
+        let mut restarts = self.restarts.iter();
+        restarts.any(|(end, start)| (*end..*start).contains(&now))
+    }
+
+    /// Forgets the flows that the agent knew before a restart that has ended.
+    fn start_again(&mut self, now: Time) {
+        let before = self.restarts.len();
+        self.restarts.retain(|(_, start)| now < *start);
+        if self.restarts.len() < before {
+            self.learned.clear();
+            self.has_restarted = true;
+        }
+    }
+
     fn has_learned(&self, flow: &FlowKey) -> bool {
         self.learned.contains(&flow.caller.port())
     }
@@ -276,6 +323,37 @@
     SocketAddrV4::new(Ipv4Addr::new(10, 1, high, low), 7001)
 }
 
+fn draw_time(rng: &mut SmallRng, millis: RangeInclusive<u64>) -> Duration {
+    Duration::from_millis(rng.random_range(millis))
+}
+
+/// Guards against silences of an agent in several planned restarts, seconds apart, that are taken for one
+/// absence: the agent lived in between, and nobody had asked it. Few callers send, and do not retransmit,
+/// so that the agents get few other queries.
+#[test]
+fn silences_of_an_agent_that_restarts_in_series_are_no_absence() {
+    let sizes = [(2, 20), (3, 20), (5, 20), (20, 10), (129, 2)];
+    for (index, (size, draws)) in sizes.into_iter().enumerate() {
+        for draw in 0..draws {
+            let seed = 10_000 + index as u64 * 100 + draw;
+            let mut fleet = Fleet::draw(size, seed);
+            fleet.loss = 0;
+            let held = fleet.held();
+            let end = fleet.now + Duration::from_secs(60);
+            fleet.draw_restarts(end);
+            while fleet.now < end {
+                let pause = fleet.rng.random_range(PAUSE_MS);
+                fleet.advance(pause);
+                let port = fleet.rng.random_range(0..FLOWS);
+                fleet.send_segment(port);
+            }
+            let resets = fleet.sent.resets.iter();
+            let wrong: Vec<_> = resets.filter(|port| held.contains(port)).collect();
+            assert!(wrong.is_empty(), "seed {seed}: {size} agents: {wrong:?}");
+        }
+    }
+}
+
 /// Guards against resets of open flows by a balancer that has just started, when the routes have sent the
 /// flows to another service since, and against flows that nobody holds and whose callers are never told.
 #[test]
