Balancer: reset the flows of a dead agent only after it was observed absent

Callers saw: all flows of a living server reset (agent_gone) when its agent was stopped again and again shortly after its start. An agent answers the membership only once it has joined, so it is declared dead.

An agent that was declared dead was probed three times in 450 ms, which fit into one restart.

Change: a dead agent is absent by the same series of queries as a silent one. The series begins when the membership suspects the agent, for up to 12 agents, so that callers of a VM that failed wait little longer. It goes on after the death, so that a flow whose home still names the agent is reset at once.

--- a/core/src/l4/balancer.rs
+++ b/core/src/l4/balancer.rs
@@ -277,8 +277,8 @@
     }
 
     /// Updates the agents from a view of the membership and retries the openings that wait for agents.
-    /// Resets the flows of agents that have left, and starts to probe those that were declared dead or
-    /// have disappeared from the view.
+    /// Resets the flows of agents that have left, and has those queried that are suspected, were declared
+    /// dead or have disappeared from the view.
     pub fn apply_view(&mut self, view: &View, now: Time, out: &mut impl Outbox) {
         self.view_version = view.version;
         if let Some(gossip) = &mut self.gossip {
@@ -292,6 +292,9 @@
         for agent in &changes.renewed {
             self.silences.end(*agent, "newer_record", now);
         }
+        for agent in &changes.suspected {
+            self.record_suspected(*agent, now);
+        }
         self.stability.apply_view(view, now);
         self.joined = view.joined;
         if self.fleet.has_ready() {
@@ -437,7 +440,7 @@
             self.retry_openings(now, out);
         }
         self.probe_while_isolated(now, out);
-        self.probe_dead_agents(now, out);
+        self.check_dead_agents(now, out);
         if now >= self.next_expiry {
             self.next_expiry = now + EXPIRE_INTERVAL;
             self.flows.retain(|_, entry| now < entry.expires());
--- a/core/src/l4/balancer/dead_agents.rs
+++ b/core/src/l4/balancer/dead_agents.rs
@@ -1,69 +1,57 @@
-//! Agents that the membership has declared dead or no longer shows. They are probed before their flows
-//! are reset.
+//! Agents that the membership has declared dead or no longer shows. Their flows are reset once they count
+//! as absent here too.
 //!
 //! The membership declares a process dead if other processes do not receive its messages. After a
 //! network partition, or while only one direction of a path works, that process may still be alive
-//! and hold all its flows.
+//! and hold all its flows. So may an agent that is restarted several times in a row: it does not answer
+//! the membership before it has joined.
 
 use std::{collections::BTreeMap, net::SocketAddrV4, time::Duration};
 
-use super::{Balancer, FlowState};
+use super::{Balancer, FlowState, silence::QUERY_INTERVAL};
 use crate::{
     clock::Time,
     l4::{outbox::Outbox, segment::Codec},
     member::{MemberState, View},
 };
 
-/// Time for the reply to a probe. Agents reply within milliseconds, and throttled ones within a tenth
-/// of a second.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
-
-/// Number of probes in a row without a reply after which an agent's flows are reset. One in a few
-/// hundred datagrams is lost.
-const MAX_PROBES: u32 = 3;
-
-/// Time from a reply to the next probe, while the membership still has the agent as dead.
+/// Time from a reply to the next query, while the membership still has the agent as dead.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(1_000);
 
-/// Progress of probing one agent.
+/// An agent that was declared dead.
 #[derive(Clone, Copy, Debug)]
-struct ProbeState {
-    /// Whether a message of the agent has arrived since probing started.
+struct DeadAgent {
+    /// Whether a message of the agent has arrived since.
     has_replied: bool,
-    /// Number of probes since the last message of the agent.
-    probes: u32,
-    /// When the next probe is sent, or the flows are reset.
+    /// When to look whether the agent answers. While it is silent, it is queried as a silent agent.
     due: Time,
 }
 
 /// The agents that were declared dead or have disappeared from the view, until the view shows them in
-/// a state other than dead or they fail to reply to [`MAX_PROBES`] probes.
+/// a state other than dead or they count as absent.
 #[derive(Clone, Debug, Default)]
-pub(super) struct DeadAgents(BTreeMap<SocketAddrV4, ProbeState>);
+pub(super) struct DeadAgents(BTreeMap<SocketAddrV4, DeadAgent>);
 
 impl DeadAgents {
-    /// Returns the agents that are being probed and may still hold flows.
+    /// Returns the agents that may still hold flows.
     pub(super) fn addresses(&self) -> impl Iterator<Item = SocketAddrV4> {
         self.0.keys().copied()
     }
 
-    /// Returns whether an agent is being probed and may still hold flows.
+    /// Returns whether an agent was declared dead and may still hold flows.
     pub(super) fn contains(&self, agent: SocketAddrV4) -> bool {
         self.0.contains_key(&agent)
     }
 
-    /// Returns when an agent has to be probed or its flows be reset next, or `None` if no agent is being
-    /// probed.
+    /// Returns when to look at an agent next, or `None` if there is none.
     pub(super) fn due(&self) -> Option<Time> {
         self.0.values().map(|state| state.due).min()
     }
 
-    /// Starts to probe an agent that is gone from the view but named as the owner of a flow, so that its
-    /// flows are reset if it does not reply.
-    pub(super) fn start_probing(&mut self, agent: SocketAddrV4, now: Time) {
-        self.0.entry(agent).or_insert(ProbeState {
+    /// Adds an agent that is gone from the view. Its flows are reset if it does not answer.
+    pub(super) fn add(&mut self, agent: SocketAddrV4, now: Time) {
+        self.0.entry(agent).or_insert(DeadAgent {
             has_replied: false,
-            probes: 0,
             due: now,
         });
     }
@@ -72,11 +60,10 @@
     pub(super) fn record_message(&mut self, agent: SocketAddrV4, now: Time) {
         if let Some(state) = self.0.get_mut(&agent) {
             if !state.has_replied {
-                tracing::info!(event = "dead_agent_replied", %agent, probes = state.probes);
+                tracing::info!(event = "dead_agent_replied", %agent);
             }
-            *state = ProbeState {
+            *state = DeadAgent {
                 has_replied: true,
-                probes: 0,
                 due: now + RECHECK_INTERVAL,
             };
         }
@@ -84,8 +71,8 @@
 }
 
 impl<C: Codec> Balancer<C> {
-    /// Resets the flows of agents that have left, and starts to probe those that were declared dead or
-    /// have disappeared from the view.
+    /// Resets the flows of agents that have left. Those that were declared dead or have disappeared from the
+    /// view are queried first.
     pub(super) fn handle_gone_agents(
         &mut self,
         gone: &[SocketAddrV4],
@@ -104,39 +91,30 @@
                 continue;
             }
             tracing::info!(event = "agent_presumed_dead", %agent, view = view.version);
-            let state = ProbeState {
-                has_replied: false,
-                probes: 0,
-                due: now,
-            };
-            self.dead_agents.0.insert(*agent, state);
+            self.dead_agents.add(*agent, now);
         }
-        self.probe_dead_agents(now, out);
+        self.check_dead_agents(now, out);
     }
 
-    /// Probes the agents that are due, and resets the flows of those that have not replied to
-    /// [`MAX_PROBES`] probes.
-    pub(super) fn probe_dead_agents(&mut self, now: Time, out: &mut impl Outbox) {
+    /// Resets the flows of the agents that have become absent, and has the others queried.
+    pub(super) fn check_dead_agents(&mut self, now: Time, out: &mut impl Outbox) {
         let due = self
             .dead_agents
             .0
             .iter()
             .filter(|(_, state)| state.due <= now);
-        let due: Vec<(SocketAddrV4, ProbeState)> =
-            due.map(|(agent, state)| (*agent, *state)).collect();
-        for (agent, state) in due {
-            if state.probes == MAX_PROBES {
+        let due: Vec<SocketAddrV4> = due.map(|(agent, _)| *agent).collect();
+        for agent in due {
+            if let Some(absence) = self.silences.absence(agent, now) {
+                tracing::info!(event = "dead_agent_absent", %absence);
                 self.dead_agents.0.remove(&agent);
                 self.reset_flows_of(agent, now, out);
                 continue;
             }
-            let probed = ProbeState {
-                probes: state.probes + 1,
-                due: now + PROBE_TIMEOUT,
-                ..state
-            };
-            self.dead_agents.0.insert(agent, probed);
-            self.send_probe(agent, out);
+            self.record_unanswered(agent, now);
+            if let Some(state) = self.dead_agents.0.get_mut(&agent) {
+                state.due = now + QUERY_INTERVAL;
+            }
         }
     }
 
--- a/core/src/l4/balancer/fleet.rs
+++ b/core/src/l4/balancer/fleet.rs
@@ -63,6 +63,8 @@
     pub gone: Vec<SocketAddrV4>,
     /// Whether an agent has appeared, or come back.
     pub has_new: bool,
+    /// Agents that the membership has begun to suspect.
+    pub suspected: Vec<SocketAddrV4>,
     /// Agents that have announced a newer record: they live, or lived when they announced it.
     pub renewed: Vec<SocketAddrV4>,
 }
@@ -111,6 +113,10 @@
                 ramp_end: ramp_end.unwrap_or_default(),
                 announced,
             });
+            let is_suspect = record.state == MemberState::Suspect;
+            if is_suspect && agent.state != MemberState::Suspect {
+                changes.suspected.push(*address);
+            }
             if announced > agent.announced {
                 changes.renewed.push(*address);
             }
--- a/core/src/l4/balancer/search.rs
+++ b/core/src/l4/balancer/search.rs
@@ -246,7 +246,7 @@
             {
                 let owner = self.fleet.get(agent);
                 if owner.is_none_or(|owner| owner.state.is_gone()) {
-                    self.dead_agents.start_probing(agent, now);
+                    self.dead_agents.add(agent, now);
                 }
                 self.end_found(flow, agent, now, out)
             }
--- a/core/src/l4/balancer/silence.rs
+++ b/core/src/l4/balancer/silence.rs
@@ -18,6 +18,7 @@
     clock::Time,
     consts::LEAVE_ANNOUNCE_DELAY,
     l4::{outbox::Outbox, segment::Codec},
+    member::MemberState,
 };
 
 /// Time for which an agent has to leave all queries unanswered before it counts as absent. A planned
@@ -25,7 +26,7 @@
 const ABSENCE_TIME: Duration = Duration::from_millis(3500);
 
 /// Interval of the queries to a silent agent.
-const QUERY_INTERVAL: Duration = Duration::from_millis(120);
+pub(super) const QUERY_INTERVAL: Duration = Duration::from_millis(120);
 
 /// Longest time between two queries that count as one series.
 const MAX_QUERY_GAP: Duration = Duration::from_millis(250);
@@ -35,6 +36,10 @@
 const _: () = assert!(MAX_QUERY_GAP.as_millis() < LEAVE_ANNOUNCE_DELAY.as_millis());
 const _: () = assert!(2 * QUERY_INTERVAL.as_millis() < LEAVE_ANNOUNCE_DELAY.as_millis());
 
+/// Number of silent agents up to which those that the membership suspects are queried before a search needs
+/// it. As the budget counts them, their queries take 10 KB a second, what a daemon may spend on control.
+const MAX_QUERIED_SUSPECTS: usize = 12;
+
 /// A series of unanswered queries to one agent.
 #[derive(Clone, Copy, Debug)]
 struct Silence {
@@ -156,13 +161,21 @@
             .record_unanswered(agent, needed_until, limit, now);
     }
 
+    /// Has an agent queried that the membership suspects, so that its flows are reset soon if it is declared
+    /// dead. A daemon's budget for control allows few.
+    pub(super) fn record_suspected(&mut self, agent: SocketAddrV4, now: Time) {
+        let needed_until = now + idle_timeout(&self.routes);
+        self.silences
+            .record_unanswered(agent, needed_until, MAX_QUERIED_SUSPECTS, now);
+    }
+
     /// Queries the silent agents that are due, and forgets those that have left or that no search needs any
     /// more.
     pub(super) fn query_silent_agents(&mut self, now: Time, out: &mut impl Outbox) {
         self.silences.0.retain(|agent, silence| {
             let member = self.fleet.get(*agent);
-            let is_owner = member.is_some_and(|member| !member.state.is_gone())
-                || self.dead_agents.contains(*agent);
+            let has_left = member.is_some_and(|member| member.state == MemberState::Left);
+            let is_owner = !has_left || self.dead_agents.contains(*agent);
             is_owner && now < silence.needed_until
         });
         let mut due = Vec::new();
@@ -171,6 +184,8 @@
                 continue;
             }
             if !silence.is_current(now) {
+                let gap_ms = now.since(silence.queried_at).as_millis() as u64;
+                tracing::info!(event = "agent_silence_restarted", %agent, gap_ms);
                 *silence = Silence::starts(now, silence.needed_until);
             }
             silence.queries += 1;
