Balancer: a silent agent is queried from the end of the round that it missed

The series of queries began only when a search had given up, after queries for each flow. With a budget that was spent, as when 119 of 120 agents are silent on a link of 10 Mbit/s, no search got that far, so no agent was ever found absent.

Tests: what ends a silence (a message, a newer record, a freeze of the balancer), an answer between round and verdict, and the budget of the queries; queries_to_many_silent_agents_take_at_most_half_of_the_budget failed before ("0 in a second").

--- a/core/src/l4/balancer/dead_agents.rs
+++ b/core/src/l4/balancer/dead_agents.rs
@@ -111,7 +111,7 @@
                 self.reset_flows_of(agent, now, out);
                 continue;
             }
-            self.record_unanswered(agent, now);
+            self.record_dead(agent, now);
             if let Some(state) = self.dead_agents.0.get_mut(&agent) {
                 state.due = now + QUERY_INTERVAL;
             }
--- a/core/src/l4/balancer/search/round.rs
+++ b/core/src/l4/balancer/search/round.rs
@@ -328,8 +328,12 @@
                 None => silent.push(agent),
             }
         }
-        for absence in &absent {
-            self.record_unanswered(absence.agent, now);
+        for agent in silent
+            .iter()
+            .copied()
+            .chain(absent.iter().map(|absence| absence.agent))
+        {
+            self.record_unanswered(agent, now);
         }
         let unreachable: Arc<[Absence]> = absent.into();
         if !silent.is_empty() {
--- a/core/src/l4/balancer/silence.rs
+++ b/core/src/l4/balancer/silence.rs
@@ -47,6 +47,8 @@
     since: Time,
     /// When the last query was sent.
     queried_at: Time,
+    /// When the next query is sent.
+    due: Time,
     /// Number of queries since `since`.
     queries: u32,
     /// Whether the agent was logged as absent.
@@ -57,10 +59,11 @@
 }
 
 impl Silence {
-    fn starts(now: Time, needed_until: Time) -> Self {
+    fn starts(now: Time, due: Time, needed_until: Time) -> Self {
         Self {
             since: now,
             queried_at: now,
+            due,
             queries: 0,
             is_logged: false,
             needed_until,
@@ -71,13 +74,6 @@
     fn is_current(&self, now: Time) -> bool {
         now.since(self.queried_at) <= MAX_QUERY_GAP
     }
-
-    fn due(&self) -> Time {
-        match self.queries {
-            0 => self.since,
-            _ => self.queried_at + QUERY_INTERVAL,
-        }
-    }
 }
 
 /// What shows that an agent is absent.
@@ -104,23 +100,17 @@
 impl Silences {
     /// Returns when an agent has to be queried next, or `None` if none is silent.
     pub(super) fn due(&self) -> Option<Time> {
-        self.0.values().map(Silence::due).min()
+        self.0.values().map(|silence| silence.due).min()
     }
 
-    /// Records that a search misses the reply of an agent. If the agent is not queried yet and `limit`
-    /// others are, it is left out, and does not count as absent.
-    fn record_unanswered(
-        &mut self,
-        agent: SocketAddrV4,
-        needed_until: Time,
-        limit: usize,
-        now: Time,
-    ) {
-        if let Some(silence) = self.0.get_mut(&agent) {
-            silence.needed_until = needed_until;
+    /// Has an agent queried from `silence.due` until `silence.needed_until`. If it is not queried yet and
+    /// `limit` others are, it is left out, and does not count as absent.
+    fn add(&mut self, agent: SocketAddrV4, silence: Silence, limit: usize) {
+        if let Some(known) = self.0.get_mut(&agent) {
+            known.needed_until = silence.needed_until;
         } else if self.0.len() < limit {
             tracing::info!(event = "agent_silence_started", %agent);
-            self.0.insert(agent, Silence::starts(now, needed_until));
+            self.0.insert(agent, silence);
         }
     }
 
@@ -152,21 +142,34 @@
 }
 
 impl<C: Codec> Balancer<C> {
-    /// Records that a search misses the reply of an agent. At most half of the budget of searches is spent
-    /// on queries to silent agents.
+    /// Records that an agent has not answered a query of a search.
     pub(super) fn record_unanswered(&mut self, agent: SocketAddrV4, now: Time) {
-        let limit = self.budget.half_count(QUERY_BYTES, QUERY_INTERVAL);
-        let needed_until = now + idle_timeout(&self.routes);
-        self.silences
-            .record_unanswered(agent, needed_until, limit, now);
+        let limit = self.max_silent_agents();
+        self.watch(agent, now + QUERY_INTERVAL, limit, now);
+    }
+
+    /// Has an agent queried that was declared dead.
+    pub(super) fn record_dead(&mut self, agent: SocketAddrV4, now: Time) {
+        let limit = self.max_silent_agents();
+        self.watch(agent, now, limit, now);
     }
 
     /// Has an agent queried that the membership suspects, so that its flows are reset soon if it is declared
     /// dead. A daemon's budget for control allows few.
     pub(super) fn record_suspected(&mut self, agent: SocketAddrV4, now: Time) {
+        self.watch(agent, now, MAX_QUERIED_SUSPECTS, now);
+    }
+
+    fn watch(&mut self, agent: SocketAddrV4, due: Time, limit: usize, now: Time) {
         let needed_until = now + idle_timeout(&self.routes);
-        self.silences
-            .record_unanswered(agent, needed_until, MAX_QUERIED_SUSPECTS, now);
+        let silence = Silence::starts(now, due, needed_until);
+        self.silences.add(agent, silence, limit);
+    }
+
+    /// Returns the number of silent agents up to which the queries to them take half of the budget of
+    /// searches.
+    fn max_silent_agents(&self) -> usize {
+        self.budget.half_count(QUERY_BYTES, QUERY_INTERVAL)
     }
 
     /// Queries the silent agents that are due, and forgets those that have left or that no search needs any
@@ -180,16 +183,17 @@
         });
         let mut due = Vec::new();
         for (agent, silence) in &mut self.silences.0 {
-            if now < silence.due() {
+            if now < silence.due {
                 continue;
             }
             if !silence.is_current(now) {
                 let gap_ms = now.since(silence.queried_at).as_millis() as u64;
                 tracing::info!(event = "agent_silence_restarted", %agent, gap_ms);
-                *silence = Silence::starts(now, silence.needed_until);
+                *silence = Silence::starts(now, now, silence.needed_until);
             }
             silence.queries += 1;
             silence.queried_at = now;
+            silence.due = now + QUERY_INTERVAL;
             due.push(*agent);
         }
         for agent in due {
--- a/core/tests/l4/main.rs
+++ b/core/tests/l4/main.rs
@@ -12,4 +12,5 @@
 mod reset_proof;
 mod route_spread;
 mod search;
+mod silence;
 mod verdict;
