Soak: planned restarts in series and overlapping (--restarts)

The plan draws stops of one agent two to eight times in a row, each soon after a start, and rolls of both roles that overlap.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -313,6 +313,9 @@
 fn parse_soak(args: &mut Arguments) -> Result<SoakOptions, UsageError> {
     let time = args.opt_value_from_fn("--seconds", soak_time)?;
     let mut first = parse_fleet(args, "berylvalve-soak")?;
+    if args.contains("--restarts") {
+        first.plan = soak::Plan::Restarts;
+    }
     first.time = time.unwrap_or(first.time);
     Ok(SoakOptions {
         first,
--- a/src/soak.rs
+++ b/src/soak.rs
@@ -86,6 +86,8 @@
 pub enum Plan {
     /// Faults drawn by the seed.
     Drawn,
+    /// Planned restarts drawn by the seed, in series and overlapping, and nothing else.
+    Restarts,
     /// A rolling restart of the balancers, then one of the agents during an outage of the store.
     Tour,
 }
@@ -126,6 +128,7 @@
     let first = Time::default() + LEAD_TIME + QUIET_TIME;
     let faults = match options.plan {
         Plan::Drawn => fault::schedule(&mut rng, options.size, first, end - SETTLE_TIME),
+        Plan::Restarts => fault::restarts(&mut rng, options.size, first, end - SETTLE_TIME),
         Plan::Tour => fault::tour(options.size),
     };
     let world = World::start(options, faults, rng).await?;
--- a/src/soak/fault.rs
+++ b/src/soak/fault.rs
@@ -27,6 +27,9 @@
 /// Shortest and longest time for which a process is paused or a link is disturbed, in milliseconds.
 const LASTS_MS: std::ops::Range<u64> = 300..4_000;
 
+/// Fewest and most stops of a process that is stopped several times in a row.
+const SERIES_STOPS: std::ops::RangeInclusive<u32> = 2..=8;
+
 /// Shortest and longest delay of a disturbed link, in milliseconds.
 const DELAY_MS: std::ops::Range<u64> = 20..600;
 
@@ -35,6 +38,8 @@
 pub enum Fault {
     /// A process is stopped as planned, and started again; with a second SIGTERM on its way.
     Restart(Place),
+    /// A process is stopped as planned so many times in a row, each time soon after its start.
+    Series(Place, u32),
     /// All processes of a role are stopped and started in turn.
     Roll {
         /// Whether balancers are.
@@ -78,6 +83,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Fault::Restart(place) => write!(f, "{place} restarts"),
+            Fault::Series(place, stops) => write!(f, "{place} restarts {stops} times in a row"),
             Fault::Roll { balancers: true } => f.write_str("all balancers restart in turn"),
             Fault::Roll { balancers: false } => f.write_str("all agents restart in turn"),
             Fault::AllStoreLinks(link, time) => {
@@ -141,6 +147,25 @@
     faults
 }
 
+/// Draws planned restarts and nothing else, which overlap: of agents several times in a row, of single processes
+/// and of all of a role in turn.
+pub fn restarts(rng: &mut SmallRng, size: Size, from: Time, to: Time) -> Vec<(Time, Fault)> {
+    let mut faults = Vec::new();
+    let mut at = from;
+    while at < to {
+        let agent = Place::Agent(rng.random_range(0..size.agents));
+        let fault = match rng.random_range(0..6) {
+            0 => Fault::Restart(place(rng, size)),
+            1 => Fault::Roll { balancers: true },
+            2 | 3 => Fault::Roll { balancers: false },
+            _ => Fault::Series(agent, rng.random_range(SERIES_STOPS)),
+        };
+        faults.push((at, fault));
+        at = at + Duration::from_millis(rng.random_range(GAP_MS));
+    }
+    faults
+}
+
 /// Returns the faults of a tour: every balancer restarts, then every agent while the store is silent.
 pub fn tour(size: Size) -> Vec<(Time, Fault)> {
     let first = Time::from_millis(8_000);
--- a/src/soak/world.rs
+++ b/src/soak/world.rs
@@ -82,6 +82,8 @@
     Fault(Fault),
     /// Starts a process.
     Start(Place),
+    /// Stops a process again that is stopped several times in a row.
+    StopAgain(Place, u64),
     /// Ends the pause of a process.
     Resume(Place, u64),
     /// Ends what was done to a way to the store.
@@ -109,6 +111,8 @@
     /// Whether it was told to stop, or killed.
     ending: Option<Ending>,
     paused: bool,
+    /// Stops that are left in a series.
+    stops_left: u32,
     /// When the last unplanned disturbance ended.
     disturbed: Time,
     /// Its way to the store.
@@ -276,6 +280,7 @@
             Due::ServerBack(index) => self.server_back(index),
             Due::Fault(fault) => self.strike(fault),
             Due::Start(place) => self.start_again(place),
+            Due::StopAgain(place, life) => self.stop_again(place, life),
             Due::Resume(place, life) => self.resume(place, life),
             Due::StoreLinkBack(place) => self.store_link_back(place),
             Due::StoreBack => self.store_back(),
--- a/src/soak/world/faults.rs
+++ b/src/soak/world/faults.rs
@@ -19,6 +19,7 @@
     pub(super) fn strike(&mut self, fault: Fault) {
         let happened = match &fault {
             Fault::Restart(place) => self.stop(*place),
+            Fault::Series(place, stops) => self.stop_in_series(*place, *stops),
             Fault::Roll { balancers } => self.roll(*balancers),
             Fault::Reload(place) => self.reload(*place),
             Fault::Kill(place) => self.kill(*place),
--- a/src/soak/world/processes.rs
+++ b/src/soak/world/processes.rs
@@ -20,9 +20,16 @@
 /// Time in which the system loads a program that then handles signals, on a busy machine.
 const LOAD_TIME: Duration = Duration::from_millis(100);
 
+/// Time from the start of a process to its next stop in a series, in milliseconds: from the time in which it
+/// handles signals to that in which an agent joins the membership.
+const SERIES_LIFE_MS: std::ops::Range<u64> = 100..700;
+
 /// Time until a process that has ended is started again, in milliseconds.
 const RESTART_MS: std::ops::Range<u64> = 100..700;
 
+/// The same for a process that is stopped several times in a row.
+const SERIES_RESTART_MS: std::ops::Range<u64> = 500..2_000;
+
 impl World {
     pub(super) async fn start_processes(&mut self) -> Result<(), SoakError> {
         let size = self.options.size;
@@ -36,6 +43,7 @@
                 started: self.now,
                 ending: None,
                 paused: false,
+                stops_left: 0,
                 disturbed: self.now,
                 link: link.context(SocketSnafu)?,
             };
@@ -94,6 +102,28 @@
         if let Err(error) = self.start_process(place) {
             self.broke(format!("{place} could not be started: {error}"));
         }
+        let node = self.nodes.get(&place).filter(|node| node.stops_left > 0);
+        if let Some(life) = node.map(|node| node.life) {
+            let lasts = self.random_ms(SERIES_LIFE_MS);
+            self.after(lasts, Due::StopAgain(place, life));
+        }
+    }
+
+    /// Stops a process as planned several times in a row.
+    pub(super) fn stop_in_series(&mut self, place: Place, stops: u32) -> bool {
+        let is_stopped = self.stop(place);
+        if let Some(node) = self.nodes.get_mut(&place).filter(|_| is_stopped) {
+            node.stops_left = stops.saturating_sub(1);
+        }
+        is_stopped
+    }
+
+    pub(super) fn stop_again(&mut self, place: Place, life: u64) {
+        let Some(node) = self.nodes.get_mut(&place).filter(|n| n.life == life) else {
+            return;
+        };
+        node.stops_left = node.stops_left.saturating_sub(1);
+        self.stop(place);
     }
 
     /// Takes note of the end of a process, judges how it ended, and plans its next start.
@@ -118,7 +148,11 @@
         if !sound {
             self.broke(format!("{place} ended with {status}"));
         }
-        let pause = self.random_ms(RESTART_MS);
+        let is_in_series = self.nodes.get(&place).is_some_and(|n| n.stops_left > 0);
+        let pause = self.random_ms(match is_in_series {
+            true => SERIES_RESTART_MS,
+            false => RESTART_MS,
+        });
         if ending != Some(Ending::Stopped)
             && let Some(node) = self.nodes.get_mut(&place)
         {
