Balancer: timers of silent and dead agents are heaps, as those of flows

The event loop asks for the next timer after each batch of datagrams. Silences scanned all silent agents for it, and each tick looked each of them up in the fleet; the dead agents were scanned likewise before. The timers of flows have had a heap for this (`Timers`, `pop_due`); it now takes any key, and serves both.

Also simpler: whether an absent agent was logged follows from the time of its last query, and a round records its silent agents in one loop.

--- a/core/src/l4/balancer.rs
+++ b/core/src/l4/balancer.rs
@@ -111,9 +111,9 @@
     First,
 }
 
-/// Flows by the time of their next timeout, earliest first. Entries of flows whose
+/// Flows or agents by the time of their next timeout, earliest first. Entries of those whose
 /// state or deadline has changed since stay until they are due.
-type Timers = BinaryHeap<Reverse<(Time, FlowKey)>>;
+type Timers<K> = BinaryHeap<Reverse<(Time, K)>>;
 
 /// Options of a balancer.
 #[derive(Clone, Debug)]
@@ -157,8 +157,8 @@
     /// Whether openings still wait for agents that are not known yet.
     starting: bool,
     first_tick: Option<Time>,
-    opening_timers: Timers,
-    search_timers: Timers,
+    opening_timers: Timers<FlowKey>,
+    search_timers: Timers<FlowKey>,
     budget: SearchBudget,
     rounds: Rounds,
     metrics: BalancerMetrics,
@@ -586,7 +586,7 @@
     }
 }
 
-fn pop_due(timers: &mut Timers, now: Time) -> Option<FlowKey> {
+fn pop_due<K: Ord>(timers: &mut Timers<K>, now: Time) -> Option<K> {
     let next = timers.peek_mut()?;
     (next.0.0 <= now).then(|| PeekMut::pop(next).0.1)
 }
--- a/core/src/l4/balancer/dead_agents.rs
+++ b/core/src/l4/balancer/dead_agents.rs
@@ -6,9 +6,14 @@
 //! and hold all its flows. So may an agent that is restarted several times in a row: it does not answer
 //! the membership before it has joined.
 
-use std::{collections::BTreeMap, net::SocketAddrV4, time::Duration};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, btree_map::Entry},
+    net::SocketAddrV4,
+    time::Duration,
+};
 
-use super::{Balancer, FlowState, silence::QUERY_INTERVAL};
+use super::{Balancer, FlowState, Timers, pop_due, silence::QUERY_INTERVAL};
 use crate::{
     clock::Time,
     l4::{outbox::Outbox, segment::Codec},
@@ -30,35 +35,65 @@
 /// The agents that were declared dead or have disappeared from the view, until the view shows them in
 /// a state other than dead or they count as absent.
 #[derive(Clone, Debug, Default)]
-pub(super) struct DeadAgents(BTreeMap<SocketAddrV4, DeadAgent>);
+pub(super) struct DeadAgents {
+    agents: BTreeMap<SocketAddrV4, DeadAgent>,
+    /// When to look at agents. A reply postpones the look when its timer is due.
+    timers: Timers<SocketAddrV4>,
+}
 
 impl DeadAgents {
     /// Returns the agents that may still hold flows.
     pub(super) fn addresses(&self) -> impl Iterator<Item = SocketAddrV4> {
-        self.0.keys().copied()
+        self.agents.keys().copied()
     }
 
     /// Returns whether an agent was declared dead and may still hold flows.
     pub(super) fn contains(&self, agent: SocketAddrV4) -> bool {
-        self.0.contains_key(&agent)
+        self.agents.contains_key(&agent)
     }
 
     /// Returns when to look at an agent next, or `None` if there is none.
     pub(super) fn due(&self) -> Option<Time> {
-        self.0.values().map(|state| state.due).min()
+        self.timers.peek().map(|Reverse((due, _))| *due)
     }
 
     /// Adds an agent that is gone from the view. Its flows are reset if it does not answer.
     pub(super) fn add(&mut self, agent: SocketAddrV4, now: Time) {
-        self.0.entry(agent).or_insert(DeadAgent {
-            has_replied: false,
-            due: now,
-        });
+        if let Entry::Vacant(entry) = self.agents.entry(agent) {
+            entry.insert(DeadAgent {
+                has_replied: false,
+                due: now,
+            });
+            self.timers.push(Reverse((now, agent)));
+        }
+    }
+
+    /// Returns the next agent to look at. Agents that have replied since their timer was set are
+    /// postponed.
+    fn pop_due(&mut self, now: Time) -> Option<SocketAddrV4> {
+        while let Some(agent) = pop_due(&mut self.timers, now) {
+            let Some(state) = self.agents.get(&agent) else {
+                continue;
+            };
+            if now >= state.due {
+                return Some(agent);
+            }
+            self.timers.push(Reverse((state.due, agent)));
+        }
+        None
+    }
+
+    /// Lets the next look at an agent follow after an interval.
+    fn postpone(&mut self, agent: SocketAddrV4, due: Time) {
+        if let Some(state) = self.agents.get_mut(&agent) {
+            state.due = due;
+            self.timers.push(Reverse((due, agent)));
+        }
     }
 
     /// Records that a message of an agent has arrived.
     pub(super) fn record_message(&mut self, agent: SocketAddrV4, now: Time) {
-        if let Some(state) = self.0.get_mut(&agent) {
+        if let Some(state) = self.agents.get_mut(&agent) {
             if !state.has_replied {
                 tracing::info!(event = "dead_agent_replied", %agent);
             }
@@ -80,7 +115,7 @@
         now: Time,
         out: &mut impl Outbox,
     ) {
-        self.dead_agents.0.retain(|agent, _| {
+        self.dead_agents.agents.retain(|agent, _| {
             let record = view.members.get(agent);
             record.is_none_or(|record| record.state == MemberState::Dead)
         });
@@ -98,23 +133,15 @@
 
     /// Resets the flows of the agents that have become absent, and has the others queried.
     pub(super) fn check_dead_agents(&mut self, now: Time, out: &mut impl Outbox) {
-        let due = self
-            .dead_agents
-            .0
-            .iter()
-            .filter(|(_, state)| state.due <= now);
-        let due: Vec<SocketAddrV4> = due.map(|(agent, _)| *agent).collect();
-        for agent in due {
+        while let Some(agent) = self.dead_agents.pop_due(now) {
             if let Some(absence) = self.silences.absence(agent, now) {
                 tracing::info!(event = "dead_agent_absent", %absence);
-                self.dead_agents.0.remove(&agent);
+                self.dead_agents.agents.remove(&agent);
                 self.reset_flows_of(agent, now, out);
                 continue;
             }
             self.record_dead(agent, now);
-            if let Some(state) = self.dead_agents.0.get_mut(&agent) {
-                state.due = now + QUERY_INTERVAL;
-            }
+            self.dead_agents.postpone(agent, now + QUERY_INTERVAL);
         }
     }
 
--- a/core/src/l4/balancer/search/round.rs
+++ b/core/src/l4/balancer/search/round.rs
@@ -323,18 +323,12 @@
         let sure = round.agents_with(Some(true)).len();
         let mut absent = Vec::new();
         for agent in std::mem::take(&mut silent) {
+            self.record_unanswered(agent, now);
             match self.silences.absence(agent, now) {
                 Some(absence) => absent.push(absence),
                 None => silent.push(agent),
             }
         }
-        for agent in silent
-            .iter()
-            .copied()
-            .chain(absent.iter().map(|absence| absence.agent))
-        {
-            self.record_unanswered(agent, now);
-        }
         let unreachable: Arc<[Absence]> = absent.into();
         if !silent.is_empty() {
             // Half of the budget is left for the queries to the agents that ignore rounds.
--- a/core/src/l4/balancer/silence.rs
+++ b/core/src/l4/balancer/silence.rs
@@ -7,13 +7,14 @@
 //! silence. A gap between the queries, as after a freeze of this process, starts it anew.
 
 use std::{
+    cmp::Reverse,
     collections::BTreeMap,
     fmt::{self, Display, Formatter},
     net::SocketAddrV4,
     time::Duration,
 };
 
-use super::{Balancer, idle_timeout, search::query::QUERY_BYTES};
+use super::{Balancer, Timers, idle_timeout, pop_due, search::query::QUERY_BYTES};
 use crate::{
     clock::Time,
     consts::LEAVE_ANNOUNCE_DELAY,
@@ -51,8 +52,6 @@
     due: Time,
     /// Number of queries since `since`.
     queries: u32,
-    /// Whether the agent was logged as absent.
-    is_logged: bool,
     /// When the agent is no longer queried: the idle timeout of flows after the last search that missed its
     /// reply. A flow that it held is searched for or idle until then.
     needed_until: Time,
@@ -65,7 +64,6 @@
             queried_at: now,
             due,
             queries: 0,
-            is_logged: false,
             needed_until,
         }
     }
@@ -95,28 +93,59 @@
 
 /// The agents that have left a search without an answer and are queried since.
 #[derive(Clone, Debug, Default)]
-pub(super) struct Silences(BTreeMap<SocketAddrV4, Silence>);
+pub(super) struct Silences {
+    agents: BTreeMap<SocketAddrV4, Silence>,
+    /// When agents are due. The timers of silences that have ended stay until they are due.
+    timers: Timers<SocketAddrV4>,
+}
 
 impl Silences {
     /// Returns when an agent has to be queried next, or `None` if none is silent.
     pub(super) fn due(&self) -> Option<Time> {
-        self.0.values().map(|silence| silence.due).min()
+        self.timers.peek().map(|Reverse((due, _))| *due)
     }
 
     /// Has an agent queried from `silence.due` until `silence.needed_until`. If it is not queried yet and
     /// `limit` others are, it is left out, and does not count as absent.
     fn add(&mut self, agent: SocketAddrV4, silence: Silence, limit: usize) {
-        if let Some(known) = self.0.get_mut(&agent) {
+        if let Some(known) = self.agents.get_mut(&agent) {
             known.needed_until = silence.needed_until;
-        } else if self.0.len() < limit {
+        } else if self.agents.len() < limit {
             tracing::info!(event = "agent_silence_started", %agent);
-            self.0.insert(agent, silence);
+            self.timers.push(Reverse((silence.due, agent)));
+            self.agents.insert(agent, silence);
+        }
+    }
+
+    /// Returns until when an agent is queried, or `None` if it is not due.
+    fn needed_until(&self, agent: SocketAddrV4, now: Time) -> Option<Time> {
+        let silence = self.agents.get(&agent)?;
+        (now >= silence.due).then_some(silence.needed_until)
+    }
+
+    /// Records that an agent is queried. Returns what shows its absence if it counts as absent from this
+    /// query on.
+    fn record_query(&mut self, agent: SocketAddrV4, now: Time) -> Option<Absence> {
+        let silence = self.agents.get_mut(&agent)?;
+        if !silence.is_current(now) {
+            let gap_ms = now.since(silence.queried_at).as_millis() as u64;
+            tracing::info!(event = "agent_silence_restarted", %agent, gap_ms);
+            *silence = Silence::starts(now, now, silence.needed_until);
+        }
+        let was_absent = silence.queried_at.since(silence.since) >= ABSENCE_TIME;
+        silence.queries += 1;
+        silence.queried_at = now;
+        silence.due = now + QUERY_INTERVAL;
+        self.timers.push(Reverse((silence.due, agent)));
+        match was_absent {
+            true => None,
+            false => self.absence(agent, now),
         }
     }
 
     /// Ends the silence of an agent that is known to live.
     pub(super) fn end(&mut self, agent: SocketAddrV4, reason: &'static str, now: Time) {
-        let Some(silence) = self.0.remove(&agent) else {
+        let Some(silence) = self.agents.remove(&agent) else {
             return;
         };
         tracing::info!(
@@ -130,7 +159,7 @@
 
     /// Returns what shows that an agent is absent, or `None` if it may live.
     pub(super) fn absence(&self, agent: SocketAddrV4, now: Time) -> Option<Absence> {
-        let silence = self.0.get(&agent)?;
+        let silence = self.agents.get(&agent)?;
         let silent = now.since(silence.since);
         let is_absent = silent >= ABSENCE_TIME && silence.is_current(now);
         is_absent.then_some(Absence {
@@ -175,52 +204,31 @@
     /// Queries the silent agents that are due, and forgets those that have left or that no search needs any
     /// more.
     pub(super) fn query_silent_agents(&mut self, now: Time, out: &mut impl Outbox) {
-        self.silences.0.retain(|agent, silence| {
-            let member = self.fleet.get(*agent);
+        while let Some(agent) = pop_due(&mut self.silences.timers, now) {
+            let Some(needed_until) = self.silences.needed_until(agent, now) else {
+                continue;
+            };
+            let member = self.fleet.get(agent);
             let has_left = member.is_some_and(|member| member.state == MemberState::Left);
-            let is_owner = !has_left || self.dead_agents.contains(*agent);
-            is_owner && now < silence.needed_until
-        });
-        let mut due = Vec::new();
-        for (agent, silence) in &mut self.silences.0 {
-            if now < silence.due {
+            let is_owner = !has_left || self.dead_agents.contains(agent);
+            if !is_owner || now >= needed_until {
+                self.silences.agents.remove(&agent);
                 continue;
             }
-            if !silence.is_current(now) {
-                let gap_ms = now.since(silence.queried_at).as_millis() as u64;
-                tracing::info!(event = "agent_silence_restarted", %agent, gap_ms);
-                *silence = Silence::starts(now, now, silence.needed_until);
-            }
-            silence.queries += 1;
-            silence.queried_at = now;
-            silence.due = now + QUERY_INTERVAL;
-            due.push(*agent);
-        }
-        for agent in due {
             self.budget.charge(QUERY_BYTES);
             self.send_probe(agent, out);
-            self.log_absence(agent, now);
-        }
-        self.metrics.silent_agents.set(self.silences.0.len() as i64);
-    }
-
-    /// Logs an agent that counts as absent from now on.
-    fn log_absence(&mut self, agent: SocketAddrV4, now: Time) {
-        let Some(absence) = self.silences.absence(agent, now) else {
-            return;
-        };
-        let Some(silence) = self.silences.0.get_mut(&agent) else {
-            return;
-        };
-        if std::mem::replace(&mut silence.is_logged, true) {
-            return;
+            let Some(absence) = self.silences.record_query(agent, now) else {
+                continue;
+            };
+            self.metrics.absent_agents.inc();
+            tracing::info!(
+                event = "agent_absent",
+                %agent,
+                silent_ms = absence.silent.as_millis() as u64,
+                queries = absence.queries,
+            );
         }
-        self.metrics.absent_agents.inc();
-        tracing::info!(
-            event = "agent_absent",
-            %agent,
-            silent_ms = absence.silent.as_millis() as u64,
-            queries = absence.queries,
-        );
+        let count = self.silences.agents.len();
+        self.metrics.silent_agents.set(count as i64);
     }
 }
