--- a/core/tests/l4/main.rs
+++ b/core/tests/l4/main.rs
@@ -5,6 +5,7 @@
 mod balancer;
 mod balancer_directives;
 mod codec;
+mod dead_agents;
 mod deadlines;
 mod directives;
 mod flow_set;
--- a/core/tests/l4/silence.rs
+++ b/core/tests/l4/silence.rs
@@ -23,7 +23,7 @@
 const SILENT: u8 = 3;
 
 /// Returns a port whose flow has other homes than the silent agent.
-fn port_with_other_homes() -> u8 {
+pub(crate) fn port_with_other_homes() -> u8 {
     let mut probe = Harness::new(SILENT);
     let mut is_home = |port: &u8| {
         probe.receive_from_caller(DATA, *port);
@@ -63,6 +63,36 @@
     }
 }
 
+/// Guards against two silences of an agent, some seconds apart, that are taken for one absence: it was
+/// restarted twice, and answers in between if it is asked. One caller sends at each silence, and does not
+/// retransmit.
+#[test]
+fn agent_that_was_silent_twice_and_lived_in_between_is_not_absent() {
+    /// Length of a silence, in milliseconds.
+    const SILENCE_MS: u64 = 700;
+    let port = port_with_other_homes();
+    for life_ms in [300, 1_000, 2_700, 3_300, 5_000, 20_000] {
+        let mut harness = Harness::new(3);
+        let known = known_agents(3);
+        for (is_silent, millis) in [(true, SILENCE_MS), (false, life_ms), (true, SILENCE_MS)] {
+            if is_silent {
+                harness.receive_from_caller(DATA, port);
+            }
+            for _ in 0..millis {
+                for (peer, message) in std::mem::take(&mut harness.sent.messages) {
+                    if peer != agent(3) {
+                        harness.answer(peer, message, Ownership::NotHeld, known);
+                    } else if !is_silent {
+                        harness.answer(peer, message, Ownership::Unsure, known);
+                    }
+                }
+                harness.advance(1);
+            }
+        }
+        assert_eq!(harness.sent.resets, 0, "alive for {life_ms} ms in between");
+    }
+}
+
 /// What happens while the agent is silent.
 #[derive(Clone, Copy, Debug)]
 enum Interruption {
--- a/core/tests/l4/verdict.rs
+++ b/core/tests/l4/verdict.rs
@@ -9,7 +9,8 @@
 use crate::{
     balancer::{ACKNOWLEDGED_TENS, Harness, agent, known_agents, view},
     codec::{DATA, OPENING},
-    search::{reply, start_round, take_queried},
+    search::{reply, start_round},
+    silence::port_with_other_homes,
 };
 
 /// Unix time in the tests of a fleet that has just started.
@@ -21,12 +22,7 @@
 fn agent_that_was_silent_is_asked_again_before_a_flow_is_reset() {
     /// Time between two searches, longer than a silent agent counts as present.
     const PAUSE_MS: u64 = 4_500;
-    let mut probe = Harness::new(3);
-    let mut is_home = |port: &u8| {
-        probe.receive_from_caller(DATA, *port);
-        take_queried(&mut probe).contains(&agent(3))
-    };
-    let port = (1..100).find(|port| !is_home(port)).unwrap();
+    let port = port_with_other_homes();
     for (is_back, resets) in [(true, 0), (false, 1)] {
         let mut harness = Harness::new(3);
         let known = known_agents(3);
@@ -47,41 +43,6 @@
     }
 }
 
-/// Guards against two silences of an agent, some seconds apart, that are taken for one absence: it was
-/// restarted twice, and answers in between if it is asked. One caller sends at each silence, and does not
-/// retransmit.
-#[test]
-fn agent_that_was_silent_twice_and_lived_in_between_is_not_absent() {
-    /// Length of a silence, in milliseconds.
-    const SILENCE_MS: u64 = 700;
-    let mut probe = Harness::new(3);
-    let mut is_home = |port: &u8| {
-        probe.receive_from_caller(DATA, *port);
-        take_queried(&mut probe).contains(&agent(3))
-    };
-    let port = (1..100).find(|port| !is_home(port)).unwrap();
-    for life_ms in [300, 1_000, 2_700, 3_300, 5_000, 20_000] {
-        let mut harness = Harness::new(3);
-        let known = known_agents(3);
-        for (is_silent, millis) in [(true, SILENCE_MS), (false, life_ms), (true, SILENCE_MS)] {
-            if is_silent {
-                harness.receive_from_caller(DATA, port);
-            }
-            for _ in 0..millis {
-                for (peer, message) in std::mem::take(&mut harness.sent.messages) {
-                    if peer != agent(3) {
-                        harness.answer(peer, message, Ownership::NotHeld, known);
-                    } else if !is_silent {
-                        harness.answer(peer, message, Ownership::Unsure, known);
-                    }
-                }
-                harness.advance(1);
-            }
-        }
-        assert_eq!(harness.sent.resets, 0, "alive for {life_ms} ms in between");
-    }
-}
-
 /// Returns how many of the searches at one time after the agents became known have reset their flow.
 /// The agents started `ages` tenths of a second before they became known.
 fn resets_after(waited_ms: u64, ages: [i64; 2], state: MemberState, ownership: Ownership) -> usize {
