Tests: trial deliveries while the owner is unknown, silent or restarted (fail)

Four pass and guard what must stay: an owner among unsure agents is found, also by elimination and while other agents are restarted.

--- a/core/tests/l4/main.rs
+++ b/core/tests/l4/main.rs
@@ -14,4 +14,5 @@
 mod route_spread;
 mod search;
 mod silence;
+mod trial;
 mod verdict;
