--- a/tests/membership/main.rs
+++ b/tests/membership/main.rs
@@ -1,7 +1,9 @@
 //! Tests of the membership state machine in virtual time on a simulated network.
 
 mod faults;
+mod joins;
 mod random;
+mod rolls;
 mod session;
 mod spread;
 mod untrusted;
