--- /dev/null
+++ b/core/tests/l4/registrations.rs
@@ -0,0 +1,392 @@
+//! What the homes of flows know while agents are restarted: real agents that exchange frames in virtual time,
+//! beside servers that live on.
+
+use std::{
+    collections::VecDeque,
+    net::{Ipv4Addr, SocketAddrV4},
+    time::Duration,
+};
+
+use berylvalve_core::{
+    clock::Time,
+    l4::{
+        agent::{Agent, AgentOptions},
+        homes::Homes,
+        message::{self, Message, Ownership, Received},
+        outbox::Outbox,
+        routes::ServiceKey,
+        segment::FlowKey,
+        server::{ServerReport, ServerState},
+    },
+    member::{MemberState, Record, Role, View},
+    owner_id::Incarnation,
+};
+
+use crate::codec::{self, ACCEPT, ANSWER, DATA, OPENING, TestCodec, flow_from};
+
+const BALANCER: SocketAddrV4 = SocketAddrV4::new(codec::BALANCER_IP, 7001);
+
+const STEP: Duration = Duration::from_millis(10);
+
+/// Time for which an agent answers after it was told to stop, until its next start, and until its record is
+/// known again.
+const STOP_TIME: Duration = Duration::from_millis(300);
+const DOWN_TIME: Duration = Duration::from_millis(540);
+const JOIN_TIME: Duration = Duration::from_millis(700);
+
+/// Bytes of the heads of IP and UDP.
+const HEAD_BYTES: usize = 28;
+
+fn address(index: usize) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 0, 1, index as u8 + 1), 7001)
+}
+
+fn new_agent(index: usize, now: Time, out: &mut impl Outbox) -> Agent<TestCodec> {
+    let server_address = SocketAddrV4::new(*address(index).ip(), 8080);
+    let options = AgentOptions {
+        domain: "a".into(),
+        service: ServiceKey::of("desk"),
+        server_address,
+        report_interval: Duration::from_secs(60),
+        idle_timeout: Duration::from_secs(60),
+        max_lifetime: Duration::from_secs(60),
+        max_flows: 2000,
+        address: address(index),
+    };
+    let mut agent = Agent::new(TestCodec, options, now);
+    let report = ServerReport {
+        id: "a".to_owned(),
+        service: ServiceKey::of("desk"),
+        address: server_address,
+        started_ms: 1,
+        sequence: 40,
+        state: ServerState::Ready,
+        slots: 2,
+        warmup_left: Duration::ZERO,
+    };
+    agent.apply_report(&report, 100_000, now, out).unwrap();
+    agent
+}
+
+/// A frame between two processes.
+struct Frame {
+    from: SocketAddrV4,
+    to: SocketAddrV4,
+    bytes: Vec<u8>,
+}
+
+/// Frames that one agent sends.
+struct Sent<'a> {
+    from: SocketAddrV4,
+    frames: &'a mut VecDeque<Frame>,
+}
+
+impl Outbox for Sent<'_> {
+    fn to_peer(&mut self, to: SocketAddrV4, frame: &[u8]) {
+        self.frames.push_back(Frame {
+            from: self.from,
+            to,
+            bytes: frame.to_vec(),
+        });
+    }
+
+    fn to_caller(&mut self, _: SocketAddrV4, _: &[u8]) {}
+
+    fn to_server(&mut self, _: &[u8]) {}
+}
+
+/// Agents of one service. One that is down is `None`.
+struct Fleet {
+    now: Time,
+    agents: Vec<Option<Agent<TestCodec>>>,
+    incarnations: Vec<u32>,
+    /// Open flows by the index of the agent whose server holds them.
+    flows: Vec<Vec<u16>>,
+    frames: VecDeque<Frame>,
+    /// Registrations that each agent was sent, and their bytes.
+    registrations: Vec<(u32, usize)>,
+}
+
+impl Fleet {
+    /// Returns a fleet in which each agent holds as many open flows, none of them long-lived yet.
+    fn new(agents: usize, flows: u16) -> Self {
+        let now = Time::from_millis(1_000);
+        let mut frames = VecDeque::new();
+        let mut fleet = Self {
+            now,
+            agents: Vec::new(),
+            incarnations: vec![1; agents],
+            flows: Vec::new(),
+            registrations: vec![(0, 0); agents],
+            frames: VecDeque::new(),
+        };
+        for index in 0..agents {
+            let out = &mut Sent {
+                from: address(index),
+                frames: &mut frames,
+            };
+            fleet.agents.push(Some(new_agent(index, now, out)));
+            let first = index as u16 * flows + 1;
+            fleet.flows.push((first..first + flows).collect());
+        }
+        fleet.publish();
+        for index in 0..agents {
+            for port in fleet.flows[index].clone() {
+                fleet.establish(index, port);
+            }
+        }
+        fleet
+    }
+
+    /// Calls an agent that is up, and delivers all frames that follow.
+    fn call(&mut self, index: usize, call: impl FnOnce(&mut Agent<TestCodec>, Time, &mut Sent)) {
+        let Some(agent) = &mut self.agents[index] else {
+            return;
+        };
+        let mut sent = Sent {
+            from: address(index),
+            frames: &mut self.frames,
+        };
+        call(agent, self.now, &mut sent);
+        self.deliver();
+    }
+
+    /// Delivers the frames to agents that are up. Those to balancers are dropped.
+    fn deliver(&mut self) {
+        while let Some(frame) = self.frames.pop_front() {
+            let mut indices = 0..self.agents.len();
+            let Some(index) = indices.find(|index| address(*index) == frame.to) else {
+                continue;
+            };
+            let received = message::decode(frame.from, &frame.bytes).unwrap();
+            if matches!(received.message, Message::Register { .. }) {
+                let (count, bytes) = &mut self.registrations[index];
+                *count += 1;
+                *bytes += frame.bytes.len() + HEAD_BYTES;
+            }
+            let Some(agent) = &mut self.agents[index] else {
+                continue;
+            };
+            let mut sent = Sent {
+                from: address(index),
+                frames: &mut self.frames,
+            };
+            agent.receive_from_peer(&received, self.now, &mut sent);
+        }
+    }
+
+    /// Opens a flow and completes a request.
+    fn establish(&mut self, index: usize, port: u16) {
+        let [high, low] = port.to_be_bytes();
+        self.call(index, |agent, now, out| {
+            let message = Message::Open {
+                service: ServiceKey::of("desk"),
+                forced: true,
+                priority: 1,
+                target_ms: 100,
+                left_ms: None,
+            };
+            for (message, kind) in [(message, OPENING), (Message::Forward, DATA)] {
+                let datagram = &[kind, low, if kind == OPENING { 0 } else { 5 }, high];
+                let received = Received {
+                    from: BALANCER,
+                    message,
+                    datagram,
+                };
+                agent.receive_from_peer(&received, now, out);
+                let answer = if kind == OPENING { ACCEPT } else { ANSWER };
+                agent.receive_from_server(&[answer, low, 5, high], now, out);
+            }
+        });
+    }
+
+    /// Gives all agents a view of the fleet with the present incarnations.
+    fn publish(&mut self) {
+        let mut members = std::collections::BTreeMap::new();
+        for (index, incarnation) in self.incarnations.iter().enumerate() {
+            let record = Record {
+                address: address(index),
+                control: address(index),
+                incarnation: Incarnation(*incarnation),
+                domain: "a".into(),
+                role: Role::Agent,
+                service: ServiceKey::of("desk").tag(),
+                state: MemberState::Ready,
+                weight: 100,
+                version: 0,
+                revision: 0,
+            };
+            members.insert(address(index), record);
+        }
+        let view = View::default().next(members);
+        for agent in self.agents.iter_mut().flatten() {
+            agent.apply_view(&view);
+        }
+    }
+
+    fn advance(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now = self.now + STEP;
+            for index in 0..self.agents.len() {
+                self.call(index, |agent, now, out| {
+                    if now >= agent.due() {
+                        agent.tick(now, out);
+                    }
+                });
+            }
+        }
+    }
+
+    fn stop(&mut self, agents: &[usize]) {
+        for index in agents {
+            self.call(*index, |agent, now, out| agent.stop_admission(now, out));
+        }
+        self.advance(STOP_TIME);
+        self.kill(agents);
+    }
+
+    fn kill(&mut self, agents: &[usize]) {
+        for index in agents {
+            self.agents[*index] = None;
+        }
+    }
+
+    /// Starts agents that are down; their new records are known when it returns.
+    fn start(&mut self, agents: &[usize]) {
+        self.advance(DOWN_TIME);
+        for index in agents {
+            let out = &mut Sent {
+                from: address(*index),
+                frames: &mut self.frames,
+            };
+            self.agents[*index] = Some(new_agent(*index, self.now, out));
+        }
+        self.advance(JOIN_TIME);
+        for index in agents {
+            self.incarnations[*index] += 1;
+        }
+        self.publish();
+    }
+
+    fn homes(&self, flow: &FlowKey) -> Vec<usize> {
+        let homes = Homes::new((0..self.agents.len()).map(address)).of(flow);
+        let homes = homes.into_iter().flatten();
+        let index = |home| (0..self.agents.len()).find(|index| address(*index) == home);
+        homes.filter_map(index).collect()
+    }
+
+    /// Returns what an agent replies to a query of a balancer that knows nothing.
+    fn ownership(&mut self, index: usize, flow: FlowKey) -> Option<Ownership> {
+        let agent = self.agents[index].as_mut()?;
+        let mut frames = VecDeque::new();
+        let received = Received {
+            from: BALANCER,
+            message: Message::Find {
+                flow,
+                acknowledged: 50,
+            },
+            datagram: &[],
+        };
+        let mut sent = Sent {
+            from: address(index),
+            frames: &mut frames,
+        };
+        agent.receive_from_peer(&received, self.now, &mut sent);
+        let reply = frames.iter().find(|frame| frame.to == BALANCER)?;
+        match message::decode(reply.from, &reply.bytes).unwrap().message {
+            Message::Found { ownership, .. } => Some(ownership),
+            _ => None,
+        }
+    }
+
+    /// Returns whether an agent names the owner of a flow.
+    fn names_owner(&mut self, home: usize, owner: usize, port: u16) -> bool {
+        match self.ownership(home, flow_from(port)) {
+            Some(Ownership::HeldBy(named)) => named == address(owner),
+            Some(Ownership::Held) => home == owner,
+            _ => false,
+        }
+    }
+
+    /// Returns the number of flows of agents whose owner a home names, and of all.
+    fn found(&mut self, owners: &[usize]) -> (usize, usize) {
+        let (mut found, mut all) = (0, 0);
+        for owner in owners {
+            for port in self.flows[*owner].clone() {
+                let homes = self.homes(&flow_from(port));
+                all += 1;
+                found += usize::from(homes.iter().any(|h| self.names_owner(*h, *owner, port)));
+            }
+        }
+        (found, all)
+    }
+
+    /// Returns the flows of other agents that have this one as a home.
+    fn flows_with_home(&self, home: usize) -> Vec<(usize, u16)> {
+        let mut flows = Vec::new();
+        for (owner, ports) in self.flows.iter().enumerate() {
+            let with_home = |port: &&u16| self.homes(&flow_from(**port)).contains(&home);
+            let ports = ports.iter().filter(with_home);
+            if owner != home {
+                flows.extend(ports.map(|port| (owner, *port)));
+            }
+        }
+        flows
+    }
+}
+
+/// Guards against trial deliveries for flows that nobody knows: a home that restarts has lost its
+/// registrations, and a search of the flows asks all agents.
+#[test]
+fn home_that_restarts_gets_its_registrations_again() {
+    let mut fleet = Fleet::new(12, 40);
+    fleet.advance(Duration::from_secs(3));
+    fleet.stop(&[4]);
+    fleet.start(&[4]);
+    fleet.registrations.fill((0, 0));
+    fleet.advance(Duration::from_secs(1));
+    let flows = fleet.flows_with_home(4);
+    let known = flows
+        .iter()
+        .filter(|(owner, port)| fleet.names_owner(4, *owner, *port));
+    let (known, all) = (known.count(), flows.len());
+    assert_eq!(known, all, "registrations at the home");
+    // Others have lost nothing, and nobody sends them anything.
+    for (index, (count, _)) in fleet.registrations.iter().enumerate() {
+        assert_eq!(*count > 0, index == 4, "agent {index} was sent {count}");
+    }
+    let sent = fleet.registrations[4];
+    fleet.advance(Duration::from_secs(1));
+    assert_eq!(fleet.registrations[4], sent, "each is sent once");
+}
+
+/// Guards against flows that only one home knows, or none, when their agent restarts: those that it opened
+/// shortly before it was stopped.
+#[test]
+fn stopping_agent_registers_its_flows_at_both_homes() {
+    let mut fleet = Fleet::new(12, 40);
+    fleet.stop(&[4]);
+    for port in fleet.flows[4].clone() {
+        for home in fleet.homes(&flow_from(port)) {
+            let is_known = home == 4 || fleet.names_owner(home, 4, port);
+            assert!(is_known, "home {home} of port {port}");
+        }
+    }
+}
+
+/// All agents are restarted in turn, some at a time, while the callers of their flows send nothing.
+#[test]
+fn flows_are_found_by_their_homes_after_a_roll() {
+    let mut fleet = Fleet::new(24, 20);
+    fleet.advance(Duration::from_secs(2));
+    for first in (0..24).step_by(2) {
+        let batch = [first, first + 1];
+        fleet.stop(&batch);
+        fleet.start(&batch);
+    }
+    fleet.advance(Duration::from_secs(1));
+    let owners: Vec<usize> = (0..24).collect();
+    let (found, all) = fleet.found(&owners);
+    assert_eq!(found, all, "flows that a home finds");
+}
