Agent: announce Left only on the server's own word

Balancers reset all flows of an agent that has left, without a query. "Not heard yet" and "not heard for a while" were taken for "gone"; an agent that was stopped while it joined entered the membership as Left.

The state is now a decision of the state machine (Agent::member_state): Left only if the instance that reported last has sent its leave, else Draining, and the balancers observe whether the agent is absent as with one that was killed.

--- a/core/src/l4/agent.rs
+++ b/core/src/l4/agent.rs
@@ -37,7 +37,7 @@
 };
 use crate::{
     clock::Time,
-    member::{KnownAgents, View},
+    member::{KnownAgents, MemberState, View},
 };
 
 /// Time without an answer to an opening segment after which the backend server counts as
@@ -191,6 +191,17 @@
         self.server.state(now)
     }
 
+    /// Returns the state that the agent announces in the membership. Balancers reset the flows of an agent
+    /// that has left, so only the server's own word that it leaves makes it so: one that has not reported, or
+    /// is silent, may hold flows.
+    pub fn member_state(&self, now: Time) -> MemberState {
+        match self.server.state(now) {
+            Some(ServerState::Ready) if !self.stopping => MemberState::Ready,
+            _ if self.stopping && self.server.has_left() => MemberState::Left,
+            _ => MemberState::Draining,
+        }
+    }
+
     /// Returns the requests that are held.
     pub fn requests(&self) -> &Requests {
         &self.requests
--- a/core/src/l4/daemon.rs
+++ b/core/src/l4/daemon.rs
@@ -205,9 +205,9 @@
         Ok((Self { kernel, role }, handle))
     }
 
-    /// Stops the daemon. A balancer first goes on forwarding while the fabric notices that it is
-    /// not ready. Before the end, an agent whose server still reports announces that it is
-    /// draining. Any other process announces that it has left.
+    /// Stops the daemon. A balancer first goes on forwarding while the fabric notices that it is not
+    /// ready, and announces that it has left. An agent announces that it is draining, or that it has left
+    /// if its server has ([`Agent::member_state`]).
     pub async fn shut_down(&self) {
         tracing::info!(event = "stopping", role = ?self.role);
         if let Ok(control) = self.kernel.find::<ControlServer>(ControlServer::NAME) {
@@ -216,27 +216,21 @@
         if self.role == Role::Balancer {
             tokio::time::sleep(BALANCER_DRAIN_PERIOD).await;
         }
-        if let Ok(handle) = self.kernel.find::<AgentHandle>(AgentHandle::NAME) {
-            handle.stop_admission().await;
-        }
-        let state = match self.server_is_alive() {
-            true => MemberState::Draining,
-            false => MemberState::Left,
+        // The event loop of an agent may have failed, and would announce nothing.
+        let state = match self.role {
+            Role::Agent => MemberState::Draining,
+            Role::Balancer => MemberState::Left,
         };
         if let Ok(local) = self.kernel.find::<LocalRecord>(LocalRecord::NAME) {
             local.update(|record| record.state = state);
         }
+        if let Ok(handle) = self.kernel.find::<AgentHandle>(AgentHandle::NAME) {
+            handle.stop().await;
+        }
         tokio::time::sleep(LEAVE_ANNOUNCE_DELAY).await;
         self.kernel.stop().await;
         tracing::info!(event = "stopped", role = ?self.role);
     }
-
-    /// Returns whether the backend server of this agent reports and has not left; `false` in a
-    /// balancer.
-    fn server_is_alive(&self) -> bool {
-        let handle = self.kernel.find::<AgentHandle>(AgentHandle::NAME);
-        handle.is_ok_and(|handle| handle.server_is_alive())
-    }
 }
 
 fn log_start(options: &DaemonOptions, role: Role) {
--- a/core/src/l4/daemon/agent_loop.rs
+++ b/core/src/l4/daemon/agent_loop.rs
@@ -1,10 +1,7 @@
 //! Event loop of an agent: frames of balancers, segments and updates of the backend server,
 //! membership changes, and timers.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicBool, Ordering},
-};
+use std::sync::Arc;
 
 use tokio::sync::{mpsc, oneshot};
 
@@ -43,7 +40,7 @@
 enum Command {
     /// Apply an update and send the result.
     Update(ServerUpdate, oneshot::Sender<Result<(), ServerUpdateError>>),
-    /// Take no new flows and return those that wait.
+    /// Take no new flows, return those that wait and announce the stop.
     Stop,
 }
 
@@ -51,8 +48,6 @@
 /// [`AgentHandle::NAME`].
 #[derive(Clone, Debug)]
 pub struct AgentHandle {
-    /// Whether the backend server reports and has not left.
-    server_alive: Arc<AtomicBool>,
     commands: mpsc::Sender<Command>,
 }
 
@@ -75,16 +70,12 @@
         answer.await.unwrap_or(Err(ServerUpdateError::Unknown))
     }
 
-    /// Makes the agent return the flows that wait to their balancers, and refuse new ones.
-    pub async fn stop_admission(&self) {
+    /// Makes the agent return the flows that wait to their balancers, refuse new ones, and announce its last
+    /// state.
+    pub async fn stop(&self) {
         // Without a receiver, the event loop has ended and admits nothing.
         let _ = self.commands.send(Command::Stop).await;
     }
-
-    /// Returns whether the backend server reports and has not left.
-    pub fn server_is_alive(&self) -> bool {
-        self.server_alive.load(Ordering::Relaxed)
-    }
 }
 
 /// Starts the event loop of an agent.
@@ -98,23 +89,18 @@
     sockets: Sockets,
 ) -> Result<AgentHandle, KernelError> {
     let (sender, commands) = mpsc::channel(MAX_PENDING_COMMANDS);
-    let server_alive = Arc::new(AtomicBool::new(false));
-    let handle = AgentHandle {
-        server_alive: server_alive.clone(),
-        commands: sender,
-    };
+    let handle = AgentHandle { commands: sender };
     kernel.publish(AgentHandle::NAME, Arc::new(handle.clone()));
     let clock = kernel.clock();
     let control: Arc<ControlServer> = kernel.find(ControlServer::NAME)?;
     let event_loop = AgentLoop {
         agent,
-        server_alive,
         clock,
         control,
         directory: kernel.find(Directory::NAME)?,
         local: kernel.find(LocalRecord::NAME)?,
         sockets,
-        announced: None,
+        announced: (None, MemberState::Draining),
     };
     let metrics_registry: Arc<Metrics> = kernel.find(Metrics::NAME)?;
     event_loop.agent.metrics().register(&metrics_registry);
@@ -124,15 +110,13 @@
 
 struct AgentLoop<C> {
     agent: Agent<C>,
-    server_alive: Arc<AtomicBool>,
     clock: Clock,
     control: Arc<ControlServer>,
     directory: Arc<Directory>,
     local: Arc<LocalRecord>,
     sockets: Sockets,
-    /// State of the backend server at the last announcement, or `None` without a server or an
-    /// announcement.
-    announced: Option<ServerState>,
+    /// States of the backend server, or `None` without one, and of the agent at the last announcement.
+    announced: (Option<ServerState>, MemberState),
 }
 
 impl<C: Codec> AgentLoop<C> {
@@ -173,6 +157,7 @@
                 contain("stop", || {
                     self.agent.stop_admission(now, &mut &self.sockets)
                 });
+                self.announce_state();
             }
         }
     }
@@ -216,20 +201,22 @@
         result
     }
 
-    /// Publishes in the membership whether the backend server takes new flows, if its state has
-    /// changed. Reports the agent as ready to the fabric once the server is.
+    /// Publishes the agent's state in the membership if it or the state of the backend server has changed.
+    /// Reports the agent as ready to the fabric once the server is.
     fn announce_state(&mut self) {
-        let state = self.agent.server_state(self.clock.now());
-        if state == self.announced {
+        let now = self.clock.now();
+        let (state, member_state) = (self.agent.server_state(now), self.agent.member_state(now));
+        let (previous, _) = self.announced;
+        if (state, member_state) == self.announced {
             return;
         }
-        tracing::info!(event = "server_state_announced", state = ?state, previous = ?self.announced);
-        self.announced = state;
-        self.server_alive.store(state.is_some(), Ordering::Relaxed);
-        let member_state = match state {
-            Some(ServerState::Ready) => MemberState::Ready,
-            Some(ServerState::Draining) | None => MemberState::Draining,
-        };
+        self.announced = (state, member_state);
+        tracing::info!(
+            event = "server_state_announced",
+            state = ?state,
+            previous = ?previous,
+            member_state = ?member_state,
+        );
         self.local.update(|record| record.state = member_state);
         if member_state == MemberState::Ready {
             self.control.mark_ready();
--- a/core/tests/l4/agent.rs
+++ b/core/tests/l4/agent.rs
@@ -445,3 +445,35 @@
     harness.report("b", 2, 0, ServerState::Ready);
     assert_eq!(held_ports(&mut harness), (true, vec![]));
 }
+
+/// Guards against resets of all flows of a server that lives: balancers reset the flows of an agent that has
+/// left, and an agent that has not heard from its server, or not for a while, knows nothing of it.
+#[test]
+fn agent_has_left_only_if_its_server_has_said_so() {
+    let stopped = |prepare: &dyn Fn(&mut Harness)| {
+        let mut harness = Harness::new(40);
+        prepare(&mut harness);
+        let running = harness.agent.member_state(harness.now);
+        harness.agent.stop_admission(harness.now, &mut harness.sent);
+        (running, harness.agent.member_state(harness.now))
+    };
+    use MemberState::{Draining, Left, Ready};
+    assert_eq!(stopped(&|_| ()), (Ready, Draining));
+    assert_eq!(stopped(&Harness::restart), (Draining, Draining));
+    let fall_silent = |harness: &mut Harness| harness.now = harness.now + Duration::from_secs(60);
+    assert_eq!(stopped(&fall_silent), (Draining, Draining));
+    let leave = |harness: &mut Harness| harness.agent.record_leave("a", harness.now).unwrap();
+    assert_eq!(stopped(&leave), (Draining, Left));
+    // Another instance has started since.
+    let replace = |harness: &mut Harness| {
+        leave(harness);
+        harness.report("b", 2, 0, ServerState::Ready);
+    };
+    assert_eq!(stopped(&replace), (Ready, Draining));
+    // The agent that hears nothing of the leave has no word of its server.
+    let leave_and_restart = |harness: &mut Harness| {
+        leave(harness);
+        harness.restart();
+    };
+    assert_eq!(stopped(&leave_and_restart), (Draining, Draining));
+}
