--- a/src/soak.rs
+++ b/src/soak.rs
@@ -18,6 +18,7 @@
 pub mod process;
 pub mod proxy;
 pub mod report;
+pub mod roll;
 pub mod seeds;
 pub mod wire;
 pub mod world;
--- a/src/soak/fault.rs
+++ b/src/soak/fault.rs
@@ -9,12 +9,9 @@
 use super::{
     place::{Place, Size},
     proxy::LinkFault,
+    roll::{ROLL_GAP, Roll},
 };
 
-/// Time from one process to the next of a role that is restarted in turn: longer than a process needs
-/// to stop and to be ready again.
-pub const ROLL_GAP: Duration = Duration::from_millis(2_500);
-
 /// Shortest and longest pause between the starts of two faults, in milliseconds; most last longer, so
 /// that they overlap.
 const GAP_MS: std::ops::Range<u64> = 200..1_600;
@@ -40,11 +37,8 @@
     Restart(Place),
     /// A process is stopped as planned so many times in a row, each time soon after its start.
     Series(Place, u32),
-    /// All processes of a role are stopped and started in turn.
-    Roll {
-        /// Whether balancers are.
-        balancers: bool,
-    },
+    /// Processes of a role are stopped and started in turn.
+    Roll(Roll),
     /// A process is told that its settings may have changed.
     Reload(Place),
     /// A process is killed.
@@ -84,8 +78,7 @@
         match self {
             Fault::Restart(place) => write!(f, "{place} restarts"),
             Fault::Series(place, stops) => write!(f, "{place} restarts {stops} times in a row"),
-            Fault::Roll { balancers: true } => f.write_str("all balancers restart in turn"),
-            Fault::Roll { balancers: false } => f.write_str("all agents restart in turn"),
+            Fault::Roll(roll) => write!(f, "{roll}"),
             Fault::AllStoreLinks(link, time) => {
                 write!(f, "all ways to the store are {link} for {time:?}")
             }
@@ -147,20 +140,25 @@
     faults
 }
 
-/// Draws planned restarts and nothing else, which overlap: of agents several times in a row, of single processes
-/// and of all of a role in turn.
+/// Draws planned restarts and nothing else, which overlap: of agents several times in a row, of single processes,
+/// and rolls of either role or of both.
 pub fn restarts(rng: &mut SmallRng, size: Size, from: Time, to: Time) -> Vec<(Time, Fault)> {
     let mut faults = Vec::new();
     let mut at = from;
     while at < to {
         let agent = Place::Agent(rng.random_range(0..size.agents));
-        let fault = match rng.random_range(0..6) {
-            0 => Fault::Restart(place(rng, size)),
-            1 => Fault::Roll { balancers: true },
-            2 | 3 => Fault::Roll { balancers: false },
-            _ => Fault::Series(agent, rng.random_range(SERIES_STOPS)),
+        let drawn = match rng.random_range(0..7) {
+            0 => vec![Fault::Restart(place(rng, size))],
+            1 => vec![Fault::Roll(Roll::draw(rng, size, true))],
+            2 | 3 => vec![Fault::Roll(Roll::draw(rng, size, false))],
+            4 => {
+                let roles = [true, false];
+                let rolls = roles.map(|balancers| Roll::draw(rng, size, balancers));
+                rolls.map(Fault::Roll).to_vec()
+            }
+            _ => vec![Fault::Series(agent, rng.random_range(SERIES_STOPS))],
         };
-        faults.push((at, fault));
+        faults.extend(drawn.into_iter().map(|fault| (at, fault)));
         at = at + Duration::from_millis(rng.random_range(GAP_MS));
     }
     faults
@@ -172,9 +170,9 @@
     let second = first + ROLL_GAP * size.balancers as u32;
     let outage = Duration::from_secs(10);
     vec![
-        (first, Fault::Roll { balancers: true }),
+        (first, Fault::Roll(Roll::one_by_one(size, true))),
         (second, Fault::AllStoreLinks(Link::Silent, outage)),
-        (second, Fault::Roll { balancers: false }),
+        (second, Fault::Roll(Roll::one_by_one(size, false))),
     ]
 }
 
@@ -201,9 +199,7 @@
 fn draw_planned(rng: &mut SmallRng, size: Size) -> Fault {
     match rng.random_range(0..7) {
         0 | 1 => Fault::Restart(place(rng, size)),
-        2 => Fault::Roll {
-            balancers: rng.random(),
-        },
+        2 => Fault::Roll(Roll::one_by_one(size, rng.random())),
         3 => Fault::Reload(place(rng, size)),
         4 => Fault::ServerDrain(rng.random_range(0..size.agents)),
         5 => Fault::AddRoute,
--- a/src/soak/place.rs
+++ b/src/soak/place.rs
@@ -32,6 +32,16 @@
     pub callers: usize,
 }
 
+impl Size {
+    /// Returns the number of processes of a role.
+    pub fn count(self, balancers: bool) -> usize {
+        match balancers {
+            true => self.balancers,
+            false => self.agents,
+        }
+    }
+}
+
 /// A process of the system.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub enum Place {
--- a/src/soak/world/faults.rs
+++ b/src/soak/world/faults.rs
@@ -6,11 +6,7 @@
 };
 
 use super::{Due, Extra, Fault, Place, World};
-use crate::soak::{
-    SETTLE_TIME,
-    fault::{Link, ROLL_GAP},
-    proxy::LinkFault,
-};
+use crate::soak::{SETTLE_TIME, fault::Link, proxy::LinkFault, roll::Roll};
 
 /// Work of a slow server, in multiples of the usual.
 const SLOW_FACTOR: f64 = 4.0;
@@ -20,7 +16,7 @@
         let happened = match &fault {
             Fault::Restart(place) => self.stop(*place),
             Fault::Series(place, stops) => self.stop_in_series(*place, *stops),
-            Fault::Roll { balancers } => self.roll(*balancers),
+            Fault::Roll(roll) => self.roll(roll),
             Fault::Reload(place) => self.reload(*place),
             Fault::Kill(place) => self.kill(*place),
             Fault::KillAll => self.kill_all(),
@@ -114,21 +110,12 @@
         true
     }
 
-    /// Plans the restarts of all processes of a role, one after the other.
-    fn roll(&mut self, balancers: bool) -> bool {
-        let size = self.options.size;
-        let count = if balancers {
-            size.balancers
-        } else {
-            size.agents
-        };
-        for index in 0..count {
-            let place = match balancers {
-                true => Place::Balancer(index),
-                false => Place::Agent(index),
-            };
-            let at = self.now + ROLL_GAP * index as u32;
-            if at < self.end - SETTLE_TIME {
+    /// Plans the restarts of a roll.
+    fn roll(&mut self, roll: &Roll) -> bool {
+        let end = self.end - SETTLE_TIME;
+        for (delay, place) in roll.stops(self.options.size) {
+            let at = self.now + delay;
+            if at < end {
                 self.at(at, Due::Fault(Fault::Restart(place)));
             }
         }
