Balancer: trial deliveries only once every agent that may hold the flow has replied

Cause: a search took the replies that it had for all. Missing replies were set to NotHeld so that unsure agents got a segment on trial; the view was not asked for, and after 40 ms without a return the only agent left was the owner.

Change: - Search::find_gap is the condition of a reset, now also of a trial delivery: joined, no process that replied knows more agents, no agent silent, a current round, a stable view. Until then the search is kept and retried after 100 ms within the budget; it is no longer removed. Homes are queried again for each copy of the segment. - Denials add up over the rounds of a search, as the flow was open before it began. Without that a roll of agents, of which some are always silent, would keep flows unfound for as long as it lasts. - The only agent left is the owner only if a round that began after the trial's timeout shows that it has the entry of the delivery (its filter contains the flow) and it replies that it is unsure. If several are left, the next buffered segment goes to all of them. - The budget is charged for a whole trial delivery at once, so that its later batches are not postponed; rounds leave it half of the budget. - Events flow_tried and flow_not_found with the reason; metrics of trial deliveries, their segments, returned segments and kept searches.

No agent gets a segment on trial while candidates are missing.

Both causes are in one commit, as the end of a trial rests on the same condition.

--- a/core/src/l4/balancer.rs
+++ b/core/src/l4/balancer.rs
@@ -348,7 +348,9 @@
             Some(FlowState::Opening(_)) => {
                 self.complete_opening(&flow, &segment, datagram, now, out)
             }
-            Some(FlowState::Searching(search)) => search.push_segment(&segment, datagram, now),
+            Some(FlowState::Searching(_)) => {
+                self.continue_search(&flow, &segment, datagram, now, out)
+            }
             Some(FlowState::Reset { expires }) if now < *expires => {
                 self.send_reset(&flow, segment.acknowledged, out);
             }
--- a/core/src/l4/balancer/search.rs
+++ b/core/src/l4/balancer/search.rs
@@ -22,14 +22,17 @@
 //! ([`Stability`](super::stability::Stability)).
 
 pub(super) mod budget;
+mod denials;
 mod evidence;
+mod gap;
 pub(super) mod query;
 pub(super) mod round;
+mod trial;
 mod verdict;
 
 use std::{cmp::Reverse, net::SocketAddrV4, time::Duration};
 
-use self::evidence::Evidence;
+use self::{denials::Denials, evidence::Evidence};
 use super::{Balancer, FlowState};
 use crate::{
     clock::Time,
@@ -62,9 +65,9 @@
     Round(u32),
     /// Agents that may hold the flow by their replies to the round, or did not reply, are queried.
     Agents,
-    /// The agents that are unsure have been sent the first buffered segment.
+    /// Agents that are unsure have been sent a buffered segment.
     Trial,
-    /// No agent holds the flow, but the known agents do not count as complete.
+    /// The replies tell neither the owner nor that there is none. The search waits until its next round.
     Kept,
 }
 
@@ -77,8 +80,18 @@
     buffered: Vec<Box<[u8]>>,
     /// Agents that have been queried for the flow in the present step, with their replies.
     queried: Vec<(SocketAddrV4, Option<Ownership>)>,
-    /// Agents that have been sent a segment on trial since the last round.
+    /// Agents that have denied the flow.
+    denials: Denials,
+    /// Agents whose filters of the last round contain the flow.
+    holders: Vec<SocketAddrV4>,
+    /// Agents that have been sent a segment on trial.
     tried: Vec<SocketAddrV4>,
+    /// Agents that are still to be sent the segment of the present trial delivery.
+    untried: Vec<SocketAddrV4>,
+    /// Position in the buffer of the segment that is delivered on trial.
+    segment: usize,
+    /// Number of buffered segments that have been delivered on trial.
+    delivered: usize,
     /// Replies to the last round.
     evidence: Evidence,
     /// Homes that had not replied when the first round began. One that a round leaves out as unreachable
@@ -98,24 +111,27 @@
     changed_at: Time,
     /// Whether all agents replied to the last round that they know all flows of their servers.
     all_sure: bool,
-    /// Whether negative replies may be taken as proof that no agent holds the flow: false once a process
-    /// has replied that knows agents unknown here, or the search has given up on missing replies.
+    /// Whether the known agents are all: false once a process has replied that knows agents unknown here,
+    /// and after a round without replies.
     is_conclusive: bool,
     /// Agent whose return of a segment started the search.
     denied_by: Option<SocketAddrV4>,
-    /// Whether the search was postponed or kept, each of which is logged once.
+    /// Whether the search was postponed, which is logged once.
     is_postponed: bool,
-    is_kept: bool,
+    /// Why the search was kept last.
+    kept_for: Option<&'static str>,
     pub(super) expires: Time,
 }
 
 impl Search {
     /// Buffers a segment until the search ends; drops it if the buffer is full.
-    pub(super) fn push_segment(&mut self, segment: &Segment, datagram: &[u8], now: Time) {
+    fn push_segment(&mut self, segment: &Segment, datagram: &[u8], now: Time) {
         self.expires = now + SEARCH_TTL;
         if self.acknowledged != segment.acknowledged {
             self.acknowledged = segment.acknowledged;
             self.changed_at = now;
+            self.denials.clear();
+            self.tried.clear();
         }
         if self.buffered.len() < MAX_BUFFERED_SEGMENTS {
             self.buffered.push(datagram.into());
@@ -123,6 +139,7 @@
     }
 
     fn record_reply(&mut self, peer: SocketAddrV4, ownership: Ownership) {
+        self.unanswered.retain(|home| *home != peer);
         for (queried, reply) in &mut self.queried {
             if *queried == peer {
                 *reply = Some(ownership);
@@ -134,7 +151,7 @@
     /// has replied itself, to a query or to the round, or has returned the segment that started the
     /// search. A registration may be older than a restart of the agent's server.
     fn may_be_owner(&self, agent: SocketAddrV4, is_known: bool) -> bool {
-        if self.denied_by == Some(agent) {
+        if self.denied_by == Some(agent) || self.denials.contains(agent) {
             return false;
         }
         let reply = self.queried.iter().find(|(queried, _)| *queried == agent);
@@ -145,14 +162,31 @@
         }
     }
 
+    /// Returns whether an agent was queried for the flow because of a round.
+    fn is_queried_after_round(&self, agent: SocketAddrV4) -> bool {
+        let after_round = !matches!(self.stage, Stage::Homes | Stage::Waiting);
+        after_round
+            && self.is_current()
+            && self.queried.iter().any(|(queried, _)| *queried == agent)
+    }
+
+    /// Returns whether the last round began after the caller has opened the flow.
+    fn is_current(&self) -> bool {
+        self.round_started >= self.changed_at
+    }
+
+    fn is_missing(&self, agent: SocketAddrV4) -> bool {
+        self.queried.contains(&(agent, None))
+    }
+
     fn has_missing_replies(&self) -> bool {
         self.queried.iter().any(|(_, reply)| reply.is_none())
     }
 
-    /// Returns the agents that are unsure and have not been sent a segment on trial.
-    fn untried(&self) -> Vec<SocketAddrV4> {
+    /// Returns the agents that are unsure and have not denied the flow.
+    fn candidates(&self) -> Vec<SocketAddrV4> {
         let mut unsure = self.agents_with(Some(Ownership::Unsure));
-        unsure.retain(|agent| !self.tried.contains(agent));
+        unsure.retain(|agent| !self.denials.contains(*agent));
         unsure
     }
 
@@ -180,7 +214,12 @@
             acknowledged: segment.acknowledged,
             buffered: vec![datagram.into()],
             queried: queried.iter().map(|peer| (*peer, None)).collect(),
+            denials: Denials::default(),
+            holders: Vec::new(),
             tried: Vec::new(),
+            untried: Vec::new(),
+            segment: 0,
+            delivered: 0,
             evidence: Evidence::default(),
             unanswered: Vec::new(),
             rounds: 0,
@@ -193,7 +232,7 @@
             is_conclusive: true,
             denied_by: None,
             is_postponed: false,
-            is_kept: false,
+            kept_for: None,
             expires: now + SEARCH_TTL,
         };
         tracing::info!(
@@ -209,6 +248,27 @@
         self.send_queries(flow, segment.acknowledged, &queried, out);
     }
 
+    /// Buffers a segment of a flow that is searched for. If the search was kept, the homes are queried
+    /// again: the owner may have registered the flow since, and be unknown here.
+    pub(super) fn continue_search(
+        &mut self,
+        flow: &FlowKey,
+        segment: &Segment,
+        datagram: &[u8],
+        now: Time,
+        out: &mut impl Outbox,
+    ) {
+        let Some(FlowState::Searching(search)) = self.flows.get_mut(flow) else {
+            return;
+        };
+        search.push_segment(segment, datagram, now);
+        if search.kept_for.is_some() {
+            let service = self.service_of(flow).unwrap_or_default();
+            let homes = self.fleet.homes(service.tag(), flow);
+            self.send_queries(flow, segment.acknowledged, &homes, out);
+        }
+    }
+
     fn send_queries(
         &mut self,
         flow: &FlowKey,
@@ -251,6 +311,10 @@
                 self.end_found(flow, agent, now, out)
             }
             Ownership::HeldBy(_) | Ownership::NotHeld => {
+                // A home replies so as well, of its registrations, and before the first round.
+                if ownership == Ownership::NotHeld && search.is_queried_after_round(from) {
+                    search.denials.add(from);
+                }
                 search.record_reply(from, Ownership::NotHeld);
                 self.advance_if_complete(flow, now, out);
             }
@@ -273,8 +337,12 @@
         out: &mut impl Outbox,
     ) {
         let flow = segment.flow_of_caller();
+        self.metrics.returned.inc();
         match self.flows.get_mut(&flow) {
             Some(FlowState::Searching(search)) => {
+                if search.acknowledged == segment.acknowledged {
+                    search.denials.add(agent);
+                }
                 search.record_reply(agent, Ownership::NotHeld);
                 self.advance_if_complete(&flow, now, out);
             }
@@ -287,6 +355,7 @@
                 self.start_search(&flow, segment, datagram, now, out);
                 if let Some(FlowState::Searching(search)) = self.flows.get_mut(&flow) {
                     search.denied_by = Some(agent);
+                    search.denials.add(agent);
                     search.record_reply(agent, Ownership::NotHeld);
                 }
             }
@@ -307,9 +376,11 @@
         tracing::info!(event = "flow_found", %flow, %agent, rounds = search.rounds);
         self.metrics.count_search("found");
         self.set_owner(flow, agent, search.acknowledged, now);
-        // A trial delivery has already sent the first segment to the unsure agents, so it is not sent
-        // again. If the owner is another agent, the caller retransmits the segment.
-        let delivered = usize::from(search.stage == Stage::Trial);
+        // What the owner was sent on trial is not sent again.
+        let delivered = match search.tried.contains(&agent) {
+            true => search.delivered,
+            false => 0,
+        };
         for datagram in search.buffered.iter().skip(delivered) {
             self.forward(agent, datagram, out);
         }
@@ -320,12 +391,11 @@
         let Some(FlowState::Searching(search)) = self.flows.get_mut(flow) else {
             return;
         };
-        if search.has_missing_replies() {
-            return;
-        }
         match search.stage {
+            Stage::Trial => self.decide(flow, now, out),
+            _ if search.has_missing_replies() => {}
             Stage::Homes => self.wait_for_round(flow),
-            Stage::Agents | Stage::Trial => self.decide(flow, now, out),
+            Stage::Agents => self.decide(flow, now, out),
             Stage::Waiting | Stage::Round(_) | Stage::Kept => {}
         }
     }
@@ -348,8 +418,7 @@
             return;
         }
         match search.stage {
-            Stage::Homes => self.wait_for_round(flow),
-            Stage::Kept => self.retry_kept(flow, now),
+            Stage::Homes | Stage::Kept => self.wait_for_round(flow),
             Stage::Agents if search.has_missing_replies() => self.query_agents(flow, now, out),
             Stage::Agents => self.decide(flow, now, out),
             Stage::Trial => self.end_trial(flow, now, out),
--- a/core/src/l4/balancer/search/round.rs
+++ b/core/src/l4/balancer/search/round.rs
@@ -174,7 +174,7 @@
             search.round_started = now;
             search.is_conclusive = true;
             search.queried.clear();
-            search.tried.clear();
+            search.holders.clear();
             let hash = FlowHash::new(&key, number);
             flows.push(RoundFlow { key, hash });
             services.extend(service.map(ServiceKey::tag));
@@ -303,6 +303,7 @@
                 continue;
             }
             search.queried.push((from, None));
+            search.holders.push(from);
             let acknowledged = search.acknowledged;
             self.budget.charge(QUERY_BYTES);
             self.send_queries(&flow, acknowledged, &[from], out);
@@ -320,7 +321,7 @@
         };
         let mut silent = round.agents_with(None);
         let unsure = round.agents_with(Some(false));
-        let sure = round.agents_with(Some(true)).len();
+        let sure: Arc<[SocketAddrV4]> = round.agents_with(Some(true)).into();
         let mut absent = Vec::new();
         for agent in std::mem::take(&mut silent) {
             self.record_unanswered(agent, now);
@@ -330,8 +331,9 @@
             }
         }
         let unreachable: Arc<[Absence]> = absent.into();
-        if !silent.is_empty() {
-            // Half of the budget is left for the queries to the agents that ignore rounds.
+        if !silent.is_empty() || !unsure.is_empty() {
+            // Half of the budget is left for the queries to the agents that ignore rounds, and for trial
+            // deliveries.
             let bytes = round.replies.len() as u64 * (QUERY_BYTES + REPLY_BYTES);
             let next_start = round.started + self.budget.time_for(2 * bytes);
             self.rounds.next_start = self.rounds.next_start.max(next_start);
@@ -348,17 +350,17 @@
             took_us = now.since(round.started).as_micros() as u64,
         );
         let counts = [
-            ("sure", sure),
+            ("sure", sure.len()),
             ("unsure", unsure.len()),
             ("silent", silent.len()),
             ("unreachable", unreachable.len()),
             ("not_asked", round.unasked.len()),
         ];
         self.metrics.count_replies(&counts);
-        let has_reply = sure + unsure.len() > 0;
+        let has_reply = sure.len() + unsure.len() > 0;
         let evidence = Evidence {
             round: round.number,
-            sure,
+            sure: sure.len(),
             unsure: unsure.len(),
             unreachable,
         };
@@ -374,13 +376,21 @@
             // A round that no agent has replied to proves nothing.
             search.is_conclusive &= round.knows_all && has_reply;
             search.all_sure = silent.is_empty() && unsure.is_empty();
-            let mut has_silent = !silent.is_empty();
-            let silent = silent.iter().map(|agent| (*agent, None));
-            let unsure = unsure.iter();
-            let unsure = unsure.map(|agent| (*agent, Some(Ownership::Unsure)));
-            for (agent, reply) in silent.chain(unsure) {
-                if !is_queried(&search.queried, agent) {
-                    search.queried.push((agent, reply));
+            // An agent whose filter contains the flow has denied it only once it replies so.
+            if !search.has_missing_replies() && search.is_current() {
+                search.denials.add_round(&sure);
+            }
+            let mut has_silent = false;
+            for agent in &silent {
+                if !is_queried(&search.queried, *agent) && !search.denials.contains(*agent) {
+                    // An agent that is in a series of queries already would not answer another one.
+                    has_silent |= !self.silences.is_older(*agent, round.started);
+                    search.queried.push((*agent, None));
+                }
+            }
+            for agent in &unsure {
+                if !is_queried(&search.queried, *agent) {
+                    search.queried.push((*agent, Some(Ownership::Unsure)));
                 }
             }
             // A round tells what an agent holds, not what is registered with it. The owner may be outside
@@ -396,9 +406,15 @@
                 self.query_agents(&flow.key, now, out);
                 continue;
             }
-            search.tries = 1;
-            self.set_due(&flow.key, now + QUERY_TIMEOUT);
-            self.advance_if_complete(&flow.key, now, out);
+            // Replies of agents whose filters contain the flow may be missing.
+            let awaits_holder = search.holders.iter().any(|agent| search.is_missing(*agent));
+            if awaits_holder {
+                search.tries = 1;
+                self.set_due(&flow.key, now + QUERY_TIMEOUT);
+                continue;
+            }
+            search.tries = MAX_TRIES;
+            self.decide(&flow.key, now, out);
         }
     }
 }
--- a/core/src/l4/balancer/silence.rs
+++ b/core/src/l4/balancer/silence.rs
@@ -157,6 +157,12 @@
         );
     }
 
+    /// Returns whether an agent has been silent since before a time.
+    pub(super) fn is_older(&self, agent: SocketAddrV4, time: Time) -> bool {
+        let silence = self.agents.get(&agent);
+        silence.is_some_and(|silence| silence.since < time)
+    }
+
     /// Returns what shows that an agent is absent, or `None` if it may live.
     pub(super) fn absence(&self, agent: SocketAddrV4, now: Time) -> Option<Absence> {
         let silence = self.agents.get(&agent)?;
--- a/core/src/l4/metrics.rs
+++ b/core/src/l4/metrics.rs
@@ -29,6 +29,14 @@
     pub searched: CounterFamily,
     /// Agents in the rounds of searches, by what each replied.
     pub round_replies: CounterFamily,
+    /// Searches that were kept as they could not be decided, by reason.
+    pub kept: CounterFamily,
+    /// Trial deliveries, each of one segment to all agents that may hold its flow.
+    pub trials: Counter,
+    /// Segments sent to agents on trial.
+    pub trial_segments: Counter,
+    /// Segments that agents returned as their servers do not hold the flows.
+    pub returned: Counter,
     /// Flows whose callers were sent a reset, by reason.
     pub reset: CounterFamily,
     /// Agents that are queried because they left a search without an answer.
@@ -50,6 +58,11 @@
         self.searched.get_or_create(&[("end", end)]).inc();
     }
 
+    /// Counts a search that is kept, with the value of the label `reason`.
+    pub fn count_kept(&self, reason: &'static str) {
+        self.kept.get_or_create(&[("reason", reason)]).inc();
+    }
+
     /// Counts the agents of a round, with the value of the label `reply` for each number.
     pub fn count_replies(&self, counts: &[(&'static str, usize)]) {
         for (reply, count) in counts {
@@ -68,6 +81,14 @@
         metrics.register("agents_refused", help, self.refused.clone());
         let help = "Searches for the owner of a flow, by their end";
         metrics.register("flow_searches", help, self.searched.clone());
+        let help = "Searches that were kept as they could not be decided";
+        metrics.register("flow_searches_kept", help, self.kept.clone());
+        let help = "Trial deliveries of one segment to all agents that may hold its flow";
+        metrics.register("trial_deliveries", help, self.trials.clone());
+        let help = "Segments sent to agents on trial";
+        metrics.register("trial_segments", help, self.trial_segments.clone());
+        let help = "Segments that agents returned as their servers do not hold the flows";
+        metrics.register("segments_returned", help, self.returned.clone());
         let help = "Agents in the rounds of searches, by their replies";
         metrics.register("round_agents", help, self.round_replies.clone());
         let help = "Agents that are queried because they left a search without an answer";
--- a/core/tests/l4/trial.rs
+++ b/core/tests/l4/trial.rs
@@ -10,10 +10,12 @@
     l4::message::{Message, Ownership},
     member::{KnownAgents, MemberState, View},
 };
+use rand::{Rng, SeedableRng, rngs::SmallRng, seq::IndexedRandom};
 
 use crate::{
     balancer::{ACKNOWLEDGED_TENS, Harness, agent, filter, known_agents, view},
     codec::{DATA, flow},
+    search::take_queried,
 };
 
 const PORT: u8 = 1;
@@ -27,10 +29,21 @@
 /// When a caller sends its segment and the copies of it, in milliseconds.
 const COPIES_MS: [u64; 4] = [0, 200, 600, 1_400];
 
+/// Time after which a server sends a segment again that was not acknowledged; it doubles up to the longest.
+const RETRANSMIT_MS: u64 = 200;
+const MAX_RETRANSMIT_MS: u64 = 1_600;
+
+/// Length and number of the drawn runs.
+const RUN_MS: u64 = 8_000;
+const RUNS: u64 = 200;
+
 /// A fleet that one caller's flow is searched for in.
 struct Fleet {
     harness: Harness,
+    /// Number of agents that the balancer knows.
     size: u8,
+    /// When the balancer knows all agents, and their number, if it does not yet.
+    whole_at: Option<(u64, u8)>,
     /// The agent whose server holds the flow; may be one that the balancer does not know.
     owner: u8,
     /// Agents that know all flows of their servers.
@@ -50,6 +63,8 @@
     /// Replies by time of arrival and order.
     replies: BTreeMap<(u64, usize), (u8, Message)>,
     order: usize,
+    /// When the flow's server sends its answer, and after which time again if its agent is down.
+    answers: Vec<(u64, u64)>,
     ms: u64,
     /// Segments that reached other servers.
     strays: usize,
@@ -66,6 +81,7 @@
         Self {
             harness: Harness::new(size),
             size,
+            whole_at: None,
             owner,
             sure: BTreeSet::new(),
             down: BTreeMap::new(),
@@ -76,6 +92,7 @@
             known: known_agents(size),
             replies: BTreeMap::new(),
             order: 0,
+            answers: Vec::new(),
             ms: 0,
             strays: 0,
             astray: None,
@@ -94,6 +111,11 @@
         balancer.apply_view(&view, now, &mut self.harness.sent);
     }
 
+    /// Has an agent down for a time.
+    fn stop(&mut self, index: u8, period: Range<u64>) {
+        self.down.entry(index).or_default().push(period);
+    }
+
     fn is_down(&self, index: u8, ms: u64) -> bool {
         let periods = self.down.get(&index).into_iter().flatten();
         periods.into_iter().any(|period| period.contains(&ms))
@@ -110,6 +132,11 @@
     }
 
     fn step(&mut self) {
+        if let Some((_, size)) = self.whole_at.take_if(|(at, _)| *at == self.ms) {
+            self.size = size;
+            self.known = known_agents(size);
+            self.set_joined(true);
+        }
         for (index, periods) in &self.down {
             if periods.iter().any(|period| period.end == self.ms) {
                 self.delivered.remove(index);
@@ -117,12 +144,15 @@
                 self.has_learned &= *index != self.owner;
             }
         }
+        self.send_answers();
+        let strays = self.strays;
         for (peer, message) in std::mem::take(&mut self.harness.sent.messages) {
             let index = peer.ip().octets()[3];
             if !self.is_down(index, self.ms) {
                 self.answer(index, message);
             }
         }
+        self.judge_arrivals(self.strays - strays);
         while let Some(entry) = self.replies.first_entry() {
             if entry.key().0 > self.ms {
                 break;
@@ -136,6 +166,33 @@
         self.ms += 1;
     }
 
+    /// Sends the answers of the flow's server that are due. Its agent learns of the flow by them, and tells
+    /// the balancer if it has delivered a segment on trial.
+    fn send_answers(&mut self) {
+        let is_down = self.is_down(self.owner, self.ms);
+        let mut is_sent = false;
+        for (due, interval) in &mut self.answers {
+            if *due == self.ms && is_down {
+                *due += *interval;
+                *interval = (*interval * 2).min(MAX_RETRANSMIT_MS);
+            }
+            is_sent |= *due == self.ms;
+        }
+        self.answers.retain(|(due, _)| *due > self.ms);
+        if !is_sent {
+            return;
+        }
+        self.has_learned = true;
+        if self.delivered.remove(&self.owner) {
+            let found = Message::Found {
+                flow: flow(PORT),
+                ownership: Ownership::Held,
+                agents: self.known,
+            };
+            self.reply(self.owner, found);
+        }
+    }
+
     fn answer(&mut self, index: u8, message: Message) {
         let is_owner = index == self.owner;
         let agents = self.known;
@@ -163,18 +220,16 @@
                 self.reply_after(1, index, held);
             }
             Message::Forward => {
-                self.record_arrival(is_owner);
                 self.delivered.insert(index);
                 match is_owner {
                     true => {
-                        let found = Message::Found {
-                            flow: flow(PORT),
-                            ownership: Ownership::Held,
-                            agents,
-                        };
-                        self.reply_after(self.answer_ms, index, found);
+                        self.arrivals.push(self.ms);
+                        self.answers.push((self.ms + self.answer_ms, RETRANSMIT_MS));
+                    }
+                    false => {
+                        self.strays += 1;
+                        self.reply_after(self.return_ms, index, Message::Unknown);
                     }
-                    false => self.reply_after(self.return_ms, index, Message::Unknown),
                 }
             }
             _ => {}
@@ -201,27 +256,19 @@
             }
             _ => Vec::new(),
         };
-        if let Message::Found {
-            ownership: Ownership::Held,
-            ..
-        } = message
-        {
-            self.has_learned = true;
-        }
         self.harness
             .receive_from_peer(agent(index), message, &datagram);
     }
 
-    fn record_arrival(&mut self, is_owner: bool) {
-        if is_owner {
-            self.arrivals.push(self.ms);
+    /// Judges the segments that arrived in this millisecond, whose order is arbitrary.
+    fn judge_arrivals(&mut self, strays: usize) {
+        if self.arrivals.last() == Some(&self.ms) {
             self.astray = None;
-            return;
+        } else if strays > 0 {
+            let (since, count) = self.astray.unwrap_or((self.ms, 0));
+            self.astray = Some((since, count + strays));
+            self.is_broken |= count + strays >= BREAKING_STRAYS && self.ms - since >= FLOW_MS;
         }
-        self.strays += 1;
-        let (since, count) = self.astray.unwrap_or((self.ms, 0));
-        self.astray = Some((since, count + 1));
-        self.is_broken |= count + 1 >= BREAKING_STRAYS && self.ms - since >= FLOW_MS;
     }
 
     /// Returns whether the next segment of the caller goes to one agent at once.
@@ -255,7 +302,7 @@
 #[test]
 fn segment_whose_owner_is_silent_reaches_at_most_two_servers() {
     let mut fleet = Fleet::new(101, 101);
-    fleet.down.insert(101, vec![0..FLOW_MS]);
+    fleet.stop(101, 0..FLOW_MS);
     fleet.run(FLOW_MS, &COPIES_MS);
     assert!(
         fleet.strays < BREAKING_STRAYS,
@@ -269,12 +316,10 @@
 #[test]
 fn flow_of_an_owner_that_is_restarted_again_and_again_is_not_broken() {
     let mut fleet = Fleet::new(60, 60);
-    let restarts = COPIES_MS.map(|ms| ms.saturating_sub(20)..ms + 180);
-    let later = [3_000_u64, 4_600].map(|ms| ms - 20..ms + 180);
-    fleet
-        .down
-        .insert(60, restarts.into_iter().chain(later).collect());
     let copies: Vec<u64> = COPIES_MS.into_iter().chain([3_000, 4_600]).collect();
+    for copy in &copies {
+        fleet.stop(60, copy.saturating_sub(20)..copy + 180);
+    }
     fleet.run(6_000, &copies);
     assert!(!fleet.is_broken, "{} strays", fleet.strays);
 }
@@ -289,7 +334,7 @@
     fleet.run(20, &[0]);
     assert_eq!(fleet.strays, 1);
     let stopped = fleet.ms;
-    fleet.down.insert(3, vec![stopped..stopped + 10_000]);
+    fleet.stop(3, stopped..stopped + 10_000);
     fleet.run(stopped + 800, &[]);
     assert!(!fleet.has_owner());
 }
@@ -304,7 +349,7 @@
     fleet.run(20, &[0]);
     assert_eq!(fleet.strays, 1);
     let stopped = fleet.ms;
-    fleet.down.insert(3, vec![stopped..stopped + 30]);
+    fleet.stop(3, stopped..stopped + 30);
     fleet.run(stopped + 800, &[]);
     assert!(!fleet.has_owner());
 }
@@ -337,7 +382,7 @@
 fn owner_that_answers_again_is_found_soon() {
     for up_at in [100, 500, 1_000] {
         let mut fleet = Fleet::new(100, 100);
-        fleet.down.insert(100, vec![0..up_at]);
+        fleet.stop(100, 0..up_at);
         fleet.run(FLOW_MS.max(up_at + 1_000), &COPIES_MS);
         let first = fleet.arrivals.first().copied();
         let first = first.unwrap_or_else(|| panic!("up at {up_at}: not found"));
@@ -358,7 +403,7 @@
         fleet.sure.extend(21..=AGENTS);
         for index in 21..=AGENTS {
             let start = u64::from((index - 21) / AT_ONCE) * PERIOD_MS;
-            fleet.down.insert(index, vec![start..start + PERIOD_MS]);
+            fleet.stop(index, start..start + PERIOD_MS);
         }
         fleet.has_learned = owner > 20;
         fleet.run(FLOW_MS, &COPIES_MS);
@@ -368,3 +413,84 @@
         assert!(!fleet.is_broken);
     }
 }
+
+/// Guards against a search that goes on for as long as an agent is silent, although the owner has registered
+/// the flow at a home since.
+#[test]
+fn homes_of_a_kept_search_are_queried_again_for_each_copy() {
+    let mut fleet = Fleet::new(5, 200);
+    fleet.sure.extend(1..=4);
+    fleet.stop(5, 0..FLOW_MS);
+    fleet.run(500, &[0]);
+    fleet.harness.receive_from_caller(DATA, PORT);
+    let queried = take_queried(&mut fleet.harness);
+    assert!(!queried.is_empty());
+    let found = Message::Found {
+        flow: flow(PORT),
+        ownership: Ownership::HeldBy(agent(200)),
+        agents: fleet.known,
+    };
+    fleet.harness.receive_from_peer(queried[0], found, &[]);
+    assert!(fleet.has_owner());
+}
+
+/// Returns a fleet with restarts, silences and a view of the balancer, and when the caller sends copies.
+fn draw(seed: u64) -> (Fleet, Vec<u64>) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let size = *[2, 3, 9, 40, 100].choose(&mut rng).unwrap();
+    let owner = rng.random_range(1..=size);
+    let mut fleet = Fleet::new(size, owner);
+    let restarted_share = *[0.1, 0.5, 1.0].choose(&mut rng).unwrap();
+    let silent_share = *[0.0, 0.1, 0.5, 1.0].choose(&mut rng).unwrap();
+    for index in 1..=size {
+        if !rng.random_bool(restarted_share) {
+            fleet.sure.insert(index);
+            fleet.has_learned |= index == owner;
+        }
+        let mut at = rng.random_range(0..3_000);
+        while at < RUN_MS && rng.random_bool(silent_share) {
+            let end = at + rng.random_range(100..3_000);
+            fleet.stop(index, at..end);
+            at = end + rng.random_range(300..4_000);
+        }
+    }
+    fleet.return_ms = rng.random_range(1..400);
+    fleet.answer_ms = rng.random_range(1..600);
+    // The view is a part of the fleet at first, and other processes may know that.
+    if rng.random_bool(0.3) {
+        let known = rng.random_range(1..=size);
+        let is_known_elsewhere = rng.random();
+        fleet.size = known;
+        fleet.harness = Harness::new(known);
+        fleet.set_joined(is_known_elsewhere && rng.random());
+        if !is_known_elsewhere {
+            fleet.known = known_agents(known);
+        }
+        fleet.whole_at = Some((rng.random_range(100..4_000), size));
+    }
+    let mut copies = Vec::new();
+    let mut at = 0;
+    while at < RUN_MS {
+        copies.push(at);
+        at += rng.random_range(20..1_700);
+    }
+    (fleet, copies)
+}
+
+/// Guards against flows whose segments reach other servers and none their own, through restarts, silences,
+/// slow servers and partial views; and against flows that are not found once all agents are up.
+#[test]
+fn no_flow_of_a_living_server_is_broken_and_each_is_found() {
+    for seed in 0..RUNS {
+        let (mut fleet, copies) = draw(seed);
+        fleet.run(RUN_MS, &copies);
+        assert!(!fleet.is_broken, "seed {seed}: {} strays", fleet.strays);
+        assert_eq!(fleet.harness.sent.resets, 0, "seed {seed}");
+        fleet.down.clear();
+        let next = [RUN_MS, RUN_MS + 300, RUN_MS + 1_000];
+        fleet.arrivals.clear();
+        fleet.run(RUN_MS + FLOW_MS, &next);
+        assert!(!fleet.arrivals.is_empty(), "seed {seed}: not found");
+        assert!(!fleet.is_broken, "seed {seed}: {} strays", fleet.strays);
+    }
+}
