Agent: register flows again with a home that has restarted

Callers saw segments of open flows go on trial to the servers of all unsure agents while agents were rolled: a home that restarts has lost its registrations, and the owners renewed them only each 15 s or when the set of agents' addresses changed, which a restart does not change.

An agent now compares the incarnations of its service's agents with those of the view before. The flows of a home that has restarted are registered there again, once, as lists: Message::Register names the first flow, and up to 89 further ones follow in the place of the segment, which earlier builds ignore. Lists are paced at 10 KB a second. The homes of flows are kept until the agents change, so that a roll does not rank all agents for each flow at each restart.

--- a/core/src/l4/agent.rs
+++ b/core/src/l4/agent.rs
@@ -7,11 +7,13 @@
 mod full_segments;
 mod held_flows;
 mod opening;
+mod registrations;
 pub mod requests;
 mod scheduling;
 
 use std::{
     collections::{BTreeMap, VecDeque},
+    iter,
     net::{Ipv4Addr, SocketAddrV4},
     sync::Arc,
     time::Duration,
@@ -19,17 +21,18 @@
 
 use self::{
     flows::{FlowEntry, FlowTable, SegmentEffect},
+    registrations::Registrations,
     requests::Requests,
 };
 use super::{
     directives::{Directives, gossip::Gossip},
-    homes::{Homes, REGISTRATION_TTL, Registry},
+    homes::Registry,
     message::{self, Message, Ownership, Received, Refusal},
     metrics::AgentMetrics,
     outbox::Outbox,
     outlier::OutlierDetector,
     routes::ServiceKey,
-    segment::{Codec, FlowKey, Segment},
+    segment::{self, Codec, FlowKey, Segment},
     server::{Server, ServerChange, ServerReport, ServerState, ServerUpdateError},
     slow_start::ColdLimit,
     waiting::{MAX_OPENING_AGE, Urgency, WaitingFlows},
@@ -55,9 +58,6 @@
 /// Time without a frame after which a balancer gets no more load reports.
 const BALANCER_TTL: Duration = Duration::from_secs(5);
 
-/// Interval at which flows that have become long-lived are registered with their homes.
-const REGISTER_INTERVAL: Duration = Duration::from_millis(250);
-
 /// Interval at which expired flows, registrations and balancers are removed.
 const EXPIRE_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -108,12 +108,8 @@
     started_requests: VecDeque<(Time, FlowKey)>,
     /// Summary of the agents in the last membership view.
     known_agents: KnownAgents,
-    homes: Homes,
     registry: Registry,
-    /// The next registration covers the flows that became long-lived in this range of times. The
-    /// range ends at the last registration. Flows that became long-lived after it are covered by the
-    /// registration after the next.
-    register_range: (Time, Time),
+    registrations: Registrations,
     /// Balancers that get load reports, with the time at which each is removed.
     balancers: BTreeMap<SocketAddrV4, Time>,
     /// When the next opening segment may be sent to an unresponsive backend server, or `None` if
@@ -132,15 +128,11 @@
     buffer: Vec<u8>,
 }
 
-/// Times of the next periodic tasks. At `register`, the flows of `Agent::register_range` are
-/// registered with their homes. All long-lived flows are registered if `register` is zero, which is
-/// set when the homes have changed, or if `register_all` has passed.
+/// Times of the next periodic tasks.
 #[derive(Debug)]
 struct NextRuns {
     load_report: Time,
     expire: Time,
-    register: Time,
-    register_all: Time,
 }
 
 impl<C: Codec> Agent<C> {
@@ -163,9 +155,8 @@
             requests: Requests::default(),
             started_requests: VecDeque::new(),
             known_agents: KnownAgents::default(),
-            homes: Homes::default(),
             registry: Registry::default(),
-            register_range: (now, now),
+            registrations: Registrations::new(options.address, now),
             balancers: BTreeMap::new(),
             retry_at: None,
             outlier: OutlierDetector::default(),
@@ -177,8 +168,6 @@
             next_runs: NextRuns {
                 load_report: now,
                 expire: now,
-                register: now,
-                register_all: now,
             },
             buffer: Vec::new(),
             options,
@@ -212,50 +201,16 @@
         &self.metrics
     }
 
-    /// Applies a membership view, and recomputes the homes if the agents have changed.
+    /// Applies a membership view. Flows are registered again if their homes have changed or restarted.
     pub fn apply_view(&mut self, view: &View) {
         if let Some(gossip) = &mut self.gossip {
             gossip.apply_view(view);
         }
         let agents = view.known_agents();
-        if agents == self.known_agents {
-            return;
-        }
+        let have_changed = agents != self.known_agents;
         self.known_agents = agents;
         let tag = self.options.service.tag();
-        let same_tag = view.agents().filter(|record| record.service == tag);
-        self.homes = Homes::new(same_tag.map(|record| record.address));
-        // All long-lived flows are registered again, as the homes of some have changed.
-        self.next_runs.register = Time::default();
-    }
-
-    /// Registers long-lived flows with their homes: those of `register_range`, or all of them when
-    /// the homes have changed or half of the registration's lifetime has passed.
-    fn send_registrations(&mut self, now: Time, out: &mut impl Outbox) {
-        let (from, until) = self.register_range;
-        self.register_range = (until, now);
-        let all = self.next_runs.register == Time::default() || self.next_runs.register_all <= now;
-        if all {
-            self.next_runs.register_all = now + REGISTRATION_TTL / 2;
-        }
-        self.next_runs.register = now + REGISTER_INTERVAL;
-        let long_lived = self.flows.long_lived(now, (from, until), all);
-        for flow in long_lived {
-            for home in self.homes.of(&flow).into_iter().flatten() {
-                if home != self.options.address {
-                    self.send(home, &Message::Register { flow }, &[], out);
-                }
-            }
-        }
-    }
-
-    /// Registers a new flow with one of its homes, before its caller learns that it is open. The caller's
-    /// next segment may reach another balancer, which asks the homes for the owner.
-    fn register_at_first_home(&mut self, flow: FlowKey, out: &mut impl Outbox) {
-        let [home, _] = self.homes.of(&flow);
-        if let Some(home) = home.filter(|home| *home != self.options.address) {
-            self.send(home, &Message::Register { flow }, &[], out);
-        }
+        self.registrations.apply_view(view, tag, have_changed);
     }
 
     /// Applies a status report of the backend server that is received at `unix_ms` by the VM's clock. If
@@ -370,7 +325,12 @@
                 }
             }
             Message::Forward => self.handle_forward(received, now, out),
-            Message::Register { flow } => self.registry.register(flow, from, now),
+            Message::Register { flow } => {
+                let others = segment::decode_flows(received.datagram);
+                for flow in iter::once(flow).chain(others) {
+                    self.registry.register(flow, from, now);
+                }
+            }
             Message::Find { flow, acknowledged } => {
                 let ownership = self.ownership(&flow, acknowledged);
                 self.send_ownership(from, flow, ownership, out);
@@ -437,7 +397,7 @@
             self.reset_at = None;
             self.reset_all("server_left", out);
         }
-        if now >= self.next_runs.register {
+        if now >= self.registrations.due() {
             self.send_registrations(now, out);
         }
         if now >= self.next_runs.expire {
@@ -469,7 +429,7 @@
             .next_runs
             .load_report
             .min(self.next_runs.expire)
-            .min(self.next_runs.register)
+            .min(self.registrations.due())
             .min(self.requests.due().unwrap_or(self.next_runs.expire));
         let next = self.cold_start_at().map_or(next, |at| next.min(at));
         let opening = self.opening_timeouts.front().map(|(due, _)| *due);
--- a/core/src/l4/message.rs
+++ b/core/src/l4/message.rs
@@ -100,7 +100,8 @@
         /// same opening segment has the flow.
         acknowledged: u32,
     },
-    /// To an agent that is a home of the flow: the sender owns it.
+    /// To an agent that is a home of the flow: the sender owns it, and further flows in the place of the
+    /// segment ([`encode_flows`](super::segment::encode_flows)), which earlier builds ignore.
     Register {
         /// The flow.
         flow: FlowKey,
--- a/core/src/l4/metrics.rs
+++ b/core/src/l4/metrics.rs
@@ -124,6 +124,10 @@
     pub held_times: Histogram,
     /// Requests that were delivered without room because a bound of held requests was reached.
     pub passed_by_bound: Counter,
+    /// Restarts of homes, upon which flows are registered there again.
+    pub home_restarts: Counter,
+    /// Flows that were registered again with a home, as it had restarted or this agent stops.
+    pub registered_again: Counter,
 }
 
 /// Label values of priorities; the last one stands for all below it.
@@ -147,6 +151,8 @@
                 BUCKET_COUNT,
             )),
             passed_by_bound: Counter::default(),
+            home_restarts: Counter::default(),
+            registered_again: Counter::default(),
         }
     }
 }
@@ -189,6 +195,14 @@
         metrics.register("held_seconds", help, self.held_times.clone());
         let help = "Requests that passed because a bound of held requests was reached";
         metrics.register("requests_passed", help, self.passed_by_bound.clone());
+        let help = "Restarts of homes of flows";
+        metrics.register("home_restarts", help, self.home_restarts.clone());
+        let help = "Flows registered again with a home that restarted, or before a stop";
+        metrics.register(
+            "flows_registered_again",
+            help,
+            self.registered_again.clone(),
+        );
     }
 }
 
--- a/core/src/l4/segment.rs
+++ b/core/src/l4/segment.rs
@@ -1,6 +1,10 @@
 //! Segment headers and flow keys, and the codec of a deployment's wire format.
 
-use std::{fmt, net::SocketAddrV4, time::Duration};
+use std::{
+    fmt,
+    net::{Ipv4Addr, SocketAddrV4},
+    time::Duration,
+};
 
 use serde::{Deserialize, Serialize};
 
@@ -14,15 +18,39 @@
 }
 
 impl FlowKey {
-    /// Returns the addresses and ports in network byte order, for hashing.
-    pub fn to_bytes(&self) -> [u8; 12] {
-        let mut bytes = [0; 12];
+    /// Length of [`FlowKey::to_bytes`].
+    pub const BYTES: usize = 12;
+
+    /// Returns the addresses and ports in network byte order.
+    pub fn to_bytes(&self) -> [u8; Self::BYTES] {
+        let mut bytes = [0; Self::BYTES];
         bytes[..4].copy_from_slice(&self.caller.ip().octets());
         bytes[4..6].copy_from_slice(&self.caller.port().to_be_bytes());
         bytes[6..10].copy_from_slice(&self.address.ip().octets());
         bytes[10..].copy_from_slice(&self.address.port().to_be_bytes());
         bytes
     }
+
+    /// Returns the key of the flow with these addresses and ports in network byte order.
+    pub fn from_bytes(bytes: &[u8; Self::BYTES]) -> Self {
+        let [a, b, c, d, high, low, rest @ ..] = *bytes;
+        let caller = SocketAddrV4::new(Ipv4Addr::new(a, b, c, d), u16::from_be_bytes([high, low]));
+        let [a, b, c, d, high, low] = rest;
+        let address = SocketAddrV4::new(Ipv4Addr::new(a, b, c, d), u16::from_be_bytes([high, low]));
+        Self { caller, address }
+    }
+}
+
+/// Encodes flows one after the other, [`FlowKey::BYTES`] each.
+pub fn encode_flows(flows: &[FlowKey]) -> Vec<u8> {
+    flows.iter().flat_map(FlowKey::to_bytes).collect()
+}
+
+/// Returns the flows of [`encode_flows`]; none if the length is no multiple of a flow's.
+pub fn decode_flows(bytes: &[u8]) -> impl Iterator<Item = FlowKey> {
+    let (flows, rest) = bytes.as_chunks::<{ FlowKey::BYTES }>();
+    let flows = if rest.is_empty() { flows } else { &[] };
+    flows.iter().map(FlowKey::from_bytes)
 }
 
 impl fmt::Display for FlowKey {
--- a/core/tests/l4/registrations.rs
+++ b/core/tests/l4/registrations.rs
@@ -15,7 +15,7 @@
         message::{self, Message, Ownership, Received},
         outbox::Outbox,
         routes::ServiceKey,
-        segment::FlowKey,
+        segment::{self, FlowKey},
         server::{ServerReport, ServerState},
     },
     member::{MemberState, Record, Role, View},
@@ -361,6 +361,64 @@
     assert_eq!(fleet.registrations[4], sent, "each is sent once");
 }
 
+/// Guards against bursts at a home that restarts, to which each agent of a small service sends a large part of
+/// its flows.
+#[test]
+fn registrations_at_a_home_that_restarts_are_paced() {
+    const FLOWS: usize = 500;
+    let mut fleet = Fleet::new(3, FLOWS as u16);
+    fleet.advance(Duration::from_secs(3));
+    fleet.stop(&[1]);
+    fleet.start(&[1]);
+    let flows = fleet.flows_with_home(1);
+    assert!(flows.len() > FLOWS, "{} flows have the home", flows.len());
+    let (mut most, mut sum) = (0, 0);
+    for _ in 0..12 {
+        fleet.registrations.fill((0, 0));
+        fleet.advance(Duration::from_millis(250));
+        let (_, bytes) = fleet.registrations[1];
+        most = most.max(bytes);
+        sum += bytes;
+    }
+    // Two agents, each of which sends 10 KB a second.
+    assert!(most <= 2 * 2_500, "{most} bytes in 250 ms");
+    assert!(
+        sum <= flows.len() * 14,
+        "{sum} bytes for {} flows",
+        flows.len()
+    );
+    let known = flows
+        .iter()
+        .filter(|(owner, port)| fleet.names_owner(1, *owner, *port));
+    assert_eq!(known.count(), flows.len());
+}
+
+/// A list that another build or a stranger has cut short must not register flows that nobody has named.
+#[test]
+fn list_of_flows_with_an_odd_length_registers_only_the_named_flow() {
+    let mut fleet = Fleet::new(1, 0);
+    let mut list = segment::encode_flows(&[flow_from(2), flow_from(3)]);
+    let named = |fleet: &mut Fleet, datagram: &[u8], flow| {
+        let message = Message::Register { flow };
+        let received = Received {
+            from: address(1),
+            message,
+            datagram,
+        };
+        fleet.call(0, |agent, now, out| {
+            agent.receive_from_peer(&received, now, out)
+        });
+        let ports = (1..=9).filter(|port| fleet.names_owner(0, 1, *port));
+        ports.collect::<Vec<_>>()
+    };
+    list.pop();
+    assert_eq!(named(&mut fleet, &list, flow_from(1)), [1]);
+    list.extend([187, 0]);
+    assert_eq!(named(&mut fleet, &list, flow_from(4)), [1, 4]);
+    let list = segment::encode_flows(&[flow_from(2), flow_from(3)]);
+    assert_eq!(named(&mut fleet, &list, flow_from(4)), [1, 2, 3, 4]);
+}
+
 /// Guards against flows that only one home knows, or none, when their agent restarts: those that it opened
 /// shortly before it was stopped.
 #[test]
