Agent: return a segment that acknowledges another server, also while unsure

An agent that may lack flows of its server delivered a segment on trial whose acknowledgement does not fit the server's initial sequence number, and replaced the entry of the accepted flow by that of the trial. A server that has accepted a flow itself holds no earlier one with the same key, so the agent is certain: it returns the segment, as agents that are sure do, and keeps the entry.

The new test failed before (the segment was delivered and nothing returned).

--- a/core/src/l4/agent/flows.rs
+++ b/core/src/l4/agent/flows.rs
@@ -255,6 +255,13 @@
         is_open && is_idle && segment.length > 0 && entry.is_new_to_server(segment)
     }
 
+    /// Returns whether the backend server has accepted the flow of a caller's segment, and the caller has not
+    /// completed it.
+    pub fn is_accepted(&self, segment: &Segment) -> bool {
+        let entry = self.entries.get(&segment.flow_of_caller());
+        entry.is_some_and(|entry| matches!(entry.state, FlowState::Accepted { .. }))
+    }
+
     /// Returns whether the data of a caller's segment was delivered to the backend server before.
     pub fn was_delivered(&self, segment: &Segment) -> bool {
         let entry = self.entries.get(&segment.flow_of_caller());
--- a/core/src/l4/agent/scheduling.rs
+++ b/core/src/l4/agent/scheduling.rs
@@ -60,7 +60,8 @@
                 self.record_request(segment, datagram);
             }
             Some(false) => {}
-            None if self.may_hold_prior_flows() => {
+            // A server that has accepted a flow itself holds no earlier one with the same key.
+            None if self.may_hold_prior_flows() && !self.flows.is_accepted(segment) => {
                 let flow = segment.flow_of_caller();
                 self.count_cold_request(segment, now);
                 self.flows
--- a/core/tests/l4/agent.rs
+++ b/core/tests/l4/agent.rs
@@ -279,6 +279,20 @@
     assert_eq!(harness.ownership(1, 2_001), Ownership::Held);
 }
 
+/// Guards against segments of an open flow at another server: an agent that may lack flows of its server knows
+/// nevertheless that the server has accepted this flow itself, so it holds no earlier one of the same caller.
+#[test]
+fn segment_that_acknowledges_another_server_is_not_delivered_by_an_unsure_agent() {
+    let mut harness = Harness::new(40);
+    harness.open("desk", true, 1);
+    harness.receive_from_server(ACCEPT, 1, 200);
+    harness.sent = RecordingOutbox::default();
+    harness.send(Message::Forward, &[DATA, 1, 5]);
+    assert_eq!(harness.sent.messages.pop(), Some(Message::Unknown));
+    assert!(harness.sent.delivered.is_empty());
+    assert_eq!(harness.ownership(1, 2_001), Ownership::Held);
+}
+
 /// Guards against resets of live flows after the restart of an agent, which has not seen the flows that
 /// its server still holds.
 #[test]
