Balancer: a home that has ended keeps no search from its verdict

A search that is kept asks the homes whose replies were missing again. One that the membership has given up since was asked for as long as the caller sent copies, so that a lost flow was not reset. Before searches were kept, the next copy started a new one with other homes. Homes that are gone are left out; one that is in a series of queries already gets no further ones.

--- a/core/src/l4/balancer/search/round.rs
+++ b/core/src/l4/balancer/search/round.rs
@@ -396,8 +396,10 @@
             // A round tells what an agent holds, not what is registered with it. The owner may be outside
             // the round, so a home whose reply was lost is queried again.
             for agent in &search.unanswered {
-                if !is_queried(&search.queried, *agent) && self.fleet.get(*agent).is_some() {
-                    has_silent = true;
+                let home = self.fleet.get(*agent);
+                let is_member = home.is_some_and(|home| !home.state.is_gone());
+                if is_member && !is_queried(&search.queried, *agent) {
+                    has_silent |= !self.silences.is_older(*agent, round.started);
                     search.all_sure &= round.replies.get(agent).copied().flatten() == Some(true);
                     search.queried.push((*agent, None));
                 }
--- a/core/tests/l4/trial.rs
+++ b/core/tests/l4/trial.rs
@@ -434,6 +434,28 @@
     assert!(fleet.has_owner());
 }
 
+/// Guards against a caller that is never told because a home of its flow has ended: the registrations of an
+/// agent that the membership has given up are gone with it.
+#[test]
+fn lost_flow_whose_home_has_ended_is_reset_once_the_home_is_given_up() {
+    const GIVEN_UP_MS: u64 = 4_000;
+    let copies: Vec<u64> = (0..10_000).step_by(400).collect();
+    for home in 1..=3 {
+        let mut fleet = Fleet::new(3, 200);
+        fleet.sure.extend(1..=3);
+        fleet.stop(home, 0..60_000);
+        fleet.run(GIVEN_UP_MS, &copies);
+        let states = [1, 2, 3].map(|index| match index == home {
+            true => (index, MemberState::Dead),
+            false => (index, MemberState::Ready),
+        });
+        fleet.harness.apply_view(&states);
+        fleet.known = view(&states).known_agents();
+        fleet.run(GIVEN_UP_MS + 2_000, &copies);
+        assert!(fleet.harness.sent.resets > 0, "agent {home}");
+    }
+}
+
 /// Returns a fleet with restarts, silences and a view of the balancer, and when the caller sends copies.
 fn draw(seed: u64) -> (Fleet, Vec<u64>) {
     let mut rng = SmallRng::seed_from_u64(seed);
