--- a/core/src/l4/balancer/search/trial.rs
+++ b/core/src/l4/balancer/search/trial.rs
@@ -22,6 +22,9 @@
 /// Time in which a backend server returns a segment of a flow that it does not hold.
 const TRIAL_TIMEOUT: Duration = Duration::from_millis(40);
 
+/// Shortest time between two batches of a trial delivery.
+const BATCH_INTERVAL: Duration = Duration::from_millis(10);
+
 impl<C: Codec> Balancer<C> {
     /// Sends a segment on trial to the agents that may hold a flow, or keeps the search if one of them may be
     /// missing.
@@ -124,7 +127,11 @@
         }
         let datagram = search.buffered.get(search.segment).cloned();
         let datagram = datagram.unwrap_or_default();
-        self.set_due(flow, now + TRIAL_TIMEOUT);
+        let wait = match search.untried.is_empty() {
+            true => TRIAL_TIMEOUT,
+            false => BATCH_INTERVAL.max(self.budget.link_time(batch.len() as u64 * QUERY_BYTES)),
+        };
+        self.set_due(flow, now + wait);
         for agent in batch {
             self.forward(agent, &datagram, out);
         }
