Agent: register all flows with both homes at a planned stop

Callers saw segments of open flows go on trial after a planned restart of their agent: the agent lost its flow table, and the homes knew a flow that was younger than 500 ms at one home only, or not, if that home had restarted or the registration was lost.

A stopping agent whose server has not left registers all accepted and open flows with both homes, as lists spread over the first 200 ms of its stop, and those that its server accepts during the stop with both at once.

Evidence: stopping_agent_registers_its_flows_at_both_homes and flow_that_is_accepted_during_the_stop_is_registered_at_both_homes failed before (the second home knew nothing).

--- a/core/src/l4/agent.rs
+++ b/core/src/l4/agent.rs
@@ -261,10 +261,11 @@
     }
 
     /// Returns the flows that wait to their balancers, which place them on other agents, and refuses new
-    /// ones from now on. Flows that are opening or open go on.
+    /// ones from now on. Flows that are opening or open go on, and are registered with their homes.
     pub fn stop_admission(&mut self, now: Time, out: &mut impl Outbox) {
         self.stopping = true;
         self.serve_waiting(now, out);
+        self.register_before_stop(now, out);
     }
 
     /// Records that the backend server leaves, and schedules the resets of its flows.
@@ -365,7 +366,7 @@
                     load: self.workload.load(),
                 };
                 self.send(balancer, &opened, &[], out);
-                self.register_at_first_home(segment.flow_of_server(), out);
+                self.register_new(segment.flow_of_server(), out);
             }
             SegmentEffect::Confirmed { balancer } => {
                 let flow = segment.flow_of_server();
--- a/core/src/l4/agent/registrations.rs
+++ b/core/src/l4/agent/registrations.rs
@@ -1,8 +1,8 @@
 //! Registration of the agent's flows with their homes.
 //!
 //! Flows are registered when they are accepted, once they are long-lived and then in intervals. A home that
-//! restarts has lost what was registered there, so its flows are registered again. These registrations come as
-//! lists, since one frame for each flow would be a burst.
+//! restarts has lost what was registered there, so its flows are registered again, and all of them before a
+//! planned stop. These registrations come as lists, since one frame for each flow would be a burst.
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
@@ -15,6 +15,7 @@
 use super::{Agent, flows::FlowState};
 use crate::{
     clock::Time,
+    consts::LEAVE_ANNOUNCE_DELAY,
     l4::{
         homes::{Homes, REGISTRATION_TTL},
         message::Message,
@@ -28,6 +29,13 @@
 /// Interval at which flows that have become long-lived are registered, and lists are sent.
 const REGISTER_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Interval at which a stopping agent sends lists.
+const STOP_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Time from the start of a stop in which a stopping agent sends its lists. They arrive while the agent
+/// still answers.
+const STOP_TIME: Duration = LEAVE_ANNOUNCE_DELAY.saturating_sub(Duration::from_millis(100));
+
 /// Flows of one list. Its frame fits the smallest usual MTU.
 const MAX_LIST_FLOWS: usize = 90;
 
@@ -59,6 +67,8 @@
     due: Time,
     /// When all long-lived flows are registered again.
     all_due: Time,
+    /// When the lists of a stopping agent have to be sent.
+    stop_due: Option<Time>,
 }
 
 impl Registrations {
@@ -74,6 +84,7 @@
             range: (now, now),
             due: now,
             all_due: now,
+            stop_due: None,
         }
     }
 
@@ -131,14 +142,22 @@
         count
     }
 
-    /// Returns the number of lists to send in an interval.
-    fn list_count(&self) -> usize {
-        let mut bytes = 0;
-        let fits = |list: &&(_, Vec<FlowKey>)| {
-            bytes += LIST_BYTES + list.1.len() * FlowKey::BYTES;
-            bytes <= INTERVAL_BYTES
+    /// Returns the number of lists to send now, and sets when the next are due.
+    fn start_sending(&mut self, now: Time) -> usize {
+        self.due = now + REGISTER_INTERVAL;
+        let Some(stop_due) = self.stop_due else {
+            let mut bytes = 0;
+            let fits = |list: &&(_, Vec<FlowKey>)| {
+                bytes += LIST_BYTES + list.1.len() * FlowKey::BYTES;
+                bytes <= INTERVAL_BYTES
+            };
+            return self.lists.iter().take_while(fits).count();
         };
-        self.lists.iter().take_while(fits).count()
+        if !self.lists.is_empty() {
+            self.due = now + STOP_INTERVAL;
+        }
+        let rest = stop_due.since(now).as_millis() / STOP_INTERVAL.as_millis();
+        self.lists.len().div_ceil(rest as usize + 1)
     }
 }
 
@@ -150,7 +169,6 @@
         let (from, until) = state.range;
         state.range = (until, now);
         let all = state.due == Time::default() || state.all_due <= now;
-        state.due = now + REGISTER_INTERVAL;
         if all {
             state.all_due = now + REGISTRATION_TTL / 2;
             let flows = &self.flows;
@@ -176,21 +194,38 @@
                 flows = count
             );
         }
-        self.send_lists(out);
+        self.send_lists(now, out);
     }
 
     /// Registers a new flow with one of its homes, before its caller learns that it is open. The caller's
-    /// next segment may reach another balancer, which asks the homes for the owner.
-    pub(super) fn register_at_first_home(&mut self, flow: FlowKey, out: &mut impl Outbox) {
-        let [home, _] = self.registrations.homes_of(&flow);
-        if let Some(home) = home.filter(|home| *home != self.options.address) {
-            self.send(home, &Message::Register { flow }, &[], out);
+    /// next segment may reach another balancer, which asks the homes for the owner. A stopping agent, which
+    /// may end before the flow is long-lived, registers it with both.
+    pub(super) fn register_new(&mut self, flow: FlowKey, out: &mut impl Outbox) {
+        let count = if self.stopping { 2 } else { 1 };
+        let homes = self.registrations.homes_of(&flow);
+        for home in homes.into_iter().take(count).flatten() {
+            if home != self.options.address {
+                self.send(home, &Message::Register { flow }, &[], out);
+            }
+        }
+    }
+
+    /// Registers all flows with both homes before the agent ends and loses its flow table, unless they end
+    /// with their server.
+    pub(super) fn register_before_stop(&mut self, now: Time, out: &mut impl Outbox) {
+        if self.server.has_left() {
+            return;
         }
+        let flows = self.held_flows();
+        let count = self.registrations.add_lists(&flows, |_| true);
+        tracing::info!(event = "flows_registered_at_stop", flows = count);
+        self.registrations.stop_due = Some(now + STOP_TIME);
+        self.send_lists(now, out);
     }
 
     /// Sends the lists that are due.
-    fn send_lists(&mut self, out: &mut impl Outbox) {
-        for _ in 0..self.registrations.list_count() {
+    fn send_lists(&mut self, now: Time, out: &mut impl Outbox) {
+        for _ in 0..self.registrations.start_sending(now) {
             let Some((home, flows)) = self.registrations.lists.pop_front() else {
                 return;
             };
--- a/core/tests/l4/registrations.rs
+++ b/core/tests/l4/registrations.rs
@@ -175,8 +175,7 @@
         }
     }
 
-    /// Opens a flow and completes a request.
-    fn establish(&mut self, index: usize, port: u16) {
+    fn open(&mut self, index: usize, port: u16) {
         let [high, low] = port.to_be_bytes();
         self.call(index, |agent, now, out| {
             let message = Message::Open {
@@ -186,17 +185,35 @@
                 target_ms: 100,
                 left_ms: None,
             };
-            for (message, kind) in [(message, OPENING), (Message::Forward, DATA)] {
-                let datagram = &[kind, low, if kind == OPENING { 0 } else { 5 }, high];
-                let received = Received {
-                    from: BALANCER,
-                    message,
-                    datagram,
-                };
-                agent.receive_from_peer(&received, now, out);
-                let answer = if kind == OPENING { ACCEPT } else { ANSWER };
-                agent.receive_from_server(&[answer, low, 5, high], now, out);
-            }
+            let received = Received {
+                from: BALANCER,
+                message,
+                datagram: &[OPENING, low, 0, high],
+            };
+            agent.receive_from_peer(&received, now, out);
+        });
+    }
+
+    fn accept(&mut self, index: usize, port: u16) {
+        let [high, low] = port.to_be_bytes();
+        self.call(index, |agent, now, out| {
+            agent.receive_from_server(&[ACCEPT, low, 5, high], now, out);
+        });
+    }
+
+    /// Opens a flow and completes a request.
+    fn establish(&mut self, index: usize, port: u16) {
+        self.open(index, port);
+        self.accept(index, port);
+        let [high, low] = port.to_be_bytes();
+        self.call(index, |agent, now, out| {
+            let received = Received {
+                from: BALANCER,
+                message: Message::Forward,
+                datagram: &[DATA, low, 5, high],
+            };
+            agent.receive_from_peer(&received, now, out);
+            agent.receive_from_server(&[ANSWER, low, 5, high], now, out);
         });
     }
 
@@ -309,6 +326,13 @@
         }
     }
 
+    fn assert_known_at_both_homes(&mut self, owner: usize, port: u16) {
+        for home in self.homes(&flow_from(port)) {
+            let is_known = home == owner || self.names_owner(home, owner, port);
+            assert!(is_known, "home {home} of port {port}");
+        }
+    }
+
     /// Returns the number of flows of agents whose owner a home names, and of all.
     fn found(&mut self, owners: &[usize]) -> (usize, usize) {
         let (mut found, mut all) = (0, 0);
@@ -426,10 +450,27 @@
     let mut fleet = Fleet::new(12, 40);
     fleet.stop(&[4]);
     for port in fleet.flows[4].clone() {
-        for home in fleet.homes(&flow_from(port)) {
-            let is_known = home == 4 || fleet.names_owner(home, 4, port);
-            assert!(is_known, "home {home} of port {port}");
-        }
+        fleet.assert_known_at_both_homes(4, port);
+    }
+}
+
+/// The server accepts flows that were delivered before the stop.
+#[test]
+fn flow_that_is_accepted_during_the_stop_is_registered_at_both_homes() {
+    const FIRST: u16 = 1_000;
+    let mut fleet = Fleet::new(12, 0);
+    let ports = FIRST..FIRST + 40;
+    for port in ports.clone() {
+        fleet.open(4, port);
+    }
+    fleet.call(4, |agent, now, out| agent.stop_admission(now, out));
+    fleet.advance(STEP);
+    for port in ports.clone() {
+        fleet.accept(4, port);
+    }
+    fleet.kill(&[4]);
+    for port in ports {
+        fleet.assert_known_at_both_homes(4, port);
     }
 }
 
