Membership: a process has joined once it knows as many members as others claim

What callers saw: segments of open flows went to agents that do not hold them, as balancers that had started during rolling restarts knew a part of the agents (12 to 157 of 204 after 300 ms) and took it for the whole, or never counted as joined.

Causes, all three at the start of a process: - Gossip about the restarts used up the send budgets, and shard parts ranked below it: 2,013 sent, 27,381 refused. Join replies, shard requests, shard parts and requested records now rank above all gossip and carry none, and a join reply names four members (two if the budget is short) in place of eight. - Shards were requested eight a tick and repeated after 500 ms. All are requested at once now, at most two open ones at each member, and repeated elsewhere after 250 ms. A part counts only if it comes from the member that was asked. - Each shard answered by somebody counted as the whole, also if the answer came from a process that had itself just started. Three random members are now asked how many they know (a join without an own record); if one knows more, the members are compared with its own and others are asked again.

No message is new or has another encoding.

The test of answers under gossip asked for 8.5 KB/s, more than the whole budget: now a join in each tick, and a shard and a record twice a second.

--- a/core/src/membership/budget.rs
+++ b/core/src/membership/budget.rs
@@ -19,11 +19,14 @@
 /// Priority of a message, highest first; each priority leaves a reserve for the higher ones.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum SendPriority {
-    /// Probes, their acknowledgements, joins and their replies.
+    /// Probes, their acknowledgements, and joins.
     Probe,
-    /// State updates, shard requests, and comparisons of a process that is starting.
+    /// What a process that joins waits for: join replies, shard requests, shard parts and requested
+    /// records. Gossip about a rolling restart can use up any budget, and must leave enough for these.
+    Answer,
+    /// State updates, and comparisons of a process that is starting.
     State,
-    /// Liveness updates, shard parts and other replies.
+    /// Liveness updates and other replies.
     Liveness,
     /// Other comparisons and weight updates.
     Repair,
@@ -34,8 +37,9 @@
     const fn reserve(self) -> u64 {
         match self {
             SendPriority::Probe => 0,
-            SendPriority::State => BURST_BYTES / 8,
-            SendPriority::Liveness => BURST_BYTES / 4,
+            SendPriority::Answer => BURST_BYTES / 16,
+            SendPriority::State => BURST_BYTES / 4,
+            SendPriority::Liveness => BURST_BYTES * 3 / 8,
             SendPriority::Repair => BURST_BYTES / 2,
         }
     }
--- a/core/src/membership/swim.rs
+++ b/core/src/membership/swim.rs
@@ -330,8 +330,8 @@
         self.take_actions(now)
     }
 
-    /// Sends a message with as many updates as fit, if the budget allows it; returns whether it
-    /// does.
+    /// Sends a message, if the budget allows it, with as many updates as fit unless it is an answer;
+    /// returns whether it does.
     pub(super) fn send(
         &mut self,
         to: SocketAddrV4,
@@ -352,6 +352,11 @@
         true
     }
 
+    /// Returns whether a message of `bytes` leaves what higher priorities need.
+    pub(super) fn can_send(&self, priority: SendPriority, bytes: usize) -> bool {
+        self.budget.allows(priority, bytes)
+    }
+
     /// Returns the time of the last tick.
     pub(super) fn last_tick(&self) -> Time {
         self.schedule.last_tick
@@ -420,6 +425,9 @@
         message: &mut Message,
     ) -> Vec<SocketAddrV4> {
         let mut added = Vec::new();
+        if message_priority == SendPriority::Answer {
+            return added;
+        }
         let classes = [
             (UpdateClass::State, SendPriority::State),
             (UpdateClass::Liveness, SendPriority::Liveness),
@@ -517,7 +525,9 @@
             _ => self.sync_reply(message, now),
         };
         let priority = match reply.as_ref().map(|r| &r.body) {
-            Some(Body::Ack { .. } | Body::JoinReply { .. }) => SendPriority::Probe,
+            Some(Body::Ack { .. }) => SendPriority::Probe,
+            Some(Body::JoinReply { .. }) => SendPriority::Answer,
+            _ if !message.requested.is_empty() => SendPriority::Answer,
             _ => SendPriority::Liveness,
         };
         let has_content = !message.requested.is_empty()
--- a/core/src/membership/sync.rs
+++ b/core/src/membership/sync.rs
@@ -8,7 +8,8 @@
     budget::SendPriority,
     digest::{self, MAX_SHARDS},
     message::{
-        Body, Liveness, Message, PackedAddress, RecordVersion, Update, VERSIONS_PER_MESSAGE,
+        Body, Liveness, MAX_MESSAGE_BYTES, Message, PackedAddress, RecordVersion, Update,
+        VERSIONS_PER_MESSAGE,
     },
     swim::Swim,
 };
@@ -43,14 +44,27 @@
 /// Seeds that receive a join at once, since some of them may be gone.
 const SEEDS_PER_JOIN: usize = 3;
 
-/// Time without an answer after which a shard is requested again.
-const PULL_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time without an answer after which a shard is requested from another member.
+const PULL_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Largest number of shards that are requested in one tick.
-const MAX_PULLS_PER_TICK: usize = 8;
+/// Largest number of requested shards that one member has not answered yet. Answers name more members, so
+/// that the shards of a large fleet are spread over many.
+const MAX_PULLS_PER_MEMBER: usize = 2;
+
+/// Members that are asked at once how many they know.
+const CLAIMS_PER_ROUND: usize = 3;
+
+/// Answers, if there are as many other members, without which a round of claims decides nothing.
+const MIN_CLAIMS: usize = 2;
+
+/// Time for which a round of claims waits for answers, and from one round to the next.
+const CLAIM_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Largest number of random members that are added to a join reply.
-const MAX_JOIN_REPLY_MEMBERS: usize = 8;
+const MAX_JOIN_REPLY_MEMBERS: usize = 4;
+
+/// The same for a process whose budget is short. Three such replies name enough members to fetch from.
+const MIN_JOIN_REPLY_MEMBERS: usize = 2;
 
 /// Shards that are listed in answer to one comparison.
 const MAX_LISTED_SHARDS: usize = 12;
@@ -63,7 +77,39 @@
 struct PendingShard {
     shard: u16,
     received_parts: u16,
-    requested_at: Option<Time>,
+    request: Option<PullRequest>,
+}
+
+/// A request for a shard.
+#[derive(Clone, Copy, Debug)]
+struct PullRequest {
+    control: SocketAddrV4,
+    deadline: Time,
+}
+
+/// How many members others say that they know, asked once the shards are fetched.
+#[derive(Debug, Default)]
+struct ClaimRound {
+    /// Control addresses of the members that have not answered yet.
+    asked: Vec<SocketAddrV4>,
+    claims: Vec<(SocketAddrV4, u32)>,
+}
+
+/// How far a process has come with fetching the members.
+#[derive(Debug)]
+enum Progress {
+    /// No join was answered.
+    Joining,
+    /// Shards are missing.
+    Fetching,
+    /// The members known here are compared with the claims of others.
+    Checking {
+        round: ClaimRound,
+        /// When the next round begins.
+        next_round: Time,
+    },
+    /// Others claim no more members than are known here, or there are no others.
+    Joined,
 }
 
 /// The progress of joins and comparisons.
@@ -80,8 +126,9 @@
     comparisons: u32,
     shard_count: u16,
     pending: Vec<PendingShard>,
-    /// Whether a join was answered, or no answer is expected.
-    is_join_answered: bool,
+    progress: Progress,
+    /// Largest number of members in the last round of claims.
+    claimed: u32,
     /// Discovered seeds that are no known members and have not received a join yet.
     unknown_seeds: Vec<SocketAddrV4>,
     /// When the process counts as joined if it has no seed or peer.
@@ -100,7 +147,8 @@
             comparisons: 0,
             shard_count: 1,
             pending: Vec::new(),
-            is_join_answered: false,
+            progress: Progress::Joining,
+            claimed: 0,
             unknown_seeds: Vec::new(),
             lone_deadline: now + LONE_JOIN_TIMEOUT,
         }
@@ -108,10 +156,20 @@
 }
 
 impl Swim {
-    /// Returns whether the process has fetched what its seed knew, or found no other process in
-    /// time.
+    /// Returns whether the process has once known as many members as others claimed, or found no other
+    /// process in time.
     pub fn is_joined(&self) -> bool {
-        self.sync.is_join_answered && self.sync.pending.is_empty()
+        matches!(self.sync.progress, Progress::Joined)
+    }
+
+    /// Returns the largest number of live members that another process claimed to know in the last round,
+    /// or zero.
+    pub fn claimed_members(&self) -> u32 {
+        self.sync.claimed
+    }
+
+    fn is_join_answered(&self) -> bool {
+        !matches!(self.sync.progress, Progress::Joining)
     }
 
     /// Returns whether the process has just started or has just discovered unknown seeds.
@@ -126,7 +184,7 @@
     /// Sends the joins, shard requests and comparisons that are due.
     pub(super) fn sync_tick(&mut self, now: Time) {
         let is_alone = self.roster.live_count() <= 1;
-        if (is_alone || !self.sync.is_join_answered) && now >= self.sync.next_join {
+        if (is_alone || !self.is_join_answered()) && now >= self.sync.next_join {
             let interval = MIN_JOIN_INTERVAL * (1 << self.sync.joins.min(4));
             self.sync.next_join = now + interval.min(MAX_JOIN_INTERVAL);
             self.sync.joins += 1;
@@ -134,11 +192,12 @@
         }
         self.join_unknown_seeds(now);
         self.pull(now);
+        self.check_claims(now);
         if now < self.sync.next_comparison {
             return;
         }
         let jitter = self.rng.random_range(0.8..1.2);
-        let interval = match self.is_starting() && self.sync.is_join_answered {
+        let interval = match self.is_starting() && self.is_join_answered() {
             true => STARTUP_COMPARISON_INTERVAL,
             false => COMPARISON_INTERVAL,
         };
@@ -150,10 +209,11 @@
     pub(super) fn sync_reply(&mut self, message: &Message, now: Time) -> Option<Message> {
         let to = message.header.control.0;
         match &message.body {
-            Body::Join => Some(self.join_reply()),
+            Body::Join => Some(self.join_reply(message)),
             Body::JoinReply { members } => {
                 self.apply_join_reply(*members);
                 self.pull(now);
+                self.record_claim(to, *members, now);
                 None
             }
             Body::Digest { digests } => {
@@ -171,7 +231,9 @@
                 None
             }
             Body::ShardPart { shard, parts } => {
-                self.count_part(*shard, *parts);
+                self.count_part(to, *shard, *parts);
+                self.pull(now);
+                self.check_claims(now);
                 None
             }
             _ => None,
@@ -215,7 +277,9 @@
                     .filter_map(|peer| self.control_address(peer)),
             );
         }
-        self.sync.is_join_answered |= targets.is_empty() && now >= self.sync.lone_deadline;
+        if targets.is_empty() && now >= self.sync.lone_deadline {
+            self.sync.progress = Progress::Joined;
+        }
         for target in targets {
             let mut message = self.message(Body::Join);
             message.add(Update::full(&self.own, Liveness::Alive));
@@ -247,11 +311,24 @@
         }
     }
 
-    fn join_reply(&mut self) -> Message {
-        let members = self.roster.live_count() as u32;
-        let mut message = self.message(Body::JoinReply { members });
+    /// Answers a process that joins, or one that only asks for the number of members.
+    fn join_reply(&mut self, join: &Message) -> Message {
+        let sender = join.header.from.0;
+        let is_known = self.control_address(sender).is_some();
+        let members = self.roster.live_count() + usize::from(!is_known);
+        let mut message = self.message(Body::JoinReply {
+            members: members as u32,
+        });
+        let mut senders = join.updates.iter().map(|update| update.address.0);
+        if !senders.any(|address| address == sender) {
+            return message;
+        }
         message.add(Update::full(&self.own, Liveness::Alive));
-        for peer in self.random_peers(MAX_JOIN_REPLY_MEMBERS) {
+        let count = match self.can_send(SendPriority::State, MAX_MESSAGE_BYTES) {
+            true => MAX_JOIN_REPLY_MEMBERS,
+            false => MIN_JOIN_REPLY_MEMBERS,
+        };
+        for peer in self.random_peers(count) {
             self.add_full(&mut message, peer);
         }
         message
@@ -259,53 +336,138 @@
 
     fn apply_join_reply(&mut self, members: u32) {
         // A process that knows at most one other member fetches the shards of each further reply.
-        if self.sync.is_join_answered && self.roster.live_count() > 2 {
+        if self.is_join_answered() && self.roster.live_count() > 2 {
             return;
         }
-        self.sync.is_join_answered = true;
+        if !self.is_joined() {
+            self.sync.progress = Progress::Fetching;
+        }
         self.sync.shard_count = digest::shard_count(members as usize);
-        for shard in 0..self.sync.shard_count {
-            self.sync.pending.push(PendingShard {
+        let shards = 0..self.sync.shard_count;
+        self.sync.pending = shards
+            .map(|shard| PendingShard {
                 shard,
                 received_parts: 0,
-                requested_at: None,
-            });
-        }
+                request: None,
+            })
+            .collect();
     }
 
     /// Requests pending shards from random members, so that joins do not load the seeds.
     fn pull(&mut self, now: Time) {
-        let mut shards = Vec::new();
-        for pending in &mut self.sync.pending {
-            let is_waiting = pending
-                .requested_at
-                .is_some_and(|at| now.since(at) < PULL_TIMEOUT);
-            if is_waiting || shards.len() == MAX_PULLS_PER_TICK {
-                continue;
-            }
-            pending.requested_at = Some(now);
-            pending.received_parts = 0;
-            shards.push(pending.shard);
-        }
-        if shards.is_empty() {
+        let is_open = |pending: &PendingShard| pending.request.is_some_and(|r| now < r.deadline);
+        let shards = self.sync.pending.iter().copied();
+        let (open, due): (Vec<PendingShard>, Vec<_>) = shards.partition(is_open);
+        if due.is_empty() {
             return;
         }
-        let peers = self.random_peers(MAX_PULLS_PER_TICK);
-        for (index, shard) in shards.into_iter().enumerate() {
-            let Some(peer) = peers.get(index % peers.len().max(1)) else {
-                return;
-            };
-            let Some(control) = self.control_address(*peer) else {
+        let mut peers = Vec::new();
+        for peer in self.random_peers(due.len()) {
+            let Some(control) = self.control_address(peer) else {
                 continue;
             };
+            let requests = open.iter().filter_map(|pending| pending.request);
+            let waiting = requests.filter(|r| r.control == control).count();
+            let free = MAX_PULLS_PER_MEMBER.saturating_sub(waiting);
+            peers.push((control, free));
+        }
+        let first = peers.iter().filter(|(_, free)| *free > 0);
+        let second = peers.iter().filter(|(_, free)| *free > 1);
+        let controls: Vec<_> = first.chain(second).map(|(control, _)| *control).collect();
+        for (pending, control) in due.into_iter().zip(controls) {
             let message = self.message(Body::Pull {
                 shards: self.sync.shard_count,
-                shard,
+                shard: pending.shard,
             });
-            self.send(control, SendPriority::State, message);
+            if !self.send(control, SendPriority::Answer, message) {
+                return;
+            }
+            let request = PullRequest {
+                control,
+                deadline: now + PULL_TIMEOUT,
+            };
+            for asked in &mut self.sync.pending {
+                if asked.shard == pending.shard {
+                    asked.request = Some(request);
+                    asked.received_parts = 0;
+                }
+            }
+        }
+    }
+
+    /// Begins a round of claims if the shards are fetched and no round is open.
+    fn check_claims(&mut self, now: Time) {
+        if !self.sync.pending.is_empty() {
+            return;
+        }
+        match &mut self.sync.progress {
+            Progress::Joining | Progress::Joined => return,
+            Progress::Checking { next_round, .. } if now < *next_round => return,
+            Progress::Fetching | Progress::Checking { .. } => {}
+        }
+        if self.judge_claims() {
+            return;
+        }
+        let peers = self.random_peers(CLAIMS_PER_ROUND);
+        let asked: Vec<_> = peers
+            .into_iter()
+            .filter_map(|peer| self.control_address(peer))
+            .collect();
+        for control in &asked {
+            let message = self.message(Body::Join);
+            self.send(*control, SendPriority::Answer, message);
+        }
+        self.sync.progress = Progress::Checking {
+            round: ClaimRound {
+                asked,
+                claims: Vec::new(),
+            },
+            next_round: now + CLAIM_INTERVAL,
+        };
+    }
+
+    /// Records how many members another process knows, and judges the round once all have answered.
+    fn record_claim(&mut self, from: SocketAddrV4, members: u32, now: Time) {
+        let Progress::Checking { round, next_round } = &mut self.sync.progress else {
+            return;
+        };
+        if now >= *next_round || !round.asked.contains(&from) {
+            return;
+        }
+        round.asked.retain(|control| *control != from);
+        round.claims.push((from, members));
+        if round.asked.is_empty() {
+            self.judge_claims();
         }
     }
 
+    /// Ends the open round: the process has joined if enough others answered and none knows more members.
+    /// Otherwise the members are compared with those of the one that knows most. Returns whether the
+    /// process has joined.
+    ///
+    /// A claim may count a member that has just left, so a later round asks others again.
+    fn judge_claims(&mut self) -> bool {
+        let Progress::Checking { round, .. } = &mut self.sync.progress else {
+            return false;
+        };
+        let claims = std::mem::take(&mut round.claims);
+        round.asked.clear();
+        let Some((control, claimed)) = claims.iter().max_by_key(|(_, members)| *members) else {
+            return false;
+        };
+        self.sync.claimed = *claimed;
+        let known = self.roster.live_count();
+        if *claimed as usize > known {
+            self.send_digests_to(*control, SendPriority::Answer);
+            return false;
+        }
+        let is_joined = claims.len() >= MIN_CLAIMS.min(known.saturating_sub(1));
+        if is_joined {
+            self.sync.progress = Progress::Joined;
+        }
+        is_joined
+    }
+
     fn send_shard(&mut self, to: SocketAddrV4, shards: u16, shard: u16) {
         if shards == 0 || shards > MAX_SHARDS {
             return;
@@ -329,19 +491,20 @@
         let parts = messages.len() as u16;
         for mut message in messages {
             message.body = Body::ShardPart { shard, parts };
-            self.send(to, SendPriority::Liveness, message);
+            self.send(to, SendPriority::Answer, message);
         }
     }
 
-    fn count_part(&mut self, shard: u16, parts: u16) {
-        for pending in &mut self.sync.pending {
-            if pending.shard == shard {
-                pending.received_parts += 1;
+    /// Counts a part of a shard that was requested from `from`.
+    fn count_part(&mut self, from: SocketAddrV4, shard: u16, parts: u16) {
+        self.sync.pending.retain_mut(|pending| {
+            let is_asked = pending.request.is_some_and(|r| r.control == from);
+            if pending.shard != shard || !is_asked {
+                return true;
             }
-        }
-        self.sync
-            .pending
-            .retain(|pending| pending.shard != shard || pending.received_parts < parts);
+            pending.received_parts += 1;
+            pending.received_parts < parts
+        });
     }
 
     /// Sends the digests of all shards to a random member, or to a seed once in
@@ -463,7 +626,7 @@
             self.probes
                 .insert(PackedAddress(record.address).0, &mut self.rng);
         }
-        self.sync.is_join_answered = true;
+        self.sync.progress = Progress::Joined;
         self.sync.startup_end = now;
     }
 }
--- a/core/src/membership/udp_loop.rs
+++ b/core/src/membership/udp_loop.rs
@@ -133,10 +133,6 @@
             actions
         });
         self.execute(actions.unwrap_or_default()).await;
-        if !self.is_joined && self.swim.is_joined() {
-            self.is_joined = true;
-            self.directory.set_joined();
-        }
     }
 
     async fn receive(&mut self, bytes: &[u8]) {
@@ -166,6 +162,12 @@
                 Action::Log(event) => log(&event),
             }
         }
+        if !self.is_joined && self.swim.is_joined() {
+            // The view must hold all that was fetched before it counts as joined.
+            self.directory.publish(self.swim.members());
+            self.is_joined = true;
+            self.directory.set_joined();
+        }
     }
 }
 
--- a/tests/membership/joins.rs
+++ b/tests/membership/joins.rs
@@ -17,9 +17,9 @@
 /// Members of a process whose gossip exceeds its budget.
 const BUSY_MEMBERS: usize = 200;
 
-/// Starts a second that a process answers while it gossips: four times the share of each process if a tenth
-/// of a fleet starts within a second.
-const STARTS_PER_S: u32 = 4;
+/// Ticks between two requests for a shard: each process receives 1.6 a second if a tenth of a fleet of 200
+/// starts each second. A seed receives a join of each of them, here one in every tick.
+const PULL_TICKS: u32 = 5;
 
 /// Longest time until a process counts as joined, as a balancer takes flows from then on in any case.
 const JOIN_LIMIT: Duration = Duration::from_secs(3);
@@ -73,12 +73,15 @@
         swim.receive(&gossip, now);
         swim.tick(now);
         // The bytes of a process that has just started are spent.
-        if tick < 100 || tick % (10 / STARTS_PER_S) != 0 {
+        if tick < 100 {
             continue;
         }
         joins += 1;
         let actions = swim.receive(&message(BUSY_MEMBERS, Body::Join), now);
         replies += count(&actions, |body| matches!(body, Body::JoinReply { .. }));
+        if tick % PULL_TICKS != 0 {
+            continue;
+        }
         pulls += 1;
         let shard = (tick % 16) as u16;
         let actions = swim.receive(&message(1, Body::Pull { shards: 16, shard }), now);
