Agent: ask the homes for the flows from before the start

Callers saw segments of their open flows at many other servers after their agent was restarted: the agent had lost its flow table and said for 60 s that it was unsure, so that a search whose homes had been restarted too ended in trial deliveries to all unsure agents, after a roll nearly all.

An agent that starts beside a running server asks each agent of its service which flows are registered there as its own (ListRegistrations, up to three times, 128 agents each 250 ms), and answers as the owner of those in queries and rounds. The answer (Registrations) carries 90 flows a frame. A registration is no proof that the server holds the flow, so the next segment is delivered on trial to the agent's own server, and the flow is denied once it comes back. The agent registers these flows again like its own, and stays unsure of all others. Builds of before drop both messages.

With no question asked, agent_that_restarts_answers_for_its_flows_again and two more fail.

The roll test asserted that all 480 are found. The test now asserts for each flow that it is found unless its agent and homes restart together, and that these are at most 1%.

--- a/core/src/l4/agent.rs
+++ b/core/src/l4/agent.rs
@@ -7,6 +7,7 @@
 mod full_segments;
 mod held_flows;
 mod opening;
+mod prior_flows;
 mod registrations;
 pub mod requests;
 mod scheduling;
@@ -21,6 +22,7 @@
 
 use self::{
     flows::{FlowEntry, FlowTable, SegmentEffect},
+    prior_flows::PriorFlows,
     registrations::Registrations,
     requests::Requests,
 };
@@ -98,9 +100,8 @@
     gossip: Option<Gossip>,
     flows: FlowTable,
     workload: Workload,
-    /// Time until which the backend server may hold prior flows: those from before the agent's
-    /// start. `None` if it can hold none.
-    prior_until: Option<Time>,
+    /// Flows that the backend server may hold from before the agent's start.
+    prior: PriorFlows,
     waiting: WaitingFlows,
     requests: Requests,
     /// Delivered requests in the order of time, with their flows. They count as stalled after
@@ -150,7 +151,7 @@
             gossip: None,
             flows: FlowTable::new(options.idle_timeout),
             workload: Workload::default(),
-            prior_until: Some(now + options.max_lifetime),
+            prior: PriorFlows::new(now + options.max_lifetime, options.max_flows),
             waiting: WaitingFlows::default(),
             requests: Requests::default(),
             started_requests: VecDeque::new(),
@@ -211,6 +212,9 @@
         self.known_agents = agents;
         let tag = self.options.service.tag();
         self.registrations.apply_view(view, tag, have_changed);
+        if have_changed {
+            self.prior.add_agents(self.registrations.others());
+        }
     }
 
     /// Applies a status report of the backend server that is received at `unix_ms` by the VM's clock. If
@@ -242,7 +246,7 @@
                 );
                 if is_first_report {
                     self.reset_all("server_restarted", out);
-                    self.prior_until = None;
+                    self.prior.clear();
                 }
                 self.release_all_held(now, out);
                 self.reset_at = None;
@@ -291,8 +295,11 @@
             self.receive_directives(received, now, out);
             return;
         }
-        let is_registration = matches!(received.message, Message::Register { .. });
-        if !is_registration {
+        let is_of_agent = matches!(
+            received.message,
+            Message::ListRegistrations | Message::Register { .. } | Message::Registrations
+        );
+        if !is_of_agent {
             self.balancers.insert(from, now + BALANCER_TTL);
         }
         match received.message {
@@ -332,6 +339,8 @@
                     self.registry.register(flow, from, now);
                 }
             }
+            Message::ListRegistrations => self.send_registered(from, out),
+            Message::Registrations => self.add_registered(from, received.datagram),
             Message::Find { flow, acknowledged } => {
                 let ownership = self.ownership(&flow, acknowledged);
                 self.send_ownership(from, flow, ownership, out);
@@ -391,9 +400,7 @@
     /// Runs the periodic tasks that are due: resets, registrations, expiry, opening timeouts,
     /// waiting flows and load reports.
     pub fn tick(&mut self, now: Time, out: &mut impl Outbox) {
-        if self.prior_until.is_some_and(|until| now >= until) {
-            self.prior_until = None;
-        }
+        self.prior.expire(now);
         if self.reset_at.is_some_and(|at| now >= at) {
             self.reset_at = None;
             self.reset_all("server_left", out);
@@ -466,7 +473,7 @@
     /// Returns whether the backend server may hold flows from before the agent's start, which have
     /// no entry here.
     fn may_hold_prior_flows(&self) -> bool {
-        self.prior_until.is_some() && !self.server.has_left()
+        self.prior.may_exist() && !self.server.has_left()
     }
 
     fn record_answer(&self, segment: &Segment, took: Duration) {
@@ -517,6 +524,7 @@
     fn return_bounced(&mut self, segment: &Segment, datagram: &[u8], out: &mut impl Outbox) {
         self.flows
             .remove(&segment.flow_of_caller(), &mut self.workload);
+        self.prior.remove(&segment.flow_of_caller());
         let balancer = SocketAddrV4::new(Ipv4Addr::from(segment.mark), self.options.address.port());
         let mut unmarked = datagram.to_vec();
         self.codec.mark(&mut unmarked, 0);
--- a/core/src/l4/agent/held_flows.rs
+++ b/core/src/l4/agent/held_flows.rs
@@ -30,6 +30,10 @@
             sure: !self.may_hold_prior_flows(),
             agents: self.known_agents,
         };
+        if self.may_hold_prior_flows() {
+            let prior = self.prior.iter();
+            flows.extend(prior.map(|flow| FlowHash::new(flow, round)));
+        }
         let mut filter = Vec::new();
         flow_set::encode(&flows, &mut filter);
         self.send(balancer, &held, &filter, out);
@@ -43,15 +47,22 @@
                 Ownership::Held
             }
             Some(FlowState::Accepted { .. } | FlowState::OpeningSent) => Ownership::NotHeld,
+            Some(FlowState::TrialDelivered) if self.is_registered_prior(flow) => Ownership::Held,
             Some(FlowState::TrialDelivered) => Ownership::Unsure,
             None => self.ownership_without_entry(flow),
         }
     }
 
+    /// Returns whether a home has named this agent as the owner of a flow from before its start.
+    fn is_registered_prior(&self, flow: &FlowKey) -> bool {
+        self.may_hold_prior_flows() && self.prior.contains(flow)
+    }
+
     /// Returns the ownership of a flow that has no entry in the flow table.
     fn ownership_without_entry(&self, flow: &FlowKey) -> Ownership {
         match self.registry.owner(flow) {
             Some(owner) => Ownership::HeldBy(owner),
+            None if self.is_registered_prior(flow) => Ownership::Held,
             None if self.may_hold_prior_flows() => Ownership::Unsure,
             None => Ownership::NotHeld,
         }
--- a/core/src/l4/agent/registrations.rs
+++ b/core/src/l4/agent/registrations.rs
@@ -37,7 +37,7 @@
 const STOP_TIME: Duration = LEAVE_ANNOUNCE_DELAY.saturating_sub(Duration::from_millis(100));
 
 /// Flows of one list. Its frame fits the smallest usual MTU.
-const MAX_LIST_FLOWS: usize = 90;
+pub(super) const MAX_LIST_FLOWS: usize = 90;
 
 /// Bytes of lists in one interval: 10 KB a second, what a daemon may spend on control.
 const INTERVAL_BYTES: usize = 2_500;
@@ -113,6 +113,12 @@
         }
     }
 
+    /// Returns the other agents of the service.
+    pub(super) fn others(&self) -> impl Iterator<Item = SocketAddrV4> {
+        let agents = self.incarnations.keys().copied();
+        agents.filter(|agent| *agent != self.own)
+    }
+
     /// Returns the homes of a flow.
     pub(super) fn homes_of(&mut self, flow: &FlowKey) -> [Option<SocketAddrV4>; 2] {
         let homes = &self.homes;
@@ -120,8 +126,7 @@
         *entry.or_insert_with(|| homes.of(flow))
     }
 
-    /// Adds the lists of these flows for each of their homes that `is_wanted`, in the place of lists that
-    /// were to be sent there. Returns the number of registrations.
+    /// Adds lists of these flows for each of their homes that `is_wanted`. Returns the number of registrations.
     fn add_lists(&mut self, flows: &[FlowKey], is_wanted: impl Fn(SocketAddrV4) -> bool) -> usize {
         let mut by_home: BTreeMap<SocketAddrV4, Vec<FlowKey>> = BTreeMap::new();
         for flow in flows {
@@ -131,7 +136,6 @@
                 }
             }
         }
-        self.lists.retain(|(home, _)| !by_home.contains_key(home));
         let mut count = 0;
         for (home, flows) in by_home {
             count += flows.len();
@@ -172,8 +176,12 @@
         if all {
             state.all_due = now + REGISTRATION_TTL / 2;
             let flows = &self.flows;
-            let is_known = |flow: &FlowKey, _: &mut _| flows.get(flow).is_some();
-            state.homes_by_flow.retain(is_known);
+            self.prior.retain(|flow| flows.get(flow).is_none());
+            let prior = &self.prior;
+            let is_known = |flow: &FlowKey| flows.get(flow).is_some() || prior.contains(flow);
+            state.homes_by_flow.retain(|flow, _| is_known(flow));
+            let prior: Vec<FlowKey> = prior.iter().copied().collect();
+            state.add_lists(&prior, |_| true);
         }
         for flow in self.flows.long_lived(now, (from, until), all) {
             for home in self.registrations.homes_of(&flow).into_iter().flatten() {
@@ -186,6 +194,10 @@
         if !restarted.is_empty() {
             let flows = self.held_flows();
             let is_wanted = |home| restarted.contains(&home);
+            // What was to be sent there is among the flows.
+            self.registrations
+                .lists
+                .retain(|(home, _)| !is_wanted(*home));
             let count = self.registrations.add_lists(&flows, is_wanted);
             self.metrics.home_restarts.inc_by(restarted.len() as u64);
             tracing::info!(
@@ -195,6 +207,7 @@
             );
         }
         self.send_lists(now, out);
+        self.ask_for_registrations(out);
     }
 
     /// Registers a new flow with one of its homes, before its caller learns that it is open. The caller's
@@ -217,6 +230,7 @@
             return;
         }
         let flows = self.held_flows();
+        self.registrations.lists.clear();
         let count = self.registrations.add_lists(&flows, |_| true);
         tracing::info!(event = "flows_registered_at_stop", flows = count);
         self.registrations.stop_due = Some(now + STOP_TIME);
@@ -238,10 +252,14 @@
         }
     }
 
-    /// Returns the flows that the backend server holds or has accepted.
+    /// Returns the flows that the backend server holds or has accepted, with those from before the agent's
+    /// start that are known.
     fn held_flows(&self) -> Vec<FlowKey> {
         let is_held = |state| matches!(state, FlowState::Accepted { .. } | FlowState::Open);
         let held = self.flows.iter().filter(|(_, entry)| is_held(entry.state));
-        held.map(|(flow, _)| *flow).collect()
+        let held = held.map(|(flow, _)| flow);
+        let flows = &self.flows;
+        let prior = self.prior.iter().filter(|flow| flows.get(flow).is_none());
+        held.chain(prior).copied().collect()
     }
 }
--- a/core/src/l4/balancer.rs
+++ b/core/src/l4/balancer.rs
@@ -411,7 +411,9 @@
             Message::Open { .. }
             | Message::Forward
             | Message::Register { .. }
-            | Message::ListFlows { .. } => {}
+            | Message::ListFlows { .. }
+            | Message::ListRegistrations
+            | Message::Registrations => {}
             Message::Directives { .. } => self.receive_directives(received, now, out),
             Message::RouteVersion { version, control } => {
                 self.receive_route_version(received, (version, control), out);
--- a/core/src/l4/homes.rs
+++ b/core/src/l4/homes.rs
@@ -64,6 +64,15 @@
         self.owners.get(flow).map(|(owner, _)| *owner)
     }
 
+    /// Returns the flows that are registered as an owner's.
+    pub fn flows_of(&self, owner: SocketAddrV4) -> impl Iterator<Item = FlowKey> {
+        let of_owner = self
+            .owners
+            .iter()
+            .filter(move |(_, (named, _))| *named == owner);
+        of_owner.map(|(flow, _)| *flow)
+    }
+
     /// Removes the registrations that have not been renewed within [`REGISTRATION_TTL`].
     pub fn expire(&mut self, now: Time) {
         self.owners.retain(|_, (_, expires)| now < *expires);
--- a/core/src/l4/message.rs
+++ b/core/src/l4/message.rs
@@ -106,6 +106,12 @@
         /// The flow.
         flow: FlowKey,
     },
+    /// To an agent: asks which flows are registered there as the sender's; the reply is
+    /// [`Message::Registrations`]. Earlier builds do not reply.
+    ListRegistrations,
+    /// Reply to [`Message::ListRegistrations`], with flows in the place of the segment
+    /// ([`encode_flows`](super::segment::encode_flows)). A long reply takes several.
+    Registrations,
     /// To a balancer: the backend server accepted the flow.
     Opened {
         /// The flow.
--- a/core/src/l4/metrics.rs
+++ b/core/src/l4/metrics.rs
@@ -128,6 +128,8 @@
     pub home_restarts: Counter,
     /// Flows that were registered again with a home, as it had restarted or this agent stops.
     pub registered_again: Counter,
+    /// Flows from before the agent's start that their homes have named.
+    pub prior_flows: Counter,
 }
 
 /// Label values of priorities; the last one stands for all below it.
@@ -153,6 +155,7 @@
             passed_by_bound: Counter::default(),
             home_restarts: Counter::default(),
             registered_again: Counter::default(),
+            prior_flows: Counter::default(),
         }
     }
 }
