--- a/src/soak/fault.rs
+++ b/src/soak/fault.rs
@@ -1,6 +1,6 @@
 //! What goes wrong in a run of the soak, and when.
 
-use std::{fmt, time::Duration};
+use std::{collections::BTreeMap, fmt, time::Duration};
 
 use berylvalve_core::clock::Time;
 use rand::{Rng, rngs::SmallRng};
@@ -9,7 +9,7 @@
 use super::{
     place::{Place, Size},
     proxy::LinkFault,
-    roll::{ROLL_GAP, Roll},
+    roll::{MAX_ONE_BY_ONE, ROLL_GAP, Roll},
 };
 
 /// Shortest and longest pause between the starts of two faults, in milliseconds; most last longer, so
@@ -161,9 +161,27 @@
         faults.extend(drawn.into_iter().map(|fault| (at, fault)));
         at = at + Duration::from_millis(rng.random_range(GAP_MS));
     }
+    drop_overlapping_rolls(&mut faults, size);
     faults
 }
 
+/// Drops the rolls of a large role that begin before the last one of the role has ended, as planned work restarts
+/// such a role once at a time.
+fn drop_overlapping_rolls(faults: &mut Vec<(Time, Fault)>, size: Size) {
+    let mut ends = BTreeMap::new();
+    faults.retain(|(at, fault)| {
+        let Fault::Roll(roll) = fault else {
+            return true;
+        };
+        let end = ends.entry(roll.balancers).or_insert(*at);
+        let is_kept = *at >= *end || size.count(roll.balancers) <= MAX_ONE_BY_ONE;
+        if is_kept {
+            *end = *at + roll.length();
+        }
+        is_kept
+    });
+}
+
 /// Returns the faults of a tour: every balancer restarts, then every agent while the store is silent.
 pub fn tour(size: Size) -> Vec<(Time, Fault)> {
     let first = Time::from_millis(8_000);
--- a/src/soak/roll.rs
+++ b/src/soak/roll.rs
@@ -11,8 +11,9 @@
 /// to stop and to be ready again.
 pub const ROLL_GAP: Duration = Duration::from_millis(2_500);
 
-/// Most processes of a role that rolls restart one by one, so that a roll ends within a run.
-const MAX_ONE_BY_ONE: usize = 12;
+/// Most processes of a role that rolls restart one by one, so that a roll ends within a run, and of a role whose
+/// rolls overlap each other.
+pub const MAX_ONE_BY_ONE: usize = 12;
 
 /// Paces of planned work in a large fleet: processes that are stopped at a time, and the time from one stop to
 /// the next.
@@ -74,6 +75,11 @@
         }
     }
 
+    /// Returns the time from the start of the roll to its end.
+    pub fn length(&self) -> Duration {
+        self.gap * self.total.div_ceil(self.batch) as u32
+    }
+
     /// Returns the processes with the time from the start of the roll to their stop.
     pub fn stops(&self, size: Size) -> impl Iterator<Item = (Duration, Place)> {
         let roll = *self;
