--- a/src/cli.rs
+++ b/src/cli.rs
@@ -16,7 +16,7 @@
 use crate::{
     dev::{Faults, Load},
     load::LoadOptions,
-    soak::{self, Size},
+    soak::{self, Size, place::USUAL_SIZE},
     timeline,
 };
 
@@ -97,8 +97,10 @@
     pub first: soak::Options,
     /// Number of runs.
     pub runs: u64,
-    /// Whether the seeds that have failed once are run instead.
+    /// Whether the seeds that have failed once are run instead, with their own plan and size.
     pub failed: bool,
+    /// Whether these include the seeds of large fleets.
+    pub large: bool,
     /// Whether the reports are JSON.
     pub json: bool,
 }
@@ -321,6 +323,7 @@
         first,
         runs: args.opt_value_from_str("--runs")?.unwrap_or(1),
         failed: args.contains("--failed-seeds"),
+        large: args.contains("--large"),
         json: args.contains("--json"),
     })
 }
@@ -335,9 +338,9 @@
     };
     Ok(soak::Options {
         size: Size {
-            balancers: count("--balancers", 6)?,
-            agents: count("--agents", 9)?,
-            callers: count("--callers", 60)?,
+            balancers: count("--balancers", USUAL_SIZE.balancers)?,
+            agents: count("--agents", USUAL_SIZE.agents)?,
+            callers: count("--callers", USUAL_SIZE.callers)?,
         },
         plan: soak::Plan::Drawn,
         seed: args.opt_value_from_str("--seed")?.unwrap_or(1),
--- a/src/cli/help.rs
+++ b/src/cli/help.rs
@@ -326,8 +326,9 @@
 OPTIONS:
   --seed S         seed of the first run (default: 1)
   --runs N         number of runs, each with the next seed (default: 1)
-  --failed-seeds   run the seeds that have failed once
-  --restarts       planned restarts alone, in series and overlapping
+  --failed-seeds   run the seeds that have failed once, each with its own size and plan
+  --large          with --failed-seeds, those of large fleets too
+  --restarts       planned restarts alone: series and rolls, overlapping
   --seconds N      length of a run, 30 or more; the last 18 have no new faults (default: 60)
   --balancers N    balancers, 3 to 250 (default: 6)
   --agents N       agents, each beside a backend server, 3 to 250 (default: 9)
--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -26,7 +26,7 @@
     dev::{self, DevError, RunOptions},
     explain,
     load::{self, LoadReport},
-    soak::{self, seeds::FAILED_SEEDS},
+    soak::{self, Size, seeds::failed_seeds},
     timeline::{self, Timeline, TimelineError},
     trial,
 };
@@ -356,14 +356,18 @@
 async fn run_soak(options: SoakOptions) -> Result<ExitCode, String> {
     let shows = !options.json && stderr().is_terminal();
     let mut whole = true;
-    let first = options.first.seed;
-    let seeds: Vec<u64> = match options.failed {
-        true => FAILED_SEEDS.iter().map(|failed| failed.seed).collect(),
-        false => (first..first + options.runs).collect(),
+    let first = &options.first;
+    let cases: Vec<(u64, soak::Plan, Size)> = match options.failed {
+        true => failed_seeds(options.large)
+            .map(|failed| (failed.seed, failed.plan, failed.size))
+            .collect(),
+        false => (first.seed..first.seed + options.runs)
+            .map(|seed| (seed, first.plan, first.size))
+            .collect(),
     };
-    for seed in seeds {
-        let mut next = options.first.clone();
-        next.seed = seed;
+    for (seed, plan, size) in cases {
+        let mut next = first.clone();
+        (next.seed, next.plan, next.size) = (seed, plan, size);
         next.folder = next.folder.join(format!("seed-{}", next.seed));
         let progress = |report: &soak::Report| {
             if shows {
--- a/src/soak/place.rs
+++ b/src/soak/place.rs
@@ -3,6 +3,7 @@
 use std::{
     fmt, io,
     net::{Ipv4Addr, SocketAddrV4, TcpListener},
+    path::{Path, PathBuf},
     sync::atomic::{AtomicU32, Ordering},
 };
 
@@ -32,6 +33,20 @@
     pub callers: usize,
 }
 
+/// The usual size of a run.
+pub const USUAL_SIZE: Size = Size {
+    balancers: 6,
+    agents: 9,
+    callers: 60,
+};
+
+/// The size of the largest site.
+pub const LARGEST_SITE: Size = Size {
+    balancers: 91,
+    agents: 204,
+    callers: 250,
+};
+
 impl Size {
     /// Returns the number of processes of a role.
     pub fn count(self, balancers: bool) -> usize {
@@ -59,6 +74,11 @@
             Place::Agent(_) => "agent",
         }
     }
+
+    /// Returns the path of the process's log in the folder of a run.
+    pub fn log(self, folder: &Path) -> PathBuf {
+        folder.join(format!("{self}.log"))
+    }
 }
 
 impl fmt::Display for Place {
--- a/tests/soak_plan.rs
+++ b/tests/soak_plan.rs
@@ -1,28 +1,17 @@
-//! Drawing of the faults of a soak.
+//! What a soak does and reports, without its processes: faults, failed seeds, views.
 
 use std::{collections::BTreeSet, time::Duration};
 
 use berylvalve::soak::{
     Size,
     fault::{self, Fault},
-    place::Place,
+    place::{LARGEST_SITE, Place, USUAL_SIZE},
     roll::{ROLL_GAP, Roll},
+    seeds::failed_seeds,
 };
 use berylvalve_core::clock::Time;
 use rand::{SeedableRng, rngs::SmallRng};
 
-const USUAL_SIZE: Size = Size {
-    balancers: 6,
-    agents: 9,
-    callers: 60,
-};
-
-const LARGEST_SITE: Size = Size {
-    balancers: 91,
-    agents: 204,
-    callers: 250,
-};
-
 /// Time in which faults begin in a run of the usual length.
 const FAULT_TIME: Duration = Duration::from_secs(35);
 
@@ -103,3 +92,10 @@
         assert!(has_both, "seed {seed}: {rolls:?}");
     }
 }
+
+#[test]
+fn failed_seeds_of_large_fleets_run_on_request() {
+    let seeds = |large| -> Vec<u64> { failed_seeds(large).map(|failed| failed.seed).collect() };
+    assert_eq!(seeds(false), [2, 41, 61, 229]);
+    assert_eq!(seeds(true), [2, 41, 61, 229, 9313, 9321]);
+}
