--- a/src/cli/print.rs
+++ b/src/cli/print.rs
@@ -35,8 +35,11 @@
 /// Returns the result of a run of the soak, and what was broken first.
 pub fn soak_report(report: &soak::Report, folder: &Path) -> String {
     let mut text = format!("{}\n", report.line());
+    if let Some(views) = report.view_line() {
+        text.push_str(&format!("  {views}\n"));
+    }
     for broken in report.broken.iter().take(SHOWN_BROKEN) {
-        text.push_str(&format!("  {} ms: {}\n", broken.at_ms, broken.what));
+        text.push_str(&format!("  {broken}\n"));
     }
     if !report.broken.is_empty() {
         text.push_str(&format!("  logs and plot: {}\n", folder.display()));
--- a/src/soak.rs
+++ b/src/soak.rs
@@ -20,6 +20,7 @@
 pub mod report;
 pub mod roll;
 pub mod seeds;
+pub mod views;
 pub mod wire;
 pub mod world;
 
--- a/src/soak/report.rs
+++ b/src/soak/report.rs
@@ -1,9 +1,15 @@
 //! What a run of the soak has seen.
 
+use std::fmt;
+
 use berylvalve_core::clock::Time;
 use serde::Serialize;
 
-use super::{fault::Fault, place::Size};
+use super::{
+    fault::Fault,
+    place::{Place, Size},
+    views::View,
+};
 
 /// What callers saw in one second.
 #[derive(Clone, Copy, Debug, Default, Serialize)]
@@ -25,6 +31,28 @@
     pub at_ms: u64,
     /// What was seen.
     pub what: String,
+    /// Balancers that took the flow's segments since its own server got one; empty unless segments strayed.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub takers: Vec<Taker>,
+}
+
+/// A balancer that took segments of a flow which reached other servers.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Taker {
+    /// The balancer.
+    pub place: Place,
+    /// Time since its process was started, in milliseconds.
+    pub up_ms: u64,
+}
+
+impl fmt::Display for Broken {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} ms: {}", self.at_ms, self.what)?;
+        for taker in &self.takers {
+            write!(f, ", taken by {} up {} ms", taker.place, taker.up_ms)?;
+        }
+        Ok(())
+    }
 }
 
 /// A fault that took place.
@@ -57,6 +85,8 @@
     pub faults: Vec<Struck>,
     /// Broken promises in the order of time.
     pub broken: Vec<Broken>,
+    /// What restarted balancers knew when they reported ready, in the order of balancers.
+    pub views: Vec<View>,
 }
 
 impl Report {
@@ -72,6 +102,7 @@
             seconds: Vec::new(),
             faults: Vec::new(),
             broken: Vec::new(),
+            views: Vec::new(),
         }
     }
 
@@ -85,10 +116,13 @@
     }
 
     /// Notes a broken promise.
-    pub fn broke(&mut self, now: Time, what: String) {
+    pub fn broke(&mut self, now: Time, what: String, takers: Vec<Taker>) {
         self.second(now).broken += 1;
-        let at_ms = now.as_millis();
-        self.broken.push(Broken { at_ms, what });
+        self.broken.push(Broken {
+            at_ms: now.as_millis(),
+            what,
+            takers,
+        });
     }
 
     /// Returns a sum over all seconds.
@@ -110,4 +144,18 @@
             self.broken.len(),
         )
     }
+
+    /// Returns how many agents restarted balancers knew when they reported ready, or `None` if none was
+    /// restarted.
+    pub fn view_line(&self) -> Option<String> {
+        let mut counts: Vec<usize> = self.views.iter().map(|view| view.agents).collect();
+        counts.sort_unstable();
+        let (least, most) = (counts.first()?, counts.last()?);
+        Some(format!(
+            "{} starts of balancers: ready with {least} to {most} of {} agents, median {}",
+            counts.len(),
+            self.size.agents,
+            counts[counts.len() / 2],
+        ))
+    }
 }
--- a/src/soak/world.rs
+++ b/src/soak/world.rs
@@ -32,6 +32,7 @@
     place::{Layout, Place},
     proxy::Proxy,
     report::Struck,
+    views,
 };
 use crate::trial::{
     agenda::Agenda,
@@ -169,8 +170,9 @@
     witness: Witness,
     /// The fixed bytes of the datagrams that servers sent.
     answers: HashSet<Vec<u8>>,
-    /// The balancer that took the last datagram of each flow.
-    taken: HashMap<FlowKey, usize>,
+    /// Balancers that took datagrams of each flow since its server got one, the last one at the end, with
+    /// the start of their process.
+    takers: HashMap<FlowKey, Vec<(Place, Time)>>,
     extras: Vec<Extra>,
     config_version: u64,
 }
@@ -217,7 +219,7 @@
             caller_sockets: Vec::new(),
             witness: Witness::new(checks::FLOW_TIME),
             answers: HashSet::new(),
-            taken: HashMap::new(),
+            takers: HashMap::new(),
             extras: Vec::new(),
             config_version: 0,
             options: options.clone(),
@@ -255,6 +257,7 @@
         }
         self.check_settled();
         self.stop_all().await;
+        self.report.views = views::read(&self.options.folder, self.options.size);
         self.report
     }
 
--- a/src/soak/world/checks.rs
+++ b/src/soak/world/checks.rs
@@ -9,7 +9,7 @@
 use berylvalve_platform_standin::packet::PacketCodec;
 
 use super::{Place, World, servers};
-use crate::trial::segments::wire::Wire;
+use crate::{soak::report::Taker, trial::segments::wire::Wire};
 
 /// Time without an unplanned disturbance from which flows must not be broken: `contact_ms` of the
 /// platform's bounds.
@@ -34,7 +34,16 @@
 impl World {
     pub(super) fn broke(&mut self, what: String) {
         tracing::error!(event = "promise_broken", what);
-        self.report.broke(self.now, what);
+        self.report.broke(self.now, what, Vec::new());
+    }
+
+    fn broke_by(&mut self, what: String, takers: &[(Place, Time)]) {
+        tracing::error!(event = "promise_broken", what);
+        let takers = takers.iter().map(|(place, started)| Taker {
+            place: *place,
+            up_ms: self.now.since(*started).as_millis() as u64,
+        });
+        self.report.broke(self.now, what, takers.collect());
     }
 
     /// Returns whether a process and the store were left alone for long enough.
@@ -63,13 +72,19 @@
         };
         let holds = home.holds(&self.servers, &flow);
         let strays = self.witness.strays(&flow, index, holds, self.now);
-        let taker = self.taken.get(&flow).copied();
-        let calm = taker.is_some_and(|taker| self.is_calm(Place::Balancer(taker)));
-        if strays && calm && self.is_calm(Place::Agent(home.server)) {
-            let own = home.server;
-            self.broke(format!(
-                "segments of {flow} reach server {index} and not {own}"
-            ));
+        let own = home.server;
+        let takers = self.takers.get(&flow);
+        let taker = takers.and_then(|takers| takers.last());
+        let calm = taker.is_some_and(|(taker, _)| self.is_calm(*taker));
+        if strays && calm && self.is_calm(Place::Agent(own)) {
+            let takers = takers.cloned().unwrap_or_default();
+            let what = format!("segments of {flow} reach server {index} and not {own}");
+            self.broke_by(what, &takers);
+        }
+        if index == own
+            && let Some(takers) = self.takers.get_mut(&flow)
+        {
+            takers.drain(..takers.len().saturating_sub(1));
         }
     }
 
--- a/src/soak/world/processes.rs
+++ b/src/soak/world/processes.rs
@@ -49,6 +49,7 @@
             };
             self.nodes.insert(place, node);
             self.write_settings(place)?;
+            self.empty_log(place)?;
             let program = self.options.program.clone();
             self.start_process(place)
                 .context(ProgramSnafu { program })?;
@@ -71,13 +72,19 @@
         std::fs::write(&path, text).context(FileSnafu { path })
     }
 
+    /// Empties the log of an earlier run in the same folder.
+    fn empty_log(&self, place: Place) -> Result<(), SoakError> {
+        let path = place.log(&self.options.folder);
+        std::fs::write(&path, "").context(FileSnafu { path })
+    }
+
     fn start_process(&mut self, place: Place) -> io::Result<()> {
         let folder = &self.options.folder;
         let launch = Launch {
             program: &self.options.program,
             role: place.role(),
             settings: &folder.join(format!("{place}.json")),
-            log: &folder.join(format!("{place}.log")),
+            log: &place.log(folder),
         };
         let mut child = process::start(&launch)?;
         let now = self.now;
--- a/src/soak/world/traffic.rs
+++ b/src/soak/world/traffic.rs
@@ -4,7 +4,7 @@
 
 use berylvalve_core::{
     clock::Time,
-    l4::segment::{Codec, Segment},
+    l4::segment::{Codec, FlowKey, Segment},
     store::JsonClient,
 };
 use berylvalve_platform_standin::{message::READINESS_PATH, packet::PacketCodec};
@@ -116,7 +116,7 @@
         self.witness.wrote(PacketCodec.fixed(&datagram));
         let balancer = self.choose(index, &outgoing.segment);
         let flow = outgoing.segment.flow_of_caller();
-        self.taken.insert(flow, balancer);
+        self.note_taker(flow, Place::Balancer(balancer));
         match self.rotation[balancer].link {
             Some(Link::Delayed(time)) => self.after(time, Due::Late(balancer, datagram)),
             Some(_) => {}
@@ -124,6 +124,13 @@
         }
     }
 
+    fn note_taker(&mut self, flow: FlowKey, place: Place) {
+        let taker = (place, self.nodes[&place].started);
+        let takers = self.takers.entry(flow).or_default();
+        takers.retain(|earlier| *earlier != taker);
+        takers.push(taker);
+    }
+
     pub(super) fn send_to_balancer(&mut self, balancer: usize, datagram: &[u8]) {
         let ip = self.layout.ip(Place::Balancer(balancer));
         let target = SocketAddrV4::new(ip, self.layout.ports.datagram);
--- a/tests/soak_plan.rs
+++ b/tests/soak_plan.rs
@@ -6,8 +6,10 @@
     Size,
     fault::{self, Fault},
     place::{LARGEST_SITE, Place, USUAL_SIZE},
+    report::Report,
     roll::{ROLL_GAP, Roll},
     seeds::failed_seeds,
+    views::{View, counts_at_ready},
 };
 use berylvalve_core::clock::Time;
 use rand::{SeedableRng, rngs::SmallRng};
@@ -99,3 +101,33 @@
     assert_eq!(seeds(false), [2, 41, 61, 229]);
     assert_eq!(seeds(true), [2, 41, 61, 229, 9313, 9321]);
 }
+
+#[test]
+fn views_count_the_agents_known_at_ready_after_a_restart() {
+    let log = "\
+        level=info event=started name=balancer-0\n\
+        level=info event=member address=127.1.1.1:9 role=Agent reason=fetched\n\
+        level=info event=reported_ready\n\
+        level=info event=started name=balancer-0\n\
+        level=info event=member address=127.1.0.2:9 role=Balancer reason=fetched\n\
+        level=info event=member address=127.1.1.1:9 role=Agent reason=fetched\n\
+        level=info event=member address=127.1.1.1:9 role=Agent reason=gossip\n\
+        level=info event=member address=127.1.1.2:9 role=Agent reason=gossip\n\
+        level=info event=reported_ready\n\
+        level=info event=member address=127.1.1.3:9 role=Agent reason=gossip\n\
+        level=info event=started name=balancer-0\n";
+    assert_eq!(counts_at_ready(log), [2]);
+}
+
+#[test]
+fn the_report_sums_up_views() {
+    let mut report = Report::new(1, LARGEST_SITE);
+    assert_eq!(report.view_line(), None);
+    let place = Place::Balancer(0);
+    report.views = [204, 32, 71].map(|agents| View { place, agents }).into();
+    let line = report.view_line().expect("views");
+    assert_eq!(
+        line,
+        "3 starts of balancers: ready with 32 to 204 of 204 agents, median 71"
+    );
+}
