Balancer: no reset of an opening whose next copy may be open elsewhere

An agent refused an opening 903 ms late, no other agent was left, and the balancer reset the flow 1.2 s after its opening. The caller's copy after 200 ms had gone through another balancer, which had placed the flow meanwhile.

That no agent takes the opening here says nothing of copies that went elsewhere. The balancer now keeps the time at which the caller sends its next copy. Once that has passed without the copy, the opening is dropped without a reset; a copy that arrives later starts anew. While all copies arrive here, openings are rejected as before.

The first new test failed before (a reset 250 ms after the first copy); the second guards the prompt rejection.

--- a/core/src/l4/balancer/opening.rs
+++ b/core/src/l4/balancer/opening.rs
@@ -39,6 +39,8 @@
     datagram: Box<[u8]>,
     /// When the caller sent its first opening segment.
     started: Time,
+    /// When the caller sends the next copy, which may go through another balancer; `None` if it sends no more.
+    next_copy: Option<Time>,
     /// Agents that did not reply in time, or refused the flow for other reasons than those below.
     excluded: Vec<SocketAddrV4>,
     /// Agents that refused the flow for want of a free slot.
@@ -105,6 +107,10 @@
         out: &mut impl Outbox,
     ) {
         let started = now - self.codec.opening_age(segment);
+        let next_copy = self.codec.next_copy_age(segment).map(|age| started + age);
+        if let Some(FlowState::Opening(opening)) = self.flows.get_mut(flow) {
+            opening.next_copy = next_copy;
+        }
         let owner = match self.flows.get_mut(flow) {
             Some(FlowState::Owned(owned)) => owned.agent,
             Some(FlowState::Opening(opening)) => match opening.accepted.first() {
@@ -120,7 +126,7 @@
                 }
             },
             _ => {
-                self.start_opening(flow, started, datagram, now, out);
+                self.start_opening(flow, (started, next_copy), datagram, now, out);
                 return;
             }
         };
@@ -162,7 +168,7 @@
     fn start_opening(
         &mut self,
         flow: &FlowKey,
-        started: Time,
+        (started, next_copy): (Time, Option<Time>),
         datagram: &[u8],
         now: Time,
         out: &mut impl Outbox,
@@ -174,6 +180,7 @@
         let opening = Opening {
             datagram: datagram.into(),
             started,
+            next_copy,
             excluded: Vec::new(),
             busy_agents: Vec::new(),
             failing_agents: Vec::new(),
@@ -204,6 +211,9 @@
     /// Sends the opening segment to the best candidate that is left. Without one, rejects the opening,
     /// unless an agent may have accepted it, it waits at an agent, or the balancer is starting. Before the
     /// first routes, the service of a flow is not known, and the opening is kept.
+    ///
+    /// If the caller has sent a copy since that has not arrived here, another balancer may have opened the flow
+    /// from it. The opening is then removed without a reset.
     fn try_next(&mut self, flow: &FlowKey, now: Time, out: &mut impl Outbox) {
         if self.routes.version == 0 {
             return;
@@ -234,6 +244,7 @@
         let Some((candidate, forced)) = chosen else {
             opening.pending = None;
             let may_be_open = !opening.accepted.is_empty() || !opening.silent.is_empty();
+            let has_missed_copy = opening.next_copy.is_some_and(|copy| now >= copy);
             if !may_be_open && opening.waiting_at.is_none() && !self.starting {
                 let excluded = opening.excluded.len();
                 let reason = match self.fleet.is_all_evacuated(service.tag()) {
@@ -246,8 +257,15 @@
                     reason,
                     excluded,
                     view = self.view_version,
+                    copy_missed = has_missed_copy,
                 );
-                self.reject_opening(flow, reason, out);
+                match has_missed_copy {
+                    true => {
+                        self.metrics.openings_dropped.inc();
+                        self.flows.remove(flow);
+                    }
+                    false => self.reject_opening(flow, reason, out),
+                }
             }
             return;
         };
--- a/core/src/l4/metrics.rs
+++ b/core/src/l4/metrics.rs
@@ -23,6 +23,8 @@
     pub placed: Counter,
     /// Openings to which an agent did not reply in time.
     pub silent: Counter,
+    /// Openings without an agent that were dropped, as another balancer may have placed a later copy.
+    pub openings_dropped: Counter,
     /// Openings that an agent refused, by reason.
     pub refused: CounterFamily,
     /// Searches for the owner of a flow, by outcome.
@@ -77,6 +79,8 @@
         metrics.register("flows_placed", help, self.placed.clone());
         let help = "Agents that did not answer an opening in time";
         metrics.register("agents_silent", help, self.silent.clone());
+        let help = "Openings dropped as another balancer may have placed a later copy";
+        metrics.register("openings_dropped", help, self.openings_dropped.clone());
         let help = "Agents that refused an opening";
         metrics.register("agents_refused", help, self.refused.clone());
         let help = "Searches for the owner of a flow, by their end";
--- a/core/src/l4/segment.rs
+++ b/core/src/l4/segment.rs
@@ -146,6 +146,12 @@
     /// copy tells; zero for the first one.
     fn opening_age(&self, opening: &Segment) -> Duration;
 
+    /// Returns the time from the first copy of an opening segment to the copy after this one, or `None` if the
+    /// caller sends no more.
+    fn next_copy_age(&self, _: &Segment) -> Option<Duration> {
+        None
+    }
+
     /// Clears the bounced flag of a caller's datagram and writes a mark. A backend server that
     /// bounces the datagram returns the mark with it.
     fn mark(&self, datagram: &mut [u8], mark: u32);
--- a/core/tests/l4/balancer.rs
+++ b/core/tests/l4/balancer.rs
@@ -402,6 +402,62 @@
     }
 }
 
+/// Guards against the reset of an open flow: the caller's later copies went through another balancer, which has
+/// placed the flow while this one still waited for an agent.
+#[test]
+fn opening_is_not_reset_once_a_later_copy_may_have_gone_through_another_balancer() {
+    // Age of the copy and of the rejection in milliseconds, and whether it is certain that no copy followed.
+    let cases = [
+        (0, 150, true),
+        (0, 250, false),
+        (200, 250, true),
+        (200, 700, false),
+        (600, 900, true),
+    ];
+    for (copy_ms, rejected_ms, is_last) in cases {
+        let mut harness = Harness::new(1);
+        let datagram = [OPENING, 1, (copy_ms / 100) as u8];
+        let (balancer, now) = (&mut harness.balancer, harness.now);
+        balancer.receive_from_caller(&datagram, now, &mut harness.sent);
+        let load = Load::default();
+        harness.receive_from_peer(
+            agent(1),
+            Message::Waits {
+                flow: flow(1),
+                load,
+            },
+            &[],
+        );
+        harness.advance(rejected_ms - copy_ms);
+        harness.refuse(agent(1), Refusal::Draining, 1);
+        let case = format!("copy of {copy_ms} ms, rejected at {rejected_ms} ms");
+        assert_eq!(harness.sent.resets, usize::from(is_last), "{case}");
+    }
+}
+
+/// A copy that arrives here while the opening waits shows that it went nowhere else.
+#[test]
+fn opening_whose_copies_all_arrive_here_is_reset() {
+    let mut harness = Harness::new(1);
+    for (copy_ms, passes) in [(0, 200), (200, 400), (600, 100)] {
+        let datagram = [OPENING, 1, (copy_ms / 100) as u8];
+        let (balancer, now) = (&mut harness.balancer, harness.now);
+        balancer.receive_from_caller(&datagram, now, &mut harness.sent);
+        let load = Load::default();
+        harness.receive_from_peer(
+            agent(1),
+            Message::Waits {
+                flow: flow(1),
+                load,
+            },
+            &[],
+        );
+        harness.advance(passes);
+    }
+    harness.refuse(agent(1), Refusal::Draining, 1);
+    assert_eq!(harness.sent.resets, 1);
+}
+
 #[test]
 fn opening_waits_while_a_new_balancer_knows_no_agent() {
     let mut harness = Harness::new(0);
--- a/core/tests/l4/codec.rs
+++ b/core/tests/l4/codec.rs
@@ -12,6 +12,9 @@
 /// Host of the balancer in the mark of every datagram.
 pub const BALANCER_IP: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 1);
 
+/// Times from the first copy of an opening segment to the others.
+const OPENING_COPY_TIMES: [Duration; 2] = [Duration::from_millis(200), Duration::from_millis(600)];
+
 /// Codec of the wire format for tests.
 #[derive(Clone, Debug)]
 pub struct TestCodec;
@@ -74,6 +77,11 @@
         Duration::from_millis(10 * u64::from(opening.acknowledged))
     }
 
+    fn next_copy_age(&self, opening: &Segment) -> Option<Duration> {
+        let age = self.opening_age(opening);
+        OPENING_COPY_TIMES.into_iter().find(|time| *time > age)
+    }
+
     fn mark(&self, _: &mut [u8], _: u32) {}
 
     fn reset(&self, flow: &FlowKey, _: u32, buffer: &mut Vec<u8>) {
--- a/src/trial/segments/codec.rs
+++ b/src/trial/segments/codec.rs
@@ -144,6 +144,12 @@
         }
     }
 
+    fn next_copy_age(&self, opening: &Segment) -> Option<Duration> {
+        OPENING_COPY_TIMES
+            .get(opening.acknowledged as usize)
+            .copied()
+    }
+
     fn mark(&self, datagram: &mut [u8], mark: u32) {
         datagram[MARK..HEAD_BYTES].copy_from_slice(&mark.to_be_bytes());
         datagram[FLAGS] &= !BOUNCED;
