Homes: a flow that two agents have registered has no owner until one renews it

Both servers accepted it and both agents registered the flow; the caller completed it at the first. The home named the agent that had registered last, three balancers in turn took it for the owner, and the true owner was not asked.

A home that two agents have told of one flow knows that one of them is wrong. It now answers that it knows no owner, and the search asks all agents, whose replies rest on what the caller has acknowledged. The agent that registers the flow again is the owner: only flows that go on are renewed. An agent that restarts is not told either of registrations that another one disputes.

The first new test failed before (the last to register was named).

--- a/core/src/l4/homes.rs
+++ b/core/src/l4/homes.rs
@@ -45,23 +45,62 @@
     }
 }
 
+/// The registration of one flow.
+#[derive(Clone, Copy, Debug)]
+struct Registration {
+    owner: SocketAddrV4,
+    /// Another agent that has registered the flow since. Two servers may accept copies of one opening, of which
+    /// the caller completes one.
+    rival: Option<SocketAddrV4>,
+    expires: Time,
+}
+
+impl Registration {
+    fn new(owner: SocketAddrV4, now: Time) -> Self {
+        Self {
+            owner,
+            rival: None,
+            expires: now + REGISTRATION_TTL,
+        }
+    }
+
+    /// Returns the registration after an agent has registered the flow. Of two agents, the one that registers
+    /// again is the owner: an agent renews only flows that go on.
+    fn renew(self, agent: SocketAddrV4, now: Time) -> Self {
+        if now >= self.expires || self.owner == agent || self.rival == Some(agent) {
+            return Self::new(agent, now);
+        }
+        Self {
+            rival: Some(agent),
+            ..Self::new(self.owner, now)
+        }
+    }
+
+    /// Returns the owner, or `None` if two agents have registered the flow.
+    fn certain_owner(&self) -> Option<SocketAddrV4> {
+        self.rival.is_none().then_some(self.owner)
+    }
+}
+
 /// The owners that are registered at one home, by flow.
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
-    owners: HashMap<FlowKey, (SocketAddrV4, Time), FxBuildHasher>,
+    owners: HashMap<FlowKey, Registration, FxBuildHasher>,
 }
 
 impl Registry {
     /// Adds or renews the registration of a flow. A new one is dropped if the registry is full.
     pub fn register(&mut self, flow: FlowKey, owner: SocketAddrV4, now: Time) {
-        if self.owners.len() < MAX_REGISTRATIONS || self.owners.contains_key(&flow) {
-            self.owners.insert(flow, (owner, now + REGISTRATION_TTL));
+        if let Some(known) = self.owners.get_mut(&flow) {
+            *known = known.renew(owner, now);
+        } else if self.owners.len() < MAX_REGISTRATIONS {
+            self.owners.insert(flow, Registration::new(owner, now));
         }
     }
 
-    /// Returns the registered owner of a flow.
+    /// Returns the registered owner of a flow, or `None` if there is none or two agents have registered it.
     pub fn owner(&self, flow: &FlowKey) -> Option<SocketAddrV4> {
-        self.owners.get(flow).map(|(owner, _)| *owner)
+        self.owners.get(flow)?.certain_owner()
     }
 
     /// Returns the flows that are registered as an owner's.
@@ -69,12 +108,13 @@
         let of_owner = self
             .owners
             .iter()
-            .filter(move |(_, (named, _))| *named == owner);
+            .filter(move |(_, registration)| registration.certain_owner() == Some(owner));
         of_owner.map(|(flow, _)| *flow)
     }
 
     /// Removes the registrations that have not been renewed within [`REGISTRATION_TTL`].
     pub fn expire(&mut self, now: Time) {
-        self.owners.retain(|_, (_, expires)| now < *expires);
+        self.owners
+            .retain(|_, registration| now < registration.expires);
     }
 }
--- a/core/tests/l4_homes.rs
+++ b/core/tests/l4_homes.rs
@@ -66,3 +66,33 @@
     registry.expire(now + REGISTRATION_TTL);
     assert_eq!(registry.owner(&flow(1)), None);
 }
+
+/// Guards against segments of an open flow at another server: two agents delivered copies of the flow's opening, both
+/// servers accepted it, and the agent of the one that does not hold the flow registered last.
+#[test]
+fn flow_that_two_agents_register_has_no_owner_until_one_of_them_renews_it() {
+    let (owner, other) = (agent(1), agent(2));
+    for order in [[owner, other], [other, owner]] {
+        let mut registry = Registry::default();
+        for agent in order {
+            registry.register(flow(1), agent, Time::default());
+        }
+        assert_eq!(registry.owner(&flow(1)), None);
+        assert_eq!(registry.flows_of(owner).count(), 0);
+        assert_eq!(registry.flows_of(other).count(), 0);
+        registry.register(flow(1), owner, Time::default());
+        assert_eq!(registry.owner(&flow(1)), Some(owner));
+        registry.register(flow(1), other, Time::default());
+        assert_eq!(registry.owner(&flow(1)), None);
+    }
+}
+
+/// Guards against a flow that keeps an owner from before: its caller has opened it again at another server.
+#[test]
+fn flow_has_a_new_owner_once_its_earlier_registration_has_expired() {
+    let mut registry = Registry::default();
+    let later = Time::default() + REGISTRATION_TTL;
+    registry.register(flow(1), agent(1), Time::default());
+    registry.register(flow(1), agent(2), later);
+    assert_eq!(registry.owner(&flow(1)), Some(agent(2)));
+}
