Balancer: ready once it has joined, else 3 s after it knows an agent; metrics of joins

What callers saw: a balancer took flows 300 ms after its first ready agent, whatever part of the agents it knew, and sent their segments to agents that do not hold them.

Now it is ready when it has joined, else 3 s (START_TIMEOUT) after it knows a ready agent. Where all known processes are at most 5 s old, as after a loss of power, 300 ms stay. The timeout does not make the view joined.

reported_ready tells joined, agents, members and claimed; metrics membership_refused by kind, members_claimed and ready_before_join.

A round of claims needs as many answers as members that are asked, at most two, so that a crashed member in a fleet of three does not hold up the join until it is removed.

--- a/core/src/l4/balancer.rs
+++ b/core/src/l4/balancer.rs
@@ -66,11 +66,13 @@
 /// Time for which further segments of a reset flow are answered by a reset without a new search.
 const RESET_TTL: Duration = Duration::from_secs(2);
 
-/// Longest time for which a balancer that knows a ready agent waits to learn of the others.
-const JOIN_TIMEOUT: Duration = Duration::from_millis(300);
+/// Longest time for which a balancer that knows a ready agent waits to learn of the others, in a fleet that
+/// has just started as a whole. No process knows all agents yet, and callers wait.
+const FRESH_JOIN_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Time from the first tick after which the balancer resets flows that it can't place, even if
-/// [`Balancer::can_serve`] is still false, unless it still waits for directives.
+/// Time after which a balancer starts without what it lacks: from the first ready agent until it takes flows
+/// although it may not know all agents, and from the first tick until it resets flows that it can't place even
+/// if [`Balancer::can_serve`] is still false, unless it still waits for directives.
 const START_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Largest number of entries in the flow table. When it is full, no entry is added for a new flow,
@@ -150,10 +152,12 @@
     /// When `known_agents` counts as complete, unless another process knows more.
     stability: Stability,
     member_fetch: MemberFetch,
-    /// Whether the members that the seeds know have been fetched, see [`View::joined`].
+    /// Whether all members have been fetched, see [`View::joined`].
     joined: bool,
     /// When a balancer that knows a ready agent stops waiting for the others.
     join_deadline: Option<Time>,
+    /// The same in a fleet that has just started as a whole.
+    fresh_join_deadline: Option<Time>,
     /// Whether openings still wait for agents that are not known yet.
     starting: bool,
     first_tick: Option<Time>,
@@ -196,6 +200,7 @@
             member_fetch: MemberFetch::default(),
             joined: false,
             join_deadline: None,
+            fresh_join_deadline: None,
             starting: true,
             first_tick: None,
             opening_timers: Timers::new(),
@@ -225,17 +230,21 @@
     }
 
     /// Returns whether the balancer may receive its share of the flows: it has routes, knows a ready
-    /// agent, and has fetched the members that its seeds know and the directives, or has waited long
-    /// enough for them.
+    /// agent, and has fetched all members and the directives, or has waited long enough for them.
     pub fn can_serve(&self, now: Time) -> bool {
-        let has_waited = self
-            .join_deadline
-            .is_some_and(|join_deadline| now >= join_deadline);
+        let is_due = |deadline: Option<Time>| deadline.is_some_and(|deadline| now >= deadline);
+        let has_waited = is_due(self.join_deadline)
+            || self.stability.is_fresh(now) && is_due(self.fresh_join_deadline);
         self.has_routes_and_ready_agent()
             && (self.joined || has_waited)
             && !self.awaits_directives(now)
     }
 
+    /// Returns whether all members have been fetched.
+    pub fn has_joined(&self) -> bool {
+        self.joined
+    }
+
     /// Returns the metrics, to be registered once at the start.
     pub fn metrics(&self) -> &BalancerMetrics {
         &self.metrics
@@ -298,7 +307,9 @@
         self.stability.apply_view(view, now);
         self.joined = view.joined;
         if self.fleet.has_ready() {
-            self.join_deadline.get_or_insert(now + JOIN_TIMEOUT);
+            self.join_deadline.get_or_insert(now + START_TIMEOUT);
+            self.fresh_join_deadline
+                .get_or_insert(now + FRESH_JOIN_TIMEOUT);
         }
         if self.starting {
             self.starting = !self.can_serve(now);
--- a/core/src/l4/balancer/stability.rs
+++ b/core/src/l4/balancer/stability.rs
@@ -80,11 +80,15 @@
         self.joined_at = now + tenths(JOIN_AGE_TENTHS - youngest);
     }
 
+    /// Returns whether the whole fleet has just started, so that no process knows more than the others.
+    pub(super) fn is_fresh(&self, now: Time) -> bool {
+        self.fresh_until.is_some_and(|until| now < until)
+    }
+
     /// Returns when a round may begin that proves a flow lost. `all_sure` tells whether all agents replied
     /// that they know all flows of their servers.
     pub(super) fn stable_at(&self, all_sure: bool, now: Time) -> Time {
-        let is_fresh = self.fresh_until.is_some_and(|until| now < until);
-        match is_fresh && all_sure {
+        match self.is_fresh(now) && all_sure {
             true => self.stable_at.min(self.start_stable_at.max(self.joined_at)),
             false => self.stable_at,
         }
--- a/core/src/l4/daemon/balancer_loop.rs
+++ b/core/src/l4/daemon/balancer_loop.rs
@@ -190,13 +190,25 @@
     }
 
     /// Reports the balancer as ready to the fabric once it knows routes and a ready agent, and has
-    /// received the members that its seeds know or waited long enough for them.
+    /// fetched all members or waited long enough for them.
     fn report_ready_once(&mut self, now: Time) {
         if self.reported_ready || !self.balancer.can_serve(now) {
             return;
         }
         self.reported_ready = true;
         self.control.mark_ready();
-        tracing::info!(event = "reported_ready");
+        let joined = self.balancer.has_joined();
+        if !joined {
+            self.balancer.metrics().ready_before_join.inc();
+        }
+        let view = self.directory.view();
+        let live = view.members.values().filter(|r| !r.state.is_gone());
+        tracing::info!(
+            event = "reported_ready",
+            joined,
+            agents = view.agents().count(),
+            members = live.count(),
+            claimed = self.directory.claimed(),
+        );
     }
 }
--- a/core/src/l4/metrics.rs
+++ b/core/src/l4/metrics.rs
@@ -45,6 +45,8 @@
     pub silent_agents: Gauge,
     /// Silent agents that came to count as absent.
     pub absent_agents: Counter,
+    /// Reports of readiness by timeout, before all members were fetched.
+    pub ready_before_join: Counter,
     /// Failure domains that are evacuated.
     pub evacuated: Gauge,
 }
@@ -101,6 +103,8 @@
         metrics.register("absent_agents", help, self.absent_agents.clone());
         let help = "Flows whose callers were sent a reset";
         metrics.register("flows_reset", help, self.reset.clone());
+        let help = "Reports of readiness before all members were fetched";
+        metrics.register("ready_before_join", help, self.ready_before_join.clone());
         register_evacuated(metrics, &self.evacuated);
     }
 }
--- a/core/src/member.rs
+++ b/core/src/member.rs
@@ -4,7 +4,10 @@
     cmp::Ordering,
     collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddrV4,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering::Relaxed},
+    },
 };
 
 use arc_swap::ArcSwap;
@@ -119,7 +122,7 @@
     pub tables: HashMap<ServiceTag, Arc<Table>>,
     /// Placement table of each service before its last change.
     pub earlier_tables: HashMap<ServiceTag, Arc<Table>>,
-    /// Whether the process has fetched the members that its seed knew, or found no other process.
+    /// Whether the process has once known as many members as others claimed, or found no other process.
     pub joined: bool,
 }
 
@@ -255,6 +258,7 @@
 #[derive(Debug)]
 pub struct Directory {
     view: ArcSwap<View>,
+    claimed: AtomicU32,
     changes: watch::Sender<u64>,
 }
 
@@ -262,6 +266,7 @@
     fn default() -> Self {
         Self {
             view: ArcSwap::default(),
+            claimed: AtomicU32::new(0),
             changes: watch::Sender::new(0),
         }
     }
@@ -294,6 +299,16 @@
         self.changes.send_replace(version);
     }
 
+    /// Sets the result of [`Directory::claimed`].
+    pub fn set_claimed(&self, members: u32) {
+        self.claimed.store(members, Relaxed);
+    }
+
+    /// Returns the largest number of live members that another process last claimed to know, or zero.
+    pub fn claimed(&self) -> u32 {
+        self.claimed.load(Relaxed)
+    }
+
     /// Returns a receiver of the latest version of the view.
     pub fn changes(&self) -> watch::Receiver<u64> {
         self.changes.subscribe()
--- a/core/src/membership.rs
+++ b/core/src/membership.rs
@@ -9,6 +9,7 @@
 pub mod budget;
 pub mod digest;
 pub mod message;
+pub mod metrics;
 pub mod probe;
 pub mod roster;
 pub mod signer;
--- a/core/src/membership/swim.rs
+++ b/core/src/membership/swim.rs
@@ -16,6 +16,7 @@
 use super::{
     budget::{Budget, SendPriority},
     message::{Body, Header, Liveness, Message, PackedAddress, Update},
+    metrics::MembershipMetrics,
     probe::{PROBE_INTERVAL, Probes},
     roster::{Entry, Roster, UpdateOutcome},
     suspicion::{RemovalHold, SilentCount, Suspicions},
@@ -118,6 +119,7 @@
     suspicions: Suspicions,
     hold: RemovalHold,
     budget: Budget,
+    pub(super) metrics: MembershipMetrics,
     actions: Vec<Action>,
     recent_acks: Vec<(SocketAddrV4, Time)>,
     /// Last member selected for a probe because removal is held in its failure domain.
@@ -166,6 +168,7 @@
             suspicions: Suspicions::default(),
             hold: RemovalHold::default(),
             budget: Budget::new(now),
+            metrics: MembershipMetrics::default(),
             actions: Vec::new(),
             recent_acks: Vec::new(),
             hold_cursor: SocketAddrV4::new(std::net::Ipv4Addr::UNSPECIFIED, 0),
@@ -231,6 +234,11 @@
         &self.hold
     }
 
+    /// Returns the metrics, to be registered once at the start.
+    pub fn metrics(&self) -> &MembershipMetrics {
+        &self.metrics
+    }
+
     /// Returns the record that the process announces.
     pub fn own(&self) -> &Record {
         &self.own
@@ -340,6 +348,7 @@
     ) -> bool {
         let base_size = message.size();
         if !self.budget.allows(priority, base_size) {
+            self.metrics.count_refused(&message.body);
             return false;
         }
         let added = self.add_updates(priority, &mut message);
--- a/core/src/membership/sync.rs
+++ b/core/src/membership/sync.rs
@@ -54,7 +54,7 @@
 /// Members that are asked at once how many they know.
 const CLAIMS_PER_ROUND: usize = 3;
 
-/// Answers, if there are as many other members, without which a round of claims decides nothing.
+/// Answers, if as many members are asked, without which a round of claims decides nothing.
 const MIN_CLAIMS: usize = 2;
 
 /// Time for which a round of claims waits for answers, and from one round to the next.
@@ -93,6 +93,8 @@
     /// Control addresses of the members that have not answered yet.
     asked: Vec<SocketAddrV4>,
     claims: Vec<(SocketAddrV4, u32)>,
+    /// Number of claims without which the round decides nothing.
+    required: usize,
 }
 
 /// How far a process has come with fetching the members.
@@ -419,6 +421,7 @@
         }
         self.sync.progress = Progress::Checking {
             round: ClaimRound {
+                required: MIN_CLAIMS.min(asked.len()),
                 asked,
                 claims: Vec::new(),
             },
@@ -450,18 +453,20 @@
         let Progress::Checking { round, .. } = &mut self.sync.progress else {
             return false;
         };
+        let required = round.required;
         let claims = std::mem::take(&mut round.claims);
         round.asked.clear();
         let Some((control, claimed)) = claims.iter().max_by_key(|(_, members)| *members) else {
             return false;
         };
         self.sync.claimed = *claimed;
+        self.metrics.claimed.set(i64::from(*claimed));
         let known = self.roster.live_count();
         if *claimed as usize > known {
             self.send_digests_to(*control, SendPriority::Answer);
             return false;
         }
-        let is_joined = claims.len() >= MIN_CLAIMS.min(known.saturating_sub(1));
+        let is_joined = claims.len() >= required;
         if is_joined {
             self.sync.progress = Progress::Joined;
         }
--- a/core/src/membership/udp_loop.rs
+++ b/core/src/membership/udp_loop.rs
@@ -14,6 +14,7 @@
     clock::Clock,
     kernel::{Kernel, KernelError},
     member::{Directory, MemberState, Record},
+    metrics::Metrics,
     panics::contain,
 };
 
@@ -36,7 +37,7 @@
 ///
 /// # Errors
 ///
-/// Fails if the directory or the local record is not published in the kernel.
+/// Fails if the directory, the local record or the metrics are not published in the kernel.
 pub fn start(
     kernel: &Kernel,
     socket: UdpSocket,
@@ -65,13 +66,16 @@
     let clock = kernel.clock();
     let local: Arc<LocalRecord> = kernel.find(LocalRecord::NAME)?;
     let directory: Arc<Directory> = kernel.find(Directory::NAME)?;
+    let metrics: Arc<Metrics> = kernel.find(Metrics::NAME)?;
     let deadline = clock.now() + ready_timeout;
     kernel.spawn(async move {
         while clock.now() < deadline && local.get().state != MemberState::Ready {
             tokio::time::sleep(READY_CHECK_INTERVAL).await;
         }
+        let swim = Swim::new(local.get(), seeds, clock.now(), rand::random());
+        swim.metrics().register(&metrics);
         let udp_loop = UdpLoop {
-            swim: Swim::new(local.get(), seeds, clock.now(), rand::random()),
+            swim,
             clock,
             directory,
             is_joined: false,
@@ -162,6 +166,7 @@
                 Action::Log(event) => log(&event),
             }
         }
+        self.directory.set_claimed(self.swim.claimed_members());
         if !self.is_joined && self.swim.is_joined() {
             // The view must hold all that was fetched before it counts as joined.
             self.directory.publish(self.swim.members());
--- a/core/tests/l4/main.rs
+++ b/core/tests/l4/main.rs
@@ -10,6 +10,7 @@
 mod directives;
 mod flow_set;
 mod lost_flows;
+mod readiness;
 mod registrations;
 mod reset_proof;
 mod route_spread;
