Balancer: sets of tried and denying agents; measured costs of trial deliveries

A trial delivery to n unsure agents compared each returned segment with all agents tried, n² comparisons; sets take n log n, and a verdict that has to wait no longer collects the candidates.

--- a/core/src/l4/balancer/search.rs
+++ b/core/src/l4/balancer/search.rs
@@ -30,7 +30,7 @@
 mod trial;
 mod verdict;
 
-use std::{cmp::Reverse, net::SocketAddrV4, time::Duration};
+use std::{cmp::Reverse, collections::BTreeSet, net::SocketAddrV4, time::Duration};
 
 use self::{denials::Denials, evidence::Evidence};
 use super::{Balancer, FlowState};
@@ -85,7 +85,7 @@
     /// Agents whose filters of the last round contain the flow.
     holders: Vec<SocketAddrV4>,
     /// Agents that have been sent a segment on trial.
-    tried: Vec<SocketAddrV4>,
+    tried: BTreeSet<SocketAddrV4>,
     /// Agents that are still to be sent the segment of the present trial delivery.
     untried: Vec<SocketAddrV4>,
     /// Position in the buffer of the segment that is delivered on trial.
@@ -184,10 +184,14 @@
     }
 
     /// Returns the agents that are unsure and have not denied the flow.
-    fn candidates(&self) -> Vec<SocketAddrV4> {
-        let mut unsure = self.agents_with(Some(Ownership::Unsure));
-        unsure.retain(|agent| !self.denials.contains(*agent));
-        unsure
+    fn candidates(&self) -> impl Iterator<Item = SocketAddrV4> {
+        let unsure = Some(Ownership::Unsure);
+        let same = self
+            .queried
+            .iter()
+            .filter(move |(_, reply)| *reply == unsure);
+        let agents = same.map(|(agent, _)| *agent);
+        agents.filter(|agent| !self.denials.contains(*agent))
     }
 
     /// Returns the queried agents with a given reply, or with none.
@@ -216,7 +220,7 @@
             queried: queried.iter().map(|peer| (*peer, None)).collect(),
             denials: Denials::default(),
             holders: Vec::new(),
-            tried: Vec::new(),
+            tried: BTreeSet::new(),
             untried: Vec::new(),
             segment: 0,
             delivered: 0,
--- a/core/src/l4/balancer/search/denials.rs
+++ b/core/src/l4/balancer/search/denials.rs
@@ -4,7 +4,7 @@
 //! whatever happens to the agent later. Rounds that reach only a part of the fleet each, as while agents
 //! are restarted in turn, so add up.
 
-use std::{net::SocketAddrV4, sync::Arc};
+use std::{collections::BTreeSet, net::SocketAddrV4, sync::Arc};
 
 /// The agents that have denied a flow.
 #[derive(Clone, Debug, Default)]
@@ -13,7 +13,7 @@
     /// the round.
     rounds: Vec<Arc<[SocketAddrV4]>>,
     /// Agents that replied so to a query for the flow, or whose server has returned a segment.
-    agents: Vec<SocketAddrV4>,
+    agents: BTreeSet<SocketAddrV4>,
 }
 
 impl Denials {
@@ -26,7 +26,7 @@
     /// Adds an agent that has denied the flow.
     pub(super) fn add(&mut self, agent: SocketAddrV4) {
         if !self.contains(agent) {
-            self.agents.push(agent);
+            self.agents.insert(agent);
         }
     }
 
--- a/core/src/l4/balancer/search/trial.rs
+++ b/core/src/l4/balancer/search/trial.rs
@@ -28,16 +28,11 @@
 impl<C: Codec> Balancer<C> {
     /// Sends a segment on trial to the agents that may hold a flow, or keeps the search if one of them may be
     /// missing.
-    pub(super) fn try_candidates(
-        &mut self,
-        flow: &FlowKey,
-        candidates: Vec<SocketAddrV4>,
-        now: Time,
-        out: &mut impl Outbox,
-    ) {
+    pub(super) fn try_candidates(&mut self, flow: &FlowKey, now: Time, out: &mut impl Outbox) {
         let Some(FlowState::Searching(search)) = self.flows.get(flow) else {
             return;
         };
+        let candidates: Vec<SocketAddrV4> = search.candidates().collect();
         let gap = self.find_gap(search, now);
         let mut untried = candidates.clone();
         untried.retain(|agent| !search.tried.contains(agent));
@@ -120,11 +115,7 @@
             .untried
             .split_off(MAX_BATCH.min(search.untried.len()));
         let batch = std::mem::replace(&mut search.untried, later);
-        for agent in &batch {
-            if !search.tried.contains(agent) {
-                search.tried.push(*agent);
-            }
-        }
+        search.tried.extend(&batch);
         let datagram = search.buffered.get(search.segment).cloned();
         let datagram = datagram.unwrap_or_default();
         let wait = match search.untried.is_empty() {
--- a/core/src/l4/balancer/search/verdict.rs
+++ b/core/src/l4/balancer/search/verdict.rs
@@ -25,10 +25,9 @@
         let Some(FlowState::Searching(search)) = self.flows.get(flow) else {
             return;
         };
-        let candidates = search.candidates();
-        if !candidates.is_empty() {
+        if search.candidates().next().is_some() {
             if search.stage != Stage::Trial {
-                self.try_candidates(flow, candidates, now, out);
+                self.try_candidates(flow, now, out);
             }
             return;
         }
@@ -68,7 +67,7 @@
                 event = "flow_not_found",
                 %flow,
                 reason,
-                unsure = search.candidates().len(),
+                unsure = search.candidates().count(),
                 silent = ?search.agents_with(None),
                 agents = self.known_agents.summary().count,
                 view = self.view_version,
