--- a/core/tests/l4/main.rs
+++ b/core/tests/l4/main.rs
@@ -4,6 +4,7 @@
 mod agent_directives;
 mod balancer;
 mod balancer_directives;
+mod claims;
 mod codec;
 mod dead_agents;
 mod deadlines;
