Balancer: a reply that names unknown agents stands while its sender is silent

Callers could see segments at other servers and resets: the only agent that knew the owner said so in one round, where it denied the flow, and was silent in the next. Its denial added up, and that there are agents unknown here was forgotten with each round, so that the search counted as whole.

What a process knew in its last reply is kept with the search until it replies again, is gone or absent, or the agents are known here.

--- a/core/src/l4/balancer/search.rs
+++ b/core/src/l4/balancer/search.rs
@@ -30,7 +30,12 @@
 mod trial;
 mod verdict;
 
-use std::{cmp::Reverse, collections::BTreeSet, net::SocketAddrV4, time::Duration};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddrV4,
+    time::Duration,
+};
 
 use self::{denials::Denials, evidence::Evidence};
 use super::{Balancer, FlowState};
@@ -111,9 +116,10 @@
     changed_at: Time,
     /// Whether all agents replied to the last round that they know all flows of their servers.
     all_sure: bool,
-    /// Whether the known agents are all: false once a process has replied that knows agents unknown here,
-    /// and after a round without replies.
-    is_conclusive: bool,
+    /// What the processes knew in their last replies that knew agents unknown here.
+    informed: BTreeMap<SocketAddrV4, KnownAgents>,
+    /// Whether an agent has replied to the last round.
+    has_replies: bool,
     /// Agent whose return of a segment started the search.
     denied_by: Option<SocketAddrV4>,
     /// Whether the search was postponed, which is logged once.
@@ -138,6 +144,14 @@
         }
     }
 
+    /// Records which agents a process knows by its last reply. It may be silent in later rounds.
+    fn record_known_agents(&mut self, peer: SocketAddrV4, agents: KnownAgents, knows_all: bool) {
+        match knows_all {
+            true => self.informed.remove(&peer),
+            false => self.informed.insert(peer, agents),
+        };
+    }
+
     fn record_reply(&mut self, peer: SocketAddrV4, ownership: Ownership) {
         self.unanswered.retain(|home| *home != peer);
         for (queried, reply) in &mut self.queried {
@@ -233,7 +247,8 @@
             round_started: now,
             changed_at: now,
             all_sure: false,
-            is_conclusive: true,
+            informed: BTreeMap::new(),
+            has_replies: false,
             denied_by: None,
             is_postponed: false,
             kept_for: None,
@@ -302,7 +317,7 @@
         let Some(FlowState::Searching(search)) = self.flows.get_mut(flow) else {
             return;
         };
-        search.is_conclusive &= knows_all;
+        search.record_known_agents(from, agents, knows_all);
         match ownership {
             Ownership::Held => self.end_found(flow, from, now, out),
             Ownership::HeldBy(agent)
--- a/core/src/l4/balancer/search/gap.rs
+++ b/core/src/l4/balancer/search/gap.rs
@@ -38,7 +38,7 @@
         if !self.joined || self.known_agents.summary().count == 0 {
             return Some(Gap::NotJoined);
         }
-        if !search.is_conclusive {
+        if !search.has_replies || !search.informed.is_empty() {
             return Some(Gap::UnknownAgent);
         }
         // An agent may have answered between the end of the round and the replies to the last queries.
--- a/core/src/l4/balancer/search/round.rs
+++ b/core/src/l4/balancer/search/round.rs
@@ -78,8 +78,8 @@
     unasked: Vec<SocketAddrV4>,
     /// Agents that have been asked, with whether they are sure once they have replied.
     replies: BTreeMap<SocketAddrV4, Option<bool>>,
-    /// Whether no agent that replied knows an agent that is unknown here.
-    knows_all: bool,
+    /// Agents that replied that they know agents unknown here.
+    informed: Vec<(SocketAddrV4, KnownAgents)>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -172,7 +172,6 @@
             search.rounds += 1;
             search.tries = 0;
             search.round_started = now;
-            search.is_conclusive = true;
             search.queried.clear();
             search.holders.clear();
             let hash = FlowHash::new(&key, number);
@@ -200,7 +199,7 @@
             batch: Vec::new(),
             unasked,
             replies: BTreeMap::new(),
-            knows_all: true,
+            informed: Vec::new(),
         });
         self.start_batch(now, out);
     }
@@ -292,7 +291,9 @@
             return;
         };
         *reply = Some(sure);
-        round.knows_all &= knows_all;
+        if !knows_all {
+            round.informed.push((from, agents));
+        }
         let contained = round.flows.iter().filter(|flow| held.contains(flow.hash));
         let contained: Vec<FlowKey> = contained.map(|flow| flow.key).collect();
         for flow in contained {
@@ -374,7 +375,17 @@
             search.stage = Stage::Agents;
             search.evidence = evidence.clone();
             // A round that no agent has replied to proves nothing.
-            search.is_conclusive &= round.knows_all && has_reply;
+            search.has_replies = has_reply;
+            // The last reply of a process that is silent now stands, unless the process is gone or its agents
+            // are known meanwhile.
+            let (known, fleet, silences) = (&mut self.known_agents, &self.fleet, &self.silences);
+            search.informed.retain(|peer, agents| {
+                let has_replied = matches!(round.replies.get(peer), Some(Some(_)));
+                let may_live = fleet.get(*peer).is_some_and(|peer| !peer.state.is_gone());
+                let is_awaited = may_live && silences.absence(*peer, now).is_none();
+                !has_replied && is_awaited && !known.includes(agents)
+            });
+            search.informed.extend(round.informed.iter().copied());
             search.all_sure = silent.is_empty() && unsure.is_empty();
             // An agent whose filter contains the flow has denied it only once it replies so.
             if !search.has_missing_replies() && search.is_current() {
