Balancer: an agent that names another owner has not denied the flow itself

Callers could see a reset of an open flow: its agent had been restarted, missed a round, and answered the query for the flow with the owner that was registered with it as a home. The balancer refused that owner and took the reply for a denial, though the agent was unsure of its own server's flows.

After a round such a reply counts as unsure: the agent gets the segment on trial, which an agent that is sure returns at once.

--- a/core/src/l4/balancer/search.rs
+++ b/core/src/l4/balancer/search.rs
@@ -329,6 +329,13 @@
                 }
                 self.end_found(flow, agent, now, out)
             }
+            // A late reply must not replace the result of the trial delivery.
+            Ownership::HeldBy(_) | Ownership::Unsure if search.stage == Stage::Trial => {}
+            // The agent tells what is registered with it, and not whether it is sure of its own flows.
+            Ownership::HeldBy(_) if search.is_queried_after_round(from) => {
+                search.record_reply(from, Ownership::Unsure);
+                self.advance_if_complete(flow, now, out);
+            }
             Ownership::HeldBy(_) | Ownership::NotHeld => {
                 // A home replies so as well, of its registrations, and before the first round.
                 if ownership == Ownership::NotHeld && search.is_queried_after_round(from) {
@@ -337,8 +344,6 @@
                 search.record_reply(from, Ownership::NotHeld);
                 self.advance_if_complete(flow, now, out);
             }
-            // A late reply must not replace the result of the trial delivery.
-            Ownership::Unsure if search.stage == Stage::Trial => {}
             Ownership::Unsure => {
                 search.record_reply(from, ownership);
                 self.advance_if_complete(flow, now, out);
