Balancer: flows that others ascribed to an agent are searched for when it is gone

An entry now knows whether its agent has said itself that it holds the flow: by its reply, or by the server's acceptance that the caller acknowledged. When an agent is gone, only those flows are reset at once; the others take part in the next round, without waiting for their callers. A home that names an agent which has left tells nothing; before, such an entry stayed without a query or a reset.

--- a/core/src/l4/balancer.rs
+++ b/core/src/l4/balancer.rs
@@ -96,6 +96,9 @@
 #[derive(Clone, Copy, Debug)]
 struct Owned {
     agent: SocketAddrV4,
+    /// Whether the agent itself has said that its server holds the flow. Otherwise a home has named it, or no
+    /// other agent was left.
+    is_confirmed: bool,
     /// Last acknowledgement number of the caller; a reset is sent with it as the sequence number.
     acknowledged: u32,
     expires: Time,
@@ -514,9 +517,16 @@
         }
     }
 
-    fn set_owner(&mut self, flow: &FlowKey, agent: SocketAddrV4, acknowledged: u32, now: Time) {
+    fn set_owner(
+        &mut self,
+        flow: &FlowKey,
+        (agent, is_confirmed): (SocketAddrV4, bool),
+        acknowledged: u32,
+        now: Time,
+    ) {
         let owned = Owned {
             agent,
+            is_confirmed,
             acknowledged,
             expires: now + idle_timeout(&self.routes),
         };
--- a/core/src/l4/balancer/dead_agents.rs
+++ b/core/src/l4/balancer/dead_agents.rs
@@ -145,18 +145,30 @@
         }
     }
 
+    /// Resets the flows that an agent which is gone has said to hold. Those that others ascribed to it are
+    /// searched for.
     fn reset_flows_of(&mut self, agent: SocketAddrV4, now: Time, out: &mut impl Outbox) {
         let mut lost = Vec::new();
+        let mut presumed = Vec::new();
         for (flow, entry) in &self.flows {
-            if let FlowState::Owned(owned) = entry
-                && owned.agent == agent
-            {
-                lost.push((*flow, owned.acknowledged));
+            let FlowState::Owned(owned) = entry else {
+                continue;
+            };
+            if owned.agent != agent {
+                continue;
+            }
+            match owned.is_confirmed {
+                true => lost.push((*flow, owned.acknowledged)),
+                false => presumed.push((*flow, owned.acknowledged)),
             }
         }
-        tracing::info!(event = "agent_gone", %agent, flows = lost.len());
+        let (flows, searched) = (lost.len(), presumed.len());
+        tracing::info!(event = "agent_gone", %agent, flows, searched);
         for (flow, acknowledged) in lost {
             self.reset_flow(&flow, acknowledged, "agent_gone", now, out);
         }
+        for (flow, acknowledged) in presumed {
+            self.search_again(&flow, acknowledged, now);
+        }
     }
 }
--- a/core/src/l4/balancer/fleet.rs
+++ b/core/src/l4/balancer/fleet.rs
@@ -143,6 +143,12 @@
         self.agents.get(&address)
     }
 
+    /// Returns whether an agent has announced that it has left.
+    pub fn has_left(&self, address: SocketAddrV4) -> bool {
+        let agent = self.agents.get(&address);
+        agent.is_some_and(|agent| agent.state == MemberState::Left)
+    }
+
     /// Returns the agents of all services that are not gone, those of some services first: an earlier
     /// route table may have sent a flow to another service than the present one does.
     pub fn possible_owners(&self, first: &BTreeSet<ServiceTag>) -> Vec<SocketAddrV4> {
--- a/core/src/l4/balancer/opening.rs
+++ b/core/src/l4/balancer/opening.rs
@@ -370,7 +370,7 @@
             Some(FlowState::Searching(search))
                 if acknowledges_start(search.acknowledged, initial) =>
             {
-                self.end_found(flow, agent, now, out);
+                self.end_found(flow, (agent, true), now, out);
             }
             _ => {}
         }
@@ -481,7 +481,8 @@
         };
         match confirmed.or(only_unconfirmed) {
             Some(agent) => {
-                self.set_owner(flow, agent, acknowledged, now);
+                let is_confirmed = confirmed.is_some();
+                self.set_owner(flow, (agent, is_confirmed), acknowledged, now);
                 self.forward(agent, datagram, out);
             }
             None => self.start_search(flow, segment, datagram, now, out),
--- a/core/src/l4/balancer/search.rs
+++ b/core/src/l4/balancer/search.rs
@@ -130,6 +130,36 @@
 }
 
 impl Search {
+    /// Returns a search that has queried nobody and has no segment.
+    fn new(acknowledged: u32, now: Time) -> Self {
+        Self {
+            acknowledged: acknowledged,
+            buffered: Vec::new(),
+            queried: Vec::new(),
+            denials: Denials::default(),
+            holders: Vec::new(),
+            tried: BTreeSet::new(),
+            untried: Vec::new(),
+            segment: 0,
+            delivered: 0,
+            evidence: Evidence::default(),
+            unanswered: Vec::new(),
+            rounds: 0,
+            tries: 0,
+            stage: Stage::Homes,
+            due: now,
+            round_started: now,
+            changed_at: now,
+            all_sure: false,
+            informed: BTreeMap::new(),
+            has_replies: false,
+            denied_by: None,
+            is_postponed: false,
+            kept_for: None,
+            expires: now + SEARCH_TTL,
+        }
+    }
+
     /// Buffers a segment until the search ends; drops it if the buffer is full.
     fn push_segment(&mut self, segment: &Segment, datagram: &[u8], now: Time) {
         self.expires = now + SEARCH_TTL;
@@ -228,32 +258,12 @@
         let due = now + HOMES_TIMEOUT;
         let service = self.service_of(flow).unwrap_or_default();
         let queried = self.fleet.homes(service.tag(), flow);
-        let search = Search {
-            acknowledged: segment.acknowledged,
-            buffered: vec![datagram.into()],
-            queried: queried.iter().map(|peer| (*peer, None)).collect(),
-            denials: Denials::default(),
-            holders: Vec::new(),
-            tried: BTreeSet::new(),
-            untried: Vec::new(),
-            segment: 0,
-            delivered: 0,
-            evidence: Evidence::default(),
-            unanswered: Vec::new(),
-            rounds: 0,
-            tries: 0,
-            stage: Stage::Homes,
-            due,
-            round_started: now,
-            changed_at: now,
-            all_sure: false,
-            informed: BTreeMap::new(),
-            has_replies: false,
-            denied_by: None,
-            is_postponed: false,
-            kept_for: None,
-            expires: now + SEARCH_TTL,
-        };
+        let mut search = Search::new(segment.acknowledged, now);
+        search.buffered.push(datagram.into());
+        search
+            .queried
+            .extend(queried.iter().map(|peer| (*peer, None)));
+        search.due = due;
         tracing::info!(
             event = "flow_searched",
             %flow,
@@ -267,6 +277,13 @@
         self.send_queries(flow, segment.acknowledged, &queried, out);
     }
 
+    /// Searches for the owner of a flow whose presumed one is gone, before the caller's next segment.
+    pub(super) fn search_again(&mut self, flow: &FlowKey, acknowledged: u32, now: Time) {
+        let search = Search::new(acknowledged, now);
+        self.insert(flow, FlowState::Searching(search));
+        self.wait_for_round(flow);
+    }
+
     /// Buffers a segment of a flow that is searched for. If the search was kept, the homes are queried
     /// again: the owner may have registered the flow since, and be unknown here.
     pub(super) fn continue_search(
@@ -314,20 +331,26 @@
         out: &mut impl Outbox,
     ) {
         let knows_all = self.compare_known_agents(from, &agents);
-        let Some(FlowState::Searching(search)) = self.flows.get_mut(flow) else {
-            return;
+        let search = match self.flows.get_mut(flow) {
+            Some(FlowState::Searching(search)) => search,
+            Some(FlowState::Owned(owned)) => {
+                owned.is_confirmed |= ownership == Ownership::Held && owned.agent == from;
+                return;
+            }
+            _ => return,
         };
         search.record_known_agents(from, agents, knows_all);
         match ownership {
-            Ownership::Held => self.end_found(flow, from, now, out),
+            Ownership::Held => self.end_found(flow, (from, true), now, out),
             Ownership::HeldBy(agent)
-                if search.may_be_owner(agent, self.fleet.get(agent).is_some()) =>
+                if search.may_be_owner(agent, self.fleet.get(agent).is_some())
+                    && !self.fleet.has_left(agent) =>
             {
                 let owner = self.fleet.get(agent);
                 if owner.is_none_or(|owner| owner.state.is_gone()) {
                     self.dead_agents.add(agent, now);
                 }
-                self.end_found(flow, agent, now, out)
+                self.end_found(flow, (agent, false), now, out)
             }
             // A late reply must not replace the result of the trial delivery.
             Ownership::HeldBy(_) | Ownership::Unsure if search.stage == Stage::Trial => {}
@@ -386,20 +409,21 @@
         }
     }
 
-    /// Ends a search: sets the owner and forwards the buffered segments to it.
+    /// Ends a search: sets the owner, with whether it has said so itself, and forwards the buffered segments
+    /// to it.
     pub(super) fn end_found(
         &mut self,
         flow: &FlowKey,
-        agent: SocketAddrV4,
+        (agent, is_confirmed): (SocketAddrV4, bool),
         now: Time,
         out: &mut impl Outbox,
     ) {
         let Some(FlowState::Searching(search)) = self.flows.remove(flow) else {
             return;
         };
-        tracing::info!(event = "flow_found", %flow, %agent, rounds = search.rounds);
+        tracing::info!(event = "flow_found", %flow, %agent, is_confirmed, rounds = search.rounds);
         self.metrics.count_search("found");
-        self.set_owner(flow, agent, search.acknowledged, now);
+        self.set_owner(flow, (agent, is_confirmed), search.acknowledged, now);
         // What the owner was sent on trial is not sent again.
         let delivered = match search.tried.contains(&agent) {
             true => search.delivered,
