Tests: a process that joins through seeds that have just started (fails)

Failed try: replies of processes that have not joined were marked, and a first round in which no other process answers did not count.

--- a/tests/membership/joins.rs
+++ b/tests/membership/joins.rs
@@ -116,3 +116,31 @@
         assert_eq!(known, size + 2, "seed {seed}: members after {took:?}");
     }
 }
+
+/// Guards against a process that joins through seeds which have started just before it: they tell it of the part
+/// that they have fetched so far, and claim no more members than that.
+#[test]
+fn process_that_joins_through_seeds_that_have_just_started_fetches_the_whole() {
+    const SIZE: usize = 200;
+    let mut partial = Vec::new();
+    for (seed, lead_ms) in (1..=8).flat_map(|seed| [5, 10, 15, 25, 50].map(|ms| (seed, ms))) {
+        let mut network = Network::new(seed);
+        let records: Vec<_> = (0..SIZE).map(|n| record(n, DOMAINS)).collect();
+        let seeds: Vec<_> = records[..3].iter().map(|record| record.control).collect();
+        network.start_fleet(&records, &seeds);
+        for number in 0..3 {
+            network.nodes[number].running = false;
+            let mut restarted = records[number].clone();
+            restarted.incarnation.0 += 1;
+            network.start(restarted, vec![records[3].control]);
+        }
+        network.run(Duration::from_millis(lead_ms));
+        let added = network.start(record(SIZE, DOMAINS), seeds);
+        let took = network.run_while(JOIN_LIMIT, |n| !n.nodes[added].swim.is_joined());
+        let known = network.nodes[added].swim.roster().live_count();
+        if took.is_none() || known != SIZE + 1 {
+            partial.push((seed, lead_ms, took, known));
+        }
+    }
+    assert_eq!(partial, []);
+}
