--- a/tests/membership/rolls.rs
+++ b/tests/membership/rolls.rs
@@ -179,3 +179,41 @@
         "agents that a balancer knows, and time since its start: {partial:?}"
     );
 }
+
+/// Guards against the same where both roles are restarted at the pace of planned work in the largest fleet: a
+/// balancer that counts fewer agents than there are must not count as joined.
+#[test]
+fn balancers_that_start_while_both_roles_restart_never_count_as_joined_with_a_part() {
+    const AGENTS_AT_ONCE: usize = 27;
+    const BALANCERS_AT_ONCE: usize = 13;
+    const BALANCER_STARTS: usize = 60;
+    let mut fleet = Fleet::new(1);
+    let begin = fleet.network.now;
+    let turn = |number: usize, at_once: usize| seconds(1) * (number / at_once) as u32;
+    for agent in 0..AGENTS {
+        fleet.restart(BALANCERS + agent, begin + turn(agent, AGENTS_AT_ONCE));
+    }
+    let mut starting = BTreeMap::new();
+    for place in 0..BALANCER_STARTS {
+        let stop = begin + seconds(1) + turn(place, BALANCERS_AT_ONCE);
+        fleet.restart(place, stop);
+        starting.insert(place, stop + STOP_TIME + DOWN_TIME);
+    }
+    let mut partial = BTreeMap::new();
+    while !starting.is_empty() {
+        fleet.run_until(fleet.network.now + CHECK_INTERVAL);
+        let now = fleet.network.now;
+        starting.retain(|place, started| {
+            let has_joined = now > *started && fleet.swim(*place).is_joined();
+            let known = fleet.known_agents(*place);
+            if has_joined && known < AGENTS {
+                partial.insert(*place, (known, now.since(*started)));
+            }
+            !has_joined && now.since(*started) < JOIN_LIMIT
+        });
+    }
+    assert!(
+        partial.is_empty(),
+        "agents that a balancer knows when it joins, and time since its start: {partial:?}"
+    );
+}
