--- a/core/src/l4/balancer/search.rs
+++ b/core/src/l4/balancer/search.rs
@@ -133,7 +133,7 @@
     /// Returns a search that has queried nobody and has no segment.
     fn new(acknowledged: u32, now: Time) -> Self {
         Self {
-            acknowledged: acknowledged,
+            acknowledged,
             buffered: Vec::new(),
             queried: Vec::new(),
             denials: Denials::default(),
