Agent: do not pile up lists of prior flows while agents come and go

Each change of the set of agents added a list of all flows from before the agent's start for each home, faster than the 10 KB a second at which lists are sent: after 40 changes in 2 s, an agent with 400 such flows still sent lists 1.5 s later, for seconds. They are added now only once the earlier ones have been sent.

lists_do_not_pile_up_while_the_agents_change failed before (43 lists, 40.7 KB after the time that one series takes).

--- a/core/src/l4/agent/registrations.rs
+++ b/core/src/l4/agent/registrations.rs
@@ -180,8 +180,11 @@
             let prior = &self.prior;
             let is_known = |flow: &FlowKey| flows.get(flow).is_some() || prior.contains(flow);
             state.homes_by_flow.retain(|flow, _| is_known(flow));
-            let prior: Vec<FlowKey> = prior.iter().copied().collect();
-            state.add_lists(&prior, |_| true);
+            // While agents come and go, lists would be added faster than they are sent.
+            if state.lists.is_empty() {
+                let prior: Vec<FlowKey> = prior.iter().copied().collect();
+                state.add_lists(&prior, |_| true);
+            }
         }
         for flow in self.flows.long_lived(now, (from, until), all) {
             for home in self.registrations.homes_of(&flow).into_iter().flatten() {
--- a/core/tests/l4/registrations.rs
+++ b/core/tests/l4/registrations.rs
@@ -231,8 +231,13 @@
 
     /// Gives all agents a view of the fleet with the present incarnations.
     fn publish(&mut self) {
+        self.publish_first(self.agents.len());
+    }
+
+    /// Gives all agents a view of the first agents of the fleet.
+    fn publish_first(&mut self, count: usize) {
         let mut members = BTreeMap::new();
-        for (index, incarnation) in self.incarnations.iter().enumerate() {
+        for (index, incarnation) in self.incarnations.iter().enumerate().take(count) {
             let record = Record {
                 address: address(index),
                 control: address(index),
@@ -434,6 +439,25 @@
     assert_eq!(known.count(), flows.len());
 }
 
+/// Guards against lists that pile up while agents come and go, each of which moves some homes.
+#[test]
+fn lists_do_not_pile_up_while_the_agents_change() {
+    let mut fleet = Fleet::new(4, 400);
+    fleet.advance(Duration::from_secs(2));
+    fleet.kill(&[1]);
+    fleet.start(&[1]);
+    fleet.advance(Duration::from_millis(100));
+    for step in 0..40 {
+        fleet.publish_first(3 + step % 2);
+        fleet.advance(Duration::from_millis(50));
+    }
+    // The 800 registrations of the 400 flows take 10.4 KB.
+    fleet.advance(Duration::from_millis(1_500));
+    fleet.registrations.fill((0, 0));
+    fleet.advance(Duration::from_secs(5));
+    assert_eq!(fleet.registrations, [(0, 0); 4]);
+}
+
 /// A list that another build or a stranger has cut short must not register flows that nobody has named.
 #[test]
 fn list_of_flows_with_an_odd_length_registers_only_the_named_flow() {
