Agent: a server's acceptance without an entry is no open flow

Callers saw segments of open flows at other servers: an agent said that it held a flow whose opening its server had accepted, but whose caller had completed the copy at another server.

Cause: any server's segment of a flow without an entry added an open one. A server repeats its acceptance for about 10 s; the entry is lost when the agent restarts, and removed after 4 s without a restart too. The next repetition made the flow open for any acknowledgement, and the agent registered it as long-lived at both homes.

Such a segment now adds the accepted state with the server's initial sequence number and the time to live of an unacknowledged flow, so that only a caller that acknowledges it makes the flow open.

--- a/core/src/l4/agent/flows.rs
+++ b/core/src/l4/agent/flows.rs
@@ -43,8 +43,8 @@
     },
     /// A segment was delivered on trial, to find out whether the backend server holds the flow.
     TrialDelivered,
-    /// The caller sent a segment after the opening one, or the backend server sent a segment on a
-    /// flow without an entry or after a trial delivery.
+    /// The caller sent a segment after the opening one, or the backend server sent another segment than
+    /// the accepting one on a flow without an entry or after a trial delivery.
     Open,
     /// Both ends have sent a FIN, or one has reset the flow.
     Ended,
@@ -290,7 +290,8 @@
         }
     }
 
-    /// Records a segment of the backend server; a flow without an entry is added as open.
+    /// Records a segment of the backend server; a flow without an entry is added as open, or as accepted if the
+    /// segment accepts it: the caller may have completed another copy of the opening at another server.
     pub fn record_server_segment(
         &mut self,
         segment: &Segment,
@@ -299,16 +300,22 @@
     ) -> SegmentEffect {
         let idle_timeout = self.idle_timeout;
         let flow = segment.flow_of_server();
+        let accepts = segment.flags.syn;
         let entry = self.entries.entry(flow).or_insert_with(|| {
             workload.add_flow();
-            FlowEntry::new(FlowState::Open, UNKNOWN_BALANCER, now, now + idle_timeout)
+            let initial = segment.sequence;
+            let (state, ttl) = match accepts {
+                true => (FlowState::Accepted { initial }, UNACKNOWLEDGED_FLOW_TTL),
+                false => (FlowState::Open, idle_timeout),
+            };
+            FlowEntry::new(state, UNKNOWN_BALANCER, now, now + ttl)
         });
         let mut effect = SegmentEffect::Other;
         if entry.state == FlowState::Ended {
             return effect;
         }
         entry.opening_unanswered = false;
-        if segment.flags.syn {
+        if accepts {
             let initial = segment.sequence;
             entry.server_end = None;
             if matches!(
--- a/core/tests/l4/registrations.rs
+++ b/core/tests/l4/registrations.rs
@@ -635,3 +635,39 @@
     fleet.advance(Duration::from_secs(5));
     assert_eq!(fleet.questions, [1, 3, 0]);
 }
+
+/// Guards against homes that name a wrong owner for up to 15 s: another agent's server took a copy of the opening
+/// segment, which the caller never acknowledged, and the agent is stopped. The flow is open and registered.
+#[test]
+fn stopping_agent_does_not_replace_the_registrations_of_the_owner() {
+    const FIRST: u16 = 1_000;
+    let mut fleet = Fleet::new(12, 0);
+    let ports = FIRST..FIRST + 40;
+    for port in ports.clone() {
+        fleet.establish(0, port);
+    }
+    for port in ports.clone() {
+        fleet.open(1, port);
+        let [high, low] = port.to_be_bytes();
+        fleet.call(1, |agent, now, out| {
+            agent.receive_from_server(&[ACCEPT, low, 200, high], now, out);
+        });
+    }
+    fleet.advance(Duration::from_secs(2));
+    assert_eq!(misled_homes(&mut fleet, ports.clone()), []);
+    fleet.stop(&[1]);
+    assert_eq!(misled_homes(&mut fleet, ports), []);
+}
+
+/// Returns the homes that name agent 1 as the owner of a flow, with the caller's port.
+fn misled_homes(fleet: &mut Fleet, ports: std::ops::Range<u16>) -> Vec<(usize, u16)> {
+    let mut misled = Vec::new();
+    for port in ports {
+        for home in fleet.homes(&flow_from(port)) {
+            if fleet.names_owner(home, 1, port) {
+                misled.push((home, port));
+            }
+        }
+    }
+    misled
+}
