Agent: an acceptance that the caller leaves is not registered again

Callers' segments reached a server that has only accepted a copy of the opening, or waited for a search of all agents: homes named its agent as the owner, or nobody.

Cause: homes take the agent that registers a flow again for the owner. An agent registered a new flow at each repetition of its server's acceptance, and a server repeats just the one that its caller does not complete. A stopping agent, or one whose home has restarted, registered such flows too, so that the homes had two owners.

A flow is registered at the first acceptance of a delivered opening, and one without an entry only during a stop. Lists contain an accepted flow for 1.4 s after its opening was delivered: by then its caller has completed the opening at one of the servers or given it up.

--- a/core/src/l4/agent.rs
+++ b/core/src/l4/agent.rs
@@ -21,7 +21,7 @@
 };
 
 use self::{
-    flows::{FlowEntry, FlowTable, SegmentEffect},
+    flows::{Acceptance, FlowEntry, FlowTable, SegmentEffect},
     prior_flows::PriorFlows,
     registrations::Registrations,
     requests::Requests,
@@ -368,14 +368,26 @@
             .flows
             .record_server_segment(&segment, &mut self.workload, now)
         {
-            SegmentEffect::Accepted { initial, balancer } => {
+            SegmentEffect::Accepted {
+                initial,
+                acceptance,
+                balancer,
+            } => {
                 let opened = Message::Opened {
                     flow: segment.flow_of_server(),
                     initial,
                     load: self.workload.load(),
                 };
                 self.send(balancer, &opened, &[], out);
-                self.register_new(segment.flow_of_server(), out);
+                // Homes take an agent that registers a flow again for the one at which it goes on.
+                let is_registered = match acceptance {
+                    Acceptance::First => true,
+                    Acceptance::Repeated => false,
+                    Acceptance::Unexpected => self.stopping,
+                };
+                if is_registered {
+                    self.register_new(segment.flow_of_server(), out);
+                }
             }
             SegmentEffect::Confirmed { balancer } => {
                 let flow = segment.flow_of_server();
--- a/core/src/l4/agent/flows.rs
+++ b/core/src/l4/agent/flows.rs
@@ -25,6 +25,10 @@
 /// opening after 1.4 s.
 const UNACKNOWLEDGED_FLOW_TTL: Duration = Duration::from_secs(4);
 
+/// Time after the delivery of an opening segment by which its caller has completed the opening, here or at
+/// another server, or given it up.
+const OPENING_LIFETIME: Duration = Duration::from_millis(1_400);
+
 /// Placeholder for the balancer of a flow that was first seen in a server's segment.
 const UNKNOWN_BALANCER: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0);
 
@@ -64,6 +68,8 @@
     pub expires: Time,
     /// Whether the backend server has not answered the opening segment yet.
     pub opening_unanswered: bool,
+    /// When the caller has completed the opening, here or at another server, or given it up.
+    opening_ends: Time,
     /// Whether the flow counts as an opening in the workload. An opening lasts from the delivery of
     /// the opening segment to the first request or the opening timeout.
     is_opening: bool,
@@ -85,6 +91,17 @@
     server_finished: bool,
 }
 
+/// What was known of the opening that a backend server accepts.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Acceptance {
+    /// It was delivered and not answered.
+    First,
+    /// It was answered before.
+    Repeated,
+    /// Nothing: the agent has lost the entry, or never had one.
+    Unexpected,
+}
+
 /// Effect of a backend server's segment on its flow.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum SegmentEffect {
@@ -92,6 +109,8 @@
     Accepted {
         /// Initial sequence number of the backend server.
         initial: u32,
+        /// What was known of the opening.
+        acceptance: Acceptance,
         /// Balancer that sent the last segment of the flow, see [`FlowEntry::balancer`].
         balancer: SocketAddrV4,
     },
@@ -158,6 +177,7 @@
             now + UNACKNOWLEDGED_FLOW_TTL,
         );
         entry.opening_unanswered = true;
+        entry.opening_ends = now + OPENING_LIFETIME;
         entry.is_aligned = true;
         entry.is_opening = true;
         workload.add_opening();
@@ -301,6 +321,11 @@
         let idle_timeout = self.idle_timeout;
         let flow = segment.flow_of_server();
         let accepts = segment.flags.syn;
+        let acceptance = match self.entries.get(&flow).map(|entry| entry.state) {
+            Some(FlowState::OpeningSent) => Acceptance::First,
+            Some(_) => Acceptance::Repeated,
+            None => Acceptance::Unexpected,
+        };
         let entry = self.entries.entry(flow).or_insert_with(|| {
             workload.add_flow();
             let initial = segment.sequence;
@@ -326,6 +351,7 @@
             }
             return SegmentEffect::Accepted {
                 initial,
+                acceptance,
                 balancer: entry.balancer,
             };
         }
@@ -412,6 +438,15 @@
 }
 
 impl FlowEntry {
+    /// Returns whether the backend server holds the flow, or has accepted it and its caller may still complete it.
+    pub fn may_go_on(&self, now: Time) -> bool {
+        match self.state {
+            FlowState::Open => true,
+            FlowState::Accepted { .. } => now < self.opening_ends,
+            FlowState::Ended | FlowState::OpeningSent | FlowState::TrialDelivered => false,
+        }
+    }
+
     fn new(state: FlowState, balancer: SocketAddrV4, now: Time, expires: Time) -> Self {
         Self {
             state,
@@ -419,6 +454,7 @@
             acknowledged: 0,
             expires,
             opening_unanswered: false,
+            opening_ends: now,
             is_opening: false,
             long_lived_at: now + LONG_LIVED_AGE,
             outstanding: None,
--- a/core/src/l4/agent/registrations.rs
+++ b/core/src/l4/agent/registrations.rs
@@ -12,7 +12,7 @@
 
 use rustc_hash::FxBuildHasher;
 
-use super::{Agent, flows::FlowState};
+use super::Agent;
 use crate::{
     clock::Time,
     consts::LEAVE_ANNOUNCE_DELAY,
@@ -195,7 +195,7 @@
         }
         let restarted = std::mem::take(&mut self.registrations.restarted);
         if !restarted.is_empty() {
-            let flows = self.held_flows();
+            let flows = self.held_flows(now);
             let is_wanted = |home| restarted.contains(&home);
             // What was to be sent there is among the flows.
             self.registrations
@@ -232,7 +232,7 @@
         if self.server.has_left() {
             return;
         }
-        let flows = self.held_flows();
+        let flows = self.held_flows(now);
         self.registrations.lists.clear();
         let count = self.registrations.add_lists(&flows, |_| true);
         tracing::info!(event = "flows_registered_at_stop", flows = count);
@@ -255,11 +255,10 @@
         }
     }
 
-    /// Returns the flows that the backend server holds or has accepted, with those from before the agent's
-    /// start that are known.
-    fn held_flows(&self) -> Vec<FlowKey> {
-        let is_held = |state| matches!(state, FlowState::Accepted { .. } | FlowState::Open);
-        let held = self.flows.iter().filter(|(_, entry)| is_held(entry.state));
+    /// Returns the flows that the backend server holds, or has accepted and their callers may still complete, with
+    /// those from before the agent's start that are known.
+    fn held_flows(&self, now: Time) -> Vec<FlowKey> {
+        let held = self.flows.iter().filter(|(_, entry)| entry.may_go_on(now));
         let held = held.map(|(flow, _)| flow);
         let flows = &self.flows;
         let prior = self.prior.iter().filter(|flow| flows.get(flow).is_none());
--- a/core/tests/l4/agent_claims.rs
+++ b/core/tests/l4/agent_claims.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     agent::Harness,
-    codec::{ACCEPT, DATA},
+    codec::{ACCEPT, DATA, flow},
 };
 
 /// Guards against a search that ends at a wrong agent: its server took a copy of the opening segment, and sends its
@@ -44,3 +44,17 @@
         assert_eq!(harness.ownership(1, 51), Ownership::NotHeld);
     }
 }
+
+/// Guards against homes that name a wrong owner: of two agents that have registered a flow, they take the one
+/// that registers again for the owner, and a server repeats an acceptance that its caller does not complete.
+#[test]
+fn repeated_acceptance_is_not_registered_again() {
+    let mut harness = Harness::new(0);
+    harness.know_peer(2);
+    harness.open("desk", true, 1);
+    harness.receive_from_server(ACCEPT, 1, 200);
+    harness.sent.messages.clear();
+    harness.receive_from_server(ACCEPT, 1, 200);
+    let register = Message::Register { flow: flow(1) };
+    assert!(!harness.sent.messages.contains(&register));
+}
--- a/core/tests/l4/registrations.rs
+++ b/core/tests/l4/registrations.rs
@@ -659,6 +659,21 @@
     assert_eq!(misled_homes(&mut fleet, ports), []);
 }
 
+/// Guards against homes that name no owner, so that each segment at another balancer causes a search of all agents:
+/// an agent whose server's acceptance the caller has not completed registers the flow when it is stopped.
+#[test]
+fn stopping_agent_does_not_dispute_the_registrations_of_the_owner() {
+    let mut fleet = Fleet::new(12, 0);
+    fleet.establish(0, 1_000);
+    fleet.open(1, 1_000);
+    fleet.accept(1, 1_000);
+    fleet.advance(Duration::from_secs(2));
+    fleet.assert_known_at_both_homes(0, 1_000);
+    fleet.stop(&[1]);
+    fleet.start(&[1]);
+    fleet.assert_known_at_both_homes(0, 1_000);
+}
+
 /// Returns the homes that name agent 1 as the owner of a flow, with the caller's port.
 fn misled_homes(fleet: &mut Fleet, ports: std::ops::Range<u16>) -> Vec<(usize, u16)> {
     let mut misled = Vec::new();
