Agent: a flow whose opening its server has not answered is not held

Callers saw segments of open flows at a server that had only been sent the opening: its agent delivered them and said that it held the flow, so that no balancer searched on.

Cause: any caller's segment made an entry open whose opening was delivered and not answered. A balancer forwards the first segment to such an agent when its reply was lost or is late; the caller may have completed a copy of the opening that another balancer placed elsewhere. The answer of this server passes through its agent before the caller gets it, so without it the caller acknowledges another server, or the agent has lost an entry from before its restart.

An agent that knows all flows of its server returns the segment as unknown, and the balancer searches. One that may have lost some delivers it on trial and is unsure of the flow, where it denied it before: its server may hold the flow and be sent a late copy of the opening. An acceptance after the trial tells which flow the server holds.

--- a/core/src/l4/agent/flows.rs
+++ b/core/src/l4/agent/flows.rs
@@ -207,8 +207,8 @@
 
     /// Records a caller's segment that is to be delivered to the backend server.
     ///
-    /// Returns whether the segment begins a request, or `None` if the flow is unknown or the caller
-    /// acknowledges data of another server.
+    /// Returns whether the segment begins a request, or `None` if the flow is unknown, the server has not answered
+    /// the opening segment, or the caller acknowledges data of another server.
     pub fn record_caller_segment(
         &mut self,
         segment: &Segment,
@@ -217,10 +217,15 @@
         now: Time,
     ) -> Option<bool> {
         let entry = self.entries.get_mut(&segment.flow_of_caller())?;
-        if let FlowState::Accepted { initial } = entry.state
-            && !acknowledges_start(segment.acknowledged, initial)
-        {
-            return None;
+        match entry.state {
+            // The server's answer would have passed here before the caller got it.
+            FlowState::OpeningSent => return None,
+            FlowState::Accepted { initial }
+                if !acknowledges_start(segment.acknowledged, initial) =>
+            {
+                return None;
+            }
+            _ => {}
         }
         entry.balancer = balancer;
         entry.acknowledged = segment.acknowledged;
@@ -345,8 +350,11 @@
             entry.server_end = None;
             if matches!(
                 entry.state,
-                FlowState::OpeningSent | FlowState::Accepted { .. }
+                FlowState::OpeningSent | FlowState::Accepted { .. } | FlowState::TrialDelivered
             ) {
+                if entry.state == FlowState::TrialDelivered {
+                    entry.expires = now + UNACKNOWLEDGED_FLOW_TTL;
+                }
                 entry.state = FlowState::Accepted { initial };
             }
             return SegmentEffect::Accepted {
--- a/core/src/l4/agent/held_flows.rs
+++ b/core/src/l4/agent/held_flows.rs
@@ -46,6 +46,8 @@
             Some(FlowState::Accepted { initial }) if acknowledges_start(acknowledged, initial) => {
                 Ownership::Held
             }
+            // The server may hold the flow already, and answer no late copy of its opening segment.
+            Some(FlowState::OpeningSent) if self.may_hold_prior_flows() => Ownership::Unsure,
             Some(FlowState::Accepted { .. } | FlowState::OpeningSent) => Ownership::NotHeld,
             Some(FlowState::TrialDelivered) if self.is_registered_prior(flow) => Ownership::Held,
             Some(FlowState::TrialDelivered) => Ownership::Unsure,
--- a/core/tests/l4/agent_claims.rs
+++ b/core/tests/l4/agent_claims.rs
@@ -58,3 +58,44 @@
     let register = Message::Register { flow: flow(1) };
     assert!(!harness.sent.messages.contains(&register));
 }
+
+/// Guards against an agent that claims a flow because a balancer took it for the owner: its server has not answered
+/// the opening segment, so the caller acknowledges another one.
+#[test]
+fn flow_whose_opening_the_server_has_not_answered_is_not_open() {
+    let mut harness = Harness::new(0);
+    harness.open("desk", true, 1);
+    harness.sent.delivered.clear();
+    harness.sent.messages.clear();
+    harness.send(Message::Forward, &[DATA, 1, 5]);
+    assert_eq!(harness.sent.messages, [Message::Unknown]);
+    assert!(harness.sent.delivered.is_empty());
+    assert_eq!(harness.ownership(1, 50), Ownership::NotHeld);
+    harness.receive_from_server(ACCEPT, 1, 5);
+    harness.send(Message::Forward, &[DATA, 1, 5]);
+    assert_eq!(harness.sent.delivered.len(), 1);
+}
+
+/// Guards against the denial of an open flow: an agent that was restarted gets a late copy of its opening segment,
+/// which the server, as it holds the flow, does not answer.
+#[test]
+fn opening_segment_at_an_unsure_agent_does_not_deny_an_earlier_flow() {
+    let mut harness = Harness::new(40);
+    harness.open("desk", true, 1);
+    assert_eq!(harness.ownership(1, 50), Ownership::Unsure);
+    harness.sent.delivered.clear();
+    harness.send(Message::Forward, &[DATA, 1, 5]);
+    assert_eq!(harness.sent.delivered.len(), 1, "on trial");
+    assert_eq!(harness.ownership(1, 50), Ownership::Unsure);
+}
+
+/// Guards against a trial delivery that ends at a wrong agent: the server answers the opening segment after it.
+#[test]
+fn acceptance_after_a_trial_delivery_tells_which_flow_the_server_holds() {
+    let mut harness = Harness::new(40);
+    harness.open("desk", true, 1);
+    harness.send(Message::Forward, &[DATA, 1, 5]);
+    harness.receive_from_server(ACCEPT, 1, 200);
+    assert_eq!(harness.ownership(1, 51), Ownership::NotHeld);
+    assert_eq!(harness.ownership(1, 2_001), Ownership::Held);
+}
