--- a/core/src/l4/balancer/search.rs
+++ b/core/src/l4/balancer/search.rs
@@ -6,11 +6,14 @@
 //!    all searches that wait ([`round`]).
 //! 3. Agents whose filter contains the flow, and agents that sent none, are queried for the flow
 //!    ([`query`]).
-//! 4. Agents that are unsure are sent a segment of the flow (trial delivery): a backend server
-//!    returns a segment of a flow that it does not hold.
+//! 4. Agents that are unsure are sent a segment of the flow ([`trial`]): a backend server returns a
+//!    segment of a flow that it does not hold.
 //!
-//! A flow that a live server holds is never reset: every agent of the fleet has denied it in one round,
-//! whatever service the routes name for it now. Its agent has an entry for it, or is not sure of all
+//! Resets and trial deliveries rest on the same condition ([`gap`]): every agent that may hold the flow is
+//! known here and has replied. Until it holds, the search is kept and takes part in further rounds.
+//!
+//! A flow that a live server holds is never reset: every agent of the fleet has denied it in a round of the
+//! search, whatever service the routes name for it now. Its agent has an entry for it, or is not sure of all
 //! flows of its server. In the first case the flow is in the agent's filter, which has no false negatives;
 //! in the second case the agent is unsure until its server has returned a segment of the flow. A
 //! reply counts only in the round that it repeats the number of, and a round counts only for the
