Agent: an acceptance refutes what a home has named

Callers saw segments of open flows at a server that had only accepted a copy of the opening: its agent had restarted, and answered for the flow since a home had named it as the owner.

Cause: the flow that a home has named was kept beside the entry of a server's acceptance. It was dropped when all flows are registered again, each 15 s, if the entry was still there; the entry ends after 4 s, and the agent then said `Held` again to any caller.

A server that accepts an opening holds no earlier flow with the same key, so the acceptance removes the named one. If the caller completes this opening, the entry says so; else the agent is unsure, as of any flow that it has not seen.

Before the change, acceptance_refutes_what_a_home_has_named failed with `Held` after 4.5 s.

--- a/core/src/l4/agent.rs
+++ b/core/src/l4/agent.rs
@@ -379,6 +379,8 @@
                     load: self.workload.load(),
                 };
                 self.send(balancer, &opened, &[], out);
+                // If the server held an earlier flow with this key, it would accept none.
+                self.prior.remove(&segment.flow_of_server());
                 // Homes take an agent that registers a flow again for the one at which it goes on.
                 let is_registered = match acceptance {
                     Acceptance::First => true,
--- a/core/tests/l4/agent_claims.rs
+++ b/core/tests/l4/agent_claims.rs
@@ -1,9 +1,13 @@
 //! What an agent says of a flow that its server has not opened.
 
-use std::time::Duration;
+use std::{
+    net::{Ipv4Addr, SocketAddrV4},
+    time::Duration,
+};
 
 use berylvalve_core::l4::{
-    message::{Message, Ownership},
+    message::{Message, Ownership, Received},
+    segment,
     server::ServerState,
 };
 
@@ -99,3 +103,29 @@
     assert_eq!(harness.ownership(1, 51), Ownership::NotHeld);
     assert_eq!(harness.ownership(1, 2_001), Ownership::Held);
 }
+
+/// Guards against an agent that claims a flow for which its server repeats its acceptance: a home has named the agent
+/// as the owner of a flow from before its start, and the entry of the acceptance expires before the home's word.
+#[test]
+fn acceptance_refutes_what_a_home_has_named() {
+    let mut harness = Harness::new(40);
+    harness.know_peer(2);
+    let home = SocketAddrV4::new(Ipv4Addr::new(10, 0, 1, 2), 7001);
+    let list = segment::encode_flows(&[flow(1)]);
+    let received = Received {
+        from: home,
+        message: Message::Registrations,
+        datagram: &list,
+    };
+    let now = harness.now;
+    harness
+        .agent
+        .receive_from_peer(&received, now, &mut harness.sent);
+    harness.agent.tick(now, &mut harness.sent);
+    assert_eq!(harness.ownership(1, 51), Ownership::Held);
+    harness.receive_from_server(ACCEPT, 1, 200);
+    assert_eq!(harness.ownership(1, 51), Ownership::NotHeld);
+    harness.now = harness.now + Duration::from_millis(4_500);
+    harness.agent.tick(harness.now, &mut harness.sent);
+    assert_eq!(harness.ownership(1, 51), Ownership::Unsure);
+}
