--- a/core/src/l4/balancer/search/round.rs
+++ b/core/src/l4/balancer/search/round.rs
@@ -82,6 +82,18 @@
     informed: Vec<(SocketAddrV4, KnownAgents)>,
 }
 
+/// What a round has shown by its end.
+#[derive(Clone, Debug)]
+struct Outcome {
+    evidence: Evidence,
+    /// Agents that know all flows of their servers.
+    sure: Arc<[SocketAddrV4]>,
+    /// Agents that may lack flows of their servers.
+    unsure: Vec<SocketAddrV4>,
+    /// Agents that have not replied and may live.
+    silent: Vec<SocketAddrV4>,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct RoundFlow {
     key: FlowKey,
@@ -358,76 +370,91 @@
             ("not_asked", round.unasked.len()),
         ];
         self.metrics.count_replies(&counts);
-        let has_reply = sure.len() + unsure.len() > 0;
-        let evidence = Evidence {
-            round: round.number,
-            sure: sure.len(),
-            unsure: unsure.len(),
-            unreachable,
+        let outcome = Outcome {
+            evidence: Evidence {
+                round: round.number,
+                sure: sure.len(),
+                unsure: unsure.len(),
+                unreachable,
+            },
+            sure,
+            unsure,
+            silent,
         };
         for flow in &round.flows {
-            let Some(FlowState::Searching(search)) = self.flows.get_mut(&flow.key) else {
-                continue;
-            };
-            if search.stage != Stage::Round(round.number) {
-                continue;
-            }
-            search.stage = Stage::Agents;
-            search.evidence = evidence.clone();
-            // A round that no agent has replied to proves nothing.
-            search.has_replies = has_reply;
-            // The last reply of a process that is silent now stands, unless the process is gone or its agents
-            // are known meanwhile.
-            let (known, fleet, silences) = (&mut self.known_agents, &self.fleet, &self.silences);
-            search.informed.retain(|peer, agents| {
-                let has_replied = matches!(round.replies.get(peer), Some(Some(_)));
-                let may_live = fleet.get(*peer).is_some_and(|peer| !peer.state.is_gone());
-                let is_awaited = may_live && silences.absence(*peer, now).is_none();
-                !has_replied && is_awaited && !known.includes(agents)
-            });
-            search.informed.extend(round.informed.iter().copied());
-            search.all_sure = silent.is_empty() && unsure.is_empty();
-            // An agent whose filter contains the flow has denied it only once it replies so.
-            if !search.has_missing_replies() && search.is_current() {
-                search.denials.add_round(&sure);
-            }
-            let mut has_silent = false;
-            for agent in &silent {
-                if !is_queried(&search.queried, *agent) && !search.denials.contains(*agent) {
-                    // An agent that is in a series of queries already would not answer another one.
-                    has_silent |= !self.silences.is_older(*agent, round.started);
-                    search.queried.push((*agent, None));
-                }
-            }
-            for agent in &unsure {
-                if !is_queried(&search.queried, *agent) {
-                    search.queried.push((*agent, Some(Ownership::Unsure)));
-                }
-            }
-            // A round tells what an agent holds, not what is registered with it. The owner may be outside
-            // the round, so a home whose reply was lost is queried again.
-            for agent in &search.unanswered {
-                let home = self.fleet.get(*agent);
-                let is_member = home.is_some_and(|home| !home.state.is_gone());
-                if is_member && !is_queried(&search.queried, *agent) {
-                    has_silent |= !self.silences.is_older(*agent, round.started);
-                    search.all_sure &= round.replies.get(agent).copied().flatten() == Some(true);
-                    search.queried.push((*agent, None));
-                }
+            self.apply_outcome(&flow.key, &round, &outcome, now, out);
+        }
+    }
+
+    /// Records the outcome of a round in a search that took part in it. Queries the agents that have not replied
+    /// for the flow, or decides the search.
+    fn apply_outcome(
+        &mut self,
+        flow: &FlowKey,
+        round: &Round,
+        outcome: &Outcome,
+        now: Time,
+        out: &mut impl Outbox,
+    ) {
+        let Some(FlowState::Searching(search)) = self.flows.get_mut(flow) else {
+            return;
+        };
+        if search.stage != Stage::Round(round.number) {
+            return;
+        }
+        search.stage = Stage::Agents;
+        search.evidence = outcome.evidence.clone();
+        // A round that no agent has replied to proves nothing.
+        search.has_replies = outcome.evidence.sure + outcome.evidence.unsure > 0;
+        // The last reply of a process that is silent now stands, unless the process is gone or its agents are
+        // known meanwhile.
+        let (known, fleet, silences) = (&mut self.known_agents, &self.fleet, &self.silences);
+        search.informed.retain(|peer, agents| {
+            let has_replied = matches!(round.replies.get(peer), Some(Some(_)));
+            let may_live = fleet.get(*peer).is_some_and(|peer| !peer.state.is_gone());
+            let is_awaited = may_live && silences.absence(*peer, now).is_none();
+            !has_replied && is_awaited && !known.includes(agents)
+        });
+        search.informed.extend(round.informed.iter().copied());
+        search.all_sure = outcome.silent.is_empty() && outcome.unsure.is_empty();
+        // An agent whose filter contains the flow has denied it only once it replies so.
+        if !search.has_missing_replies() && search.is_current() {
+            search.denials.add_round(&outcome.sure);
+        }
+        let mut has_silent = false;
+        for agent in &outcome.silent {
+            if !is_queried(&search.queried, *agent) && !search.denials.contains(*agent) {
+                // An agent that is in a series of queries already would not answer another one.
+                has_silent |= !silences.is_older(*agent, round.started);
+                search.queried.push((*agent, None));
             }
-            if has_silent {
-                self.query_agents(&flow.key, now, out);
-                continue;
+        }
+        for agent in &outcome.unsure {
+            if !is_queried(&search.queried, *agent) {
+                search.queried.push((*agent, Some(Ownership::Unsure)));
             }
-            // Replies of agents whose filters contain the flow may be missing.
-            let awaits_holder = search.holders.iter().any(|agent| search.is_missing(*agent));
-            if awaits_holder {
-                search.tries = 1;
-                self.set_due(&flow.key, now + QUERY_TIMEOUT);
-                continue;
+        }
+        // A round tells what an agent holds, not what is registered with it. The owner may be outside the round,
+        // so a home whose reply was lost is queried again.
+        for agent in &search.unanswered {
+            let home = fleet.get(*agent);
+            let is_member = home.is_some_and(|home| !home.state.is_gone());
+            if is_member && !is_queried(&search.queried, *agent) {
+                has_silent |= !silences.is_older(*agent, round.started);
+                search.all_sure &= round.replies.get(agent).copied().flatten() == Some(true);
+                search.queried.push((*agent, None));
             }
+        }
+        // Replies of agents whose filters contain the flow may be missing.
+        let awaits_holder = search.holders.iter().any(|agent| search.is_missing(*agent));
+        if has_silent {
+            self.query_agents(flow, now, out);
+        } else if awaits_holder {
+            search.tries = 1;
+            self.set_due(flow, now + QUERY_TIMEOUT);
+        } else {
             search.tries = MAX_TRIES;
-            self.decide(&flow.key, now, out);
+            self.decide(flow, now, out);
         }
     }
 }
