Balancer: an opening is not reset either if a copy was skipped in between

The third copy is the last, so the balancer took its arrival for a sign that no other had one.

The opening now keeps the age at which the next copy is sent. A copy that is older than that shows that one has gone elsewhere.

--- a/core/src/l4/balancer/opening.rs
+++ b/core/src/l4/balancer/opening.rs
@@ -39,8 +39,10 @@
     datagram: Box<[u8]>,
     /// When the caller sent its first opening segment.
     started: Time,
-    /// When the caller sends the next copy, which may go through another balancer; `None` if it sends no more.
-    next_copy: Option<Time>,
+    /// Age at which the caller sends the next copy; `None` if it sends no more.
+    next_age: Option<Duration>,
+    /// Whether a copy was skipped between two that have arrived here.
+    skipped_copy: bool,
     /// Agents that did not reply in time, or refused the flow for other reasons than those below.
     excluded: Vec<SocketAddrV4>,
     /// Agents that refused the flow for want of a free slot.
@@ -83,6 +85,19 @@
         Some((self.silent.swap_remove(index), false))
     }
 
+    /// Records a copy of the opening segment, with its age and that of the copy after it.
+    fn record_copy(&mut self, age: Duration, next_age: Option<Duration>) {
+        self.skipped_copy |= self.next_age.is_some_and(|expected| age > expected);
+        self.next_age = next_age;
+    }
+
+    /// Returns whether the caller has sent a copy that has not arrived here. It may have gone through another
+    /// balancer.
+    fn has_missed_copy(&self, now: Time) -> bool {
+        let is_due = self.next_age.is_some_and(|age| now >= self.started + age);
+        self.skipped_copy || is_due
+    }
+
     fn needs_agent(&self) -> bool {
         self.pending.is_none() && self.accepted.is_empty() && self.waiting_at.is_none()
     }
@@ -107,9 +122,9 @@
         out: &mut impl Outbox,
     ) {
         let started = now - self.codec.opening_age(segment);
-        let next_copy = self.codec.next_copy_age(segment).map(|age| started + age);
+        let next_age = self.codec.next_copy_age(segment);
         if let Some(FlowState::Opening(opening)) = self.flows.get_mut(flow) {
-            opening.next_copy = next_copy;
+            opening.record_copy(self.codec.opening_age(segment), next_age);
         }
         let owner = match self.flows.get_mut(flow) {
             Some(FlowState::Owned(owned)) => owned.agent,
@@ -126,7 +141,7 @@
                 }
             },
             _ => {
-                self.start_opening(flow, (started, next_copy), datagram, now, out);
+                self.start_opening(flow, (started, next_age), datagram, now, out);
                 return;
             }
         };
@@ -168,7 +183,7 @@
     fn start_opening(
         &mut self,
         flow: &FlowKey,
-        (started, next_copy): (Time, Option<Time>),
+        (started, next_age): (Time, Option<Duration>),
         datagram: &[u8],
         now: Time,
         out: &mut impl Outbox,
@@ -180,7 +195,8 @@
         let opening = Opening {
             datagram: datagram.into(),
             started,
-            next_copy,
+            next_age,
+            skipped_copy: false,
             excluded: Vec::new(),
             busy_agents: Vec::new(),
             failing_agents: Vec::new(),
@@ -244,7 +260,7 @@
         let Some((candidate, forced)) = chosen else {
             opening.pending = None;
             let may_be_open = !opening.accepted.is_empty() || !opening.silent.is_empty();
-            let has_missed_copy = opening.next_copy.is_some_and(|copy| now >= copy);
+            let has_missed_copy = opening.has_missed_copy(now);
             if !may_be_open && opening.waiting_at.is_none() && !self.starting {
                 let excluded = opening.excluded.len();
                 let reason = match self.fleet.is_all_evacuated(service.tag()) {
--- a/core/tests/l4/balancer.rs
+++ b/core/tests/l4/balancer.rs
@@ -435,6 +435,29 @@
     }
 }
 
+/// Guards against the same where a later copy arrives here again, after one that did not.
+#[test]
+fn opening_of_which_a_copy_has_not_arrived_here_is_not_reset_after_a_later_copy() {
+    let mut harness = Harness::new(1);
+    for copy_ms in [0, 600] {
+        let datagram = [OPENING, 1, (copy_ms / 100) as u8];
+        let (balancer, now) = (&mut harness.balancer, harness.now);
+        balancer.receive_from_caller(&datagram, now, &mut harness.sent);
+        let load = Load::default();
+        harness.receive_from_peer(
+            agent(1),
+            Message::Waits {
+                flow: flow(1),
+                load,
+            },
+            &[],
+        );
+        harness.advance(600);
+    }
+    harness.refuse(agent(1), Refusal::Draining, 1);
+    assert_eq!(harness.sent.resets, 0);
+}
+
 /// A copy that arrives here while the opening waits shows that it went nowhere else.
 #[test]
 fn opening_whose_copies_all_arrive_here_is_reset() {
