Balancer: one look-up for each copy of an opening, and no state that can be derived

What a second reading of the change found, behaviour as before: - a copy of an opening looked its flow up and computed its age twice; - Search::has_replies followed from the evidence of the last round; - five places asked the fleet in their own words whether an agent is live or has left: Fleet::is_live and has_left.

--- a/core/src/l4/balancer/fleet.rs
+++ b/core/src/l4/balancer/fleet.rs
@@ -92,10 +92,7 @@
                 continue;
             }
             let is_gone = record.state.is_gone();
-            let was_live = self
-                .agents
-                .get(address)
-                .is_some_and(|agent| !agent.state.is_gone());
+            let was_live = self.is_live(*address);
             changes.has_new |= !is_gone && !was_live;
             if is_gone && was_live {
                 changes.gone.push(*address);
@@ -143,6 +140,12 @@
         self.agents.get(&address)
     }
 
+    /// Returns whether an agent is known, and neither dead nor left.
+    pub fn is_live(&self, address: SocketAddrV4) -> bool {
+        let agent = self.agents.get(&address);
+        agent.is_some_and(|agent| !agent.state.is_gone())
+    }
+
     /// Returns whether an agent has announced that it has left.
     pub fn has_left(&self, address: SocketAddrV4) -> bool {
         let agent = self.agents.get(&address);
--- a/core/src/l4/balancer/opening.rs
+++ b/core/src/l4/balancer/opening.rs
@@ -121,25 +121,26 @@
         now: Time,
         out: &mut impl Outbox,
     ) {
-        let started = now - self.codec.opening_age(segment);
+        let copy_age = self.codec.opening_age(segment);
+        let started = now - copy_age;
         let next_age = self.codec.next_copy_age(segment);
-        if let Some(FlowState::Opening(opening)) = self.flows.get_mut(flow) {
-            opening.record_copy(self.codec.opening_age(segment), next_age);
-        }
         let owner = match self.flows.get_mut(flow) {
             Some(FlowState::Owned(owned)) => owned.agent,
-            Some(FlowState::Opening(opening)) => match opening.accepted.first() {
-                Some((agent, _)) => *agent,
-                None if opening.pending.is_some() || opening.waiting_at.is_some() => return,
-                None => {
-                    opening.started = opening.started.min(started);
-                    opening.datagram = datagram.into();
-                    opening.excluded.clear();
-                    opening.tries = 0;
-                    self.try_next(flow, now, out);
-                    return;
+            Some(FlowState::Opening(opening)) => {
+                opening.record_copy(copy_age, next_age);
+                match opening.accepted.first() {
+                    Some((agent, _)) => *agent,
+                    None if opening.pending.is_some() || opening.waiting_at.is_some() => return,
+                    None => {
+                        opening.started = opening.started.min(started);
+                        opening.datagram = datagram.into();
+                        opening.excluded.clear();
+                        opening.tries = 0;
+                        self.try_next(flow, now, out);
+                        return;
+                    }
                 }
-            },
+            }
             _ => {
                 self.start_opening(flow, (started, next_age), datagram, now, out);
                 return;
--- a/core/src/l4/balancer/search.rs
+++ b/core/src/l4/balancer/search.rs
@@ -121,8 +121,6 @@
     all_sure: bool,
     /// What the processes knew in their last replies that knew agents unknown here.
     informed: BTreeMap<SocketAddrV4, KnownAgents>,
-    /// Whether an agent has replied to the last round.
-    has_replies: bool,
     /// Agent whose return of a segment started the search.
     denied_by: Option<SocketAddrV4>,
     /// Whether the search was postponed, which is logged once.
@@ -155,7 +153,6 @@
             changed_at: now,
             all_sure: false,
             informed: BTreeMap::new(),
-            has_replies: false,
             denied_by: None,
             is_postponed: false,
             kept_for: None,
@@ -349,8 +346,7 @@
                 if search.may_be_owner(agent, self.fleet.get(agent).is_some())
                     && !self.fleet.has_left(agent) =>
             {
-                let owner = self.fleet.get(agent);
-                if owner.is_none_or(|owner| owner.state.is_gone()) {
+                if !self.fleet.is_live(agent) {
                     self.dead_agents.add(agent, now);
                 }
                 self.end_found(flow, (agent, false), now, out)
--- a/core/src/l4/balancer/search/evidence.rs
+++ b/core/src/l4/balancer/search/evidence.rs
@@ -16,3 +16,10 @@
     /// Agents that did not reply to the round and were absent at its end.
     pub(super) unreachable: Arc<[Absence]>,
 }
+
+impl Evidence {
+    /// Returns whether an agent has replied to the round.
+    pub(super) fn has_replies(&self) -> bool {
+        self.sure + self.unsure > 0
+    }
+}
--- a/core/src/l4/balancer/search/gap.rs
+++ b/core/src/l4/balancer/search/gap.rs
@@ -38,7 +38,8 @@
         if !self.joined || self.known_agents.summary().count == 0 {
             return Some(Gap::NotJoined);
         }
-        if !search.has_replies || !search.informed.is_empty() {
+        // A round that no agent has replied to proves nothing.
+        if !search.evidence.has_replies() || !search.informed.is_empty() {
             return Some(Gap::UnknownAgent);
         }
         // An agent may have answered between the end of the round and the replies to the last queries.
--- a/core/src/l4/balancer/search/round.rs
+++ b/core/src/l4/balancer/search/round.rs
@@ -404,15 +404,12 @@
         }
         search.stage = Stage::Agents;
         search.evidence = outcome.evidence.clone();
-        // A round that no agent has replied to proves nothing.
-        search.has_replies = outcome.evidence.sure + outcome.evidence.unsure > 0;
         // The last reply of a process that is silent now stands, unless the process is gone or its agents are
         // known meanwhile.
         let (known, fleet, silences) = (&mut self.known_agents, &self.fleet, &self.silences);
         search.informed.retain(|peer, agents| {
             let has_replied = matches!(round.replies.get(peer), Some(Some(_)));
-            let may_live = fleet.get(*peer).is_some_and(|peer| !peer.state.is_gone());
-            let is_awaited = may_live && silences.absence(*peer, now).is_none();
+            let is_awaited = fleet.is_live(*peer) && silences.absence(*peer, now).is_none();
             !has_replied && is_awaited && !known.includes(agents)
         });
         search.informed.extend(round.informed.iter().copied());
@@ -437,9 +434,7 @@
         // A round tells what an agent holds, not what is registered with it. The owner may be outside the round,
         // so a home whose reply was lost is queried again.
         for agent in &search.unanswered {
-            let home = fleet.get(*agent);
-            let is_member = home.is_some_and(|home| !home.state.is_gone());
-            if is_member && !is_queried(&search.queried, *agent) {
+            if fleet.is_live(*agent) && !is_queried(&search.queried, *agent) {
                 has_silent |= !silences.is_older(*agent, round.started);
                 search.all_sure &= round.replies.get(agent).copied().flatten() == Some(true);
                 search.queried.push((*agent, None));
--- a/core/src/l4/balancer/silence.rs
+++ b/core/src/l4/balancer/silence.rs
@@ -19,7 +19,6 @@
     clock::Time,
     consts::LEAVE_ANNOUNCE_DELAY,
     l4::{outbox::Outbox, segment::Codec},
-    member::MemberState,
 };
 
 /// Time for which an agent has to leave all queries unanswered before it counts as absent. A planned
@@ -214,9 +213,7 @@
             let Some(needed_until) = self.silences.needed_until(agent, now) else {
                 continue;
             };
-            let member = self.fleet.get(agent);
-            let has_left = member.is_some_and(|member| member.state == MemberState::Left);
-            let is_owner = !has_left || self.dead_agents.contains(agent);
+            let is_owner = !self.fleet.has_left(agent) || self.dead_agents.contains(agent);
             if !is_owner || now >= needed_until {
                 self.silences.agents.remove(&agent);
                 continue;
