--- a/core/tests/l4/balancer.rs
+++ b/core/tests/l4/balancer.rs
@@ -187,6 +187,19 @@
         openings.map(|(peer, _)| peer).collect()
     }
 
+    /// Receives the copy of an opening segment that is sent after some milliseconds, and lets it wait at the first
+    /// agent.
+    fn receive_copy_that_waits(&mut self, copy_ms: u64) {
+        let datagram = [OPENING, 1, (copy_ms / 100) as u8];
+        self.balancer
+            .receive_from_caller(&datagram, self.now, &mut self.sent);
+        let waits = Message::Waits {
+            flow: flow(1),
+            load: Load::default(),
+        };
+        self.receive_from_peer(agent(1), waits, &[]);
+    }
+
     pub fn refuse(&mut self, from: SocketAddrV4, refusal: Refusal, port: u8) {
         let load = Load::default();
         self.receive_from_peer(
@@ -416,18 +429,7 @@
     ];
     for (copy_ms, rejected_ms, is_last) in cases {
         let mut harness = Harness::new(1);
-        let datagram = [OPENING, 1, (copy_ms / 100) as u8];
-        let (balancer, now) = (&mut harness.balancer, harness.now);
-        balancer.receive_from_caller(&datagram, now, &mut harness.sent);
-        let load = Load::default();
-        harness.receive_from_peer(
-            agent(1),
-            Message::Waits {
-                flow: flow(1),
-                load,
-            },
-            &[],
-        );
+        harness.receive_copy_that_waits(copy_ms);
         harness.advance(rejected_ms - copy_ms);
         harness.refuse(agent(1), Refusal::Draining, 1);
         let case = format!("copy of {copy_ms} ms, rejected at {rejected_ms} ms");
@@ -440,18 +442,7 @@
 fn opening_of_which_a_copy_has_not_arrived_here_is_not_reset_after_a_later_copy() {
     let mut harness = Harness::new(1);
     for copy_ms in [0, 600] {
-        let datagram = [OPENING, 1, (copy_ms / 100) as u8];
-        let (balancer, now) = (&mut harness.balancer, harness.now);
-        balancer.receive_from_caller(&datagram, now, &mut harness.sent);
-        let load = Load::default();
-        harness.receive_from_peer(
-            agent(1),
-            Message::Waits {
-                flow: flow(1),
-                load,
-            },
-            &[],
-        );
+        harness.receive_copy_that_waits(copy_ms);
         harness.advance(600);
     }
     harness.refuse(agent(1), Refusal::Draining, 1);
@@ -463,18 +454,7 @@
 fn opening_whose_copies_all_arrive_here_is_reset() {
     let mut harness = Harness::new(1);
     for (copy_ms, passes) in [(0, 200), (200, 400), (600, 100)] {
-        let datagram = [OPENING, 1, (copy_ms / 100) as u8];
-        let (balancer, now) = (&mut harness.balancer, harness.now);
-        balancer.receive_from_caller(&datagram, now, &mut harness.sent);
-        let load = Load::default();
-        harness.receive_from_peer(
-            agent(1),
-            Message::Waits {
-                flow: flow(1),
-                load,
-            },
-            &[],
-        );
+        harness.receive_copy_that_waits(copy_ms);
         harness.advance(passes);
     }
     harness.refuse(agent(1), Refusal::Draining, 1);
--- a/core/tests/l4/trial.rs
+++ b/core/tests/l4/trial.rs
@@ -324,15 +324,22 @@
     assert!(!fleet.is_broken, "{} strays", fleet.strays);
 }
 
-/// Guards against an agent that is taken for the owner because its server has not returned a segment in a
-/// short time: the agent has stopped, and the segments that follow are lost or reach a wrong server.
-#[test]
-fn agent_that_has_stopped_is_not_taken_for_the_owner() {
+/// Returns a fleet of three agents, of which the unsure one has delivered a segment on trial that its server has not
+/// returned yet.
+fn fleet_with_a_trial_at_the_last_agent() -> Fleet {
     let mut fleet = Fleet::new(3, 200);
     fleet.sure.extend([1, 2]);
     fleet.return_ms = 10_000;
     fleet.run(20, &[0]);
     assert_eq!(fleet.strays, 1);
+    fleet
+}
+
+/// Guards against an agent that is taken for the owner because its server has not returned a segment in a
+/// short time: the agent has stopped, and the segments that follow are lost or reach a wrong server.
+#[test]
+fn agent_that_has_stopped_is_not_taken_for_the_owner() {
+    let mut fleet = fleet_with_a_trial_at_the_last_agent();
     let stopped = fleet.ms;
     fleet.stop(3, stopped..stopped + 10_000);
     fleet.run(stopped + 800, &[]);
@@ -343,11 +350,7 @@
 /// trial delivery: its reply tells nothing about the segment.
 #[test]
 fn agent_that_was_restarted_after_the_trial_delivery_is_not_taken_for_the_owner() {
-    let mut fleet = Fleet::new(3, 200);
-    fleet.sure.extend([1, 2]);
-    fleet.return_ms = 10_000;
-    fleet.run(20, &[0]);
-    assert_eq!(fleet.strays, 1);
+    let mut fleet = fleet_with_a_trial_at_the_last_agent();
     let stopped = fleet.ms;
     fleet.stop(3, stopped..stopped + 30);
     fleet.run(stopped + 800, &[]);
