--- a/review/standin-3/case.rs
+++ b/review/standin-3/case.rs
@@ -2,11 +2,12 @@
 
 use std::{
     net::{Ipv4Addr, SocketAddrV4},
+    sync::atomic::Ordering,
     thread,
     time::{Duration, Instant},
 };
 
-use crate::site::{Outcome, Site};
+use crate::site::{Caller, Outcome, Site};
 
 /// The bound `config_apply_ms` of the site.
 const CONFIG_APPLY: Duration = Duration::from_millis(3_000);
@@ -14,6 +15,15 @@
 /// The bound `contact_ms` of the site.
 const CONTACT: Duration = Duration::from_millis(4_000);
 
+/// The bound `recover_s` of the site.
+const RECOVER: Duration = Duration::from_secs(12);
+
+/// Time from the loss of a machine to the start of the one that replaces it.
+const REPLACEMENT_DELAY: Duration = Duration::from_secs(2);
+
+/// Requests of one round.
+const REQUESTS: usize = 12;
+
 const ZONES: [&str; 3] = ["zone-1", "zone-2", "zone-3"];
 
 fn balancer(zone: u8) -> Ipv4Addr {
@@ -118,3 +128,121 @@
     site.record.add(&format!("from the logs:\n{logged}"));
     Ok(broken)
 }
+
+/// RECOVER: all entry machines are lost at once, and new ones with the same role start at new addresses. Of the
+/// requests that are sent later than `recover_s` after their start, a quarter or more must be served.
+///
+/// The machines and services are those of the site: 5 entry machines and 10 servers in 3 zones.
+pub fn replaced_balancers(program: &str, record: &str, trouble: bool) -> Result<bool, String> {
+    let mut site = Site::start(program, record)?;
+    let until = Instant::now() + Duration::from_secs(20);
+    let route = SocketAddrV4::new(Ipv4Addr::new(127, 30, 0, 1), 8443);
+    let maps = SocketAddrV4::new(Ipv4Addr::new(127, 30, 0, 2), 8443);
+    site.put_config(1, 5_000, &[(route, "desk"), (maps, "maps")]);
+    let entries = [(1, 10), (1, 11), (2, 10), (2, 11), (3, 10)];
+    let sides = [
+        (1, 20),
+        (1, 21),
+        (1, 22),
+        (1, 23),
+        (2, 20),
+        (2, 21),
+        (2, 22),
+        (3, 20),
+        (3, 21),
+        (3, 22),
+    ];
+    let at = |(zone, host): (u8, u8)| {
+        (
+            Ipv4Addr::new(127, 20, zone, host),
+            ZONES[usize::from(zone) - 1],
+        )
+    };
+    let service = |machine| match machine {
+        (1, 23) | (2, 22) | (3, 22) => "maps",
+        _ => "desk",
+    };
+    for machine in entries {
+        let (ip, zone) = at(machine);
+        site.start_process(ip, zone, None)?;
+    }
+    let mut servers = Vec::new();
+    for machine in sides {
+        let (ip, zone) = at(machine);
+        site.start_process(ip, zone, Some(service(machine)))?;
+        servers.push(site.start_server(ip, zone, service(machine))?);
+    }
+    for machine in sides.into_iter().chain(entries) {
+        site.await_ready(at(machine).0, until)?;
+    }
+    // The fleet is at rest, and no process counts as just started.
+    thread::sleep(Duration::from_secs(12));
+    let mut caller = site.caller(Ipv4Addr::new(127, 20, 9, 1))?;
+    let mut daemons: Vec<Ipv4Addr> = entries.iter().map(|machine| at(*machine).0).collect();
+    let before = serve(&mut caller, &daemons, route, "before");
+    site.record.add(&format!(
+        "before the loss, {before} of {REQUESTS} requests are served"
+    ));
+    if 4 * before < REQUESTS {
+        return Err("the deployment does not serve before the disruption".to_owned());
+    }
+    if trouble {
+        for ip in &daemons {
+            site.lose(*ip);
+        }
+        thread::sleep(REPLACEMENT_DELAY);
+        daemons.clear();
+        for (zone, host) in entries {
+            let (ip, zone) = at((zone, host + 5));
+            site.start_process(ip, zone, None)?;
+            daemons.push(ip);
+        }
+    }
+    // Further rounds show whether it only takes longer.
+    let started = Instant::now();
+    let mut served = Vec::new();
+    for after in [RECOVER, RECOVER * 2, RECOVER * 3] {
+        let at = started + after + Duration::from_millis(200);
+        thread::sleep(at.saturating_duration_since(Instant::now()));
+        let seconds = after.as_secs();
+        let count = serve(&mut caller, &daemons, route, &format!("after-{seconds}s"));
+        site.record.add(&format!(
+            "later than {seconds} s after the start, {count} of {REQUESTS} requests are served"
+        ));
+        served.push(count);
+    }
+    let acks: Vec<u64> = servers
+        .iter()
+        .map(|server| server.acks.load(Ordering::SeqCst))
+        .collect();
+    site.record.add(&format!(
+        "status reports that the agents acknowledged, by server: {acks:?}"
+    ));
+    let words = [
+        "removal_held",
+        "removal_resumed",
+        "reported_ready",
+        "seed_lookup",
+        "state=Dead",
+    ];
+    site.record
+        .add(&format!("from the logs:\n{}", site.logged(&words)));
+    let total: usize = served.iter().sum();
+    Ok(4 * total < served.len() * REQUESTS)
+}
+
+/// Sends requests in turn through balancers, as the routers do with the flows of a zone whose daemons are all used.
+/// Each is tried again twice on a new flow, as a caller does after a flow that never opened. Returns the number that
+/// is served.
+fn serve(caller: &mut Caller, balancers: &[Ipv4Addr], route: SocketAddrV4, name: &str) -> usize {
+    let mut served = 0;
+    for number in 0..REQUESTS {
+        let is_served = (0..3).any(|attempt| {
+            let balancer = balancers[(number + attempt) % balancers.len()];
+            let outcome = caller.request(balancer, route, &format!("{name}-{number}-{attempt}"));
+            matches!(outcome, Outcome::Answered(_))
+        });
+        served += usize::from(is_served);
+    }
+    served
+}
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -19,6 +19,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let result = match name.as_str() {
         "silent-channels" => case::silent_channels(program, record, trouble),
+        "replaced-balancers" => case::replaced_balancers(program, record, trouble),
         _ => Err(format!("no case {name}")),
     };
     match result {
--- a/review/standin-3/site.rs
+++ b/review/standin-3/site.rs
@@ -178,6 +178,20 @@
         Ok(())
     }
 
+    /// Ends the process on a machine without a signal that it could handle, as a loss of power does.
+    pub fn lose(&mut self, ip: Ipv4Addr) {
+        let end = format!("-{ip}");
+        for (name, child) in self
+            .children
+            .iter_mut()
+            .filter(|(name, _)| name.ends_with(&end))
+        {
+            let _ = child.kill();
+            let _ = child.wait();
+            self.record.add(&format!("{name} loses power for good"));
+        }
+    }
+
     /// Starts a server beside an agent. It reports itself, and answers each request on its flows.
     pub fn start_server(
         &self,
