--- a/review/standin-3/case.rs
+++ b/review/standin-3/case.rs
@@ -2,7 +2,6 @@
 
 use std::{
     net::{Ipv4Addr, SocketAddrV4},
-    sync::atomic::Ordering,
     thread,
     time::{Duration, Instant},
 };
@@ -129,56 +128,78 @@
     Ok(broken)
 }
 
-/// RECOVER: all entry machines are lost at once, and new ones with the same role start at new addresses. Of the
-/// requests that are sent later than `recover_s` after their start, a quarter or more must be served.
-///
-/// The machines and services are those of the site: 5 entry machines and 10 servers in 3 zones.
-pub fn replaced_balancers(program: &str, record: &str, trouble: bool) -> Result<bool, String> {
-    let mut site = Site::start(program, record)?;
-    let until = Instant::now() + Duration::from_secs(20);
-    let route = SocketAddrV4::new(Ipv4Addr::new(127, 30, 0, 1), 8443);
-    let maps = SocketAddrV4::new(Ipv4Addr::new(127, 30, 0, 2), 8443);
-    site.put_config(1, 5_000, &[(route, "desk"), (maps, "maps")]);
-    let entries = [(1, 10), (1, 11), (2, 10), (2, 11), (3, 10)];
-    let sides = [
-        (1, 20),
-        (1, 21),
-        (1, 22),
-        (1, 23),
-        (2, 20),
-        (2, 21),
-        (2, 22),
-        (3, 20),
-        (3, 21),
-        (3, 22),
-    ];
-    let at = |(zone, host): (u8, u8)| {
-        (
-            Ipv4Addr::new(127, 20, zone, host),
-            ZONES[usize::from(zone) - 1],
-        )
-    };
-    let service = |machine| match machine {
+/// Entry machines of the site, as zone and host.
+const ENTRIES: [(u8, u8); 5] = [(1, 10), (1, 11), (2, 10), (2, 11), (3, 10)];
+
+/// Machines with a server, as zone and host.
+const SIDES: [(u8, u8); 10] = [
+    (1, 20),
+    (1, 21),
+    (1, 22),
+    (1, 23),
+    (2, 20),
+    (2, 21),
+    (2, 22),
+    (3, 20),
+    (3, 21),
+    (3, 22),
+];
+
+fn at((zone, host): (u8, u8)) -> (Ipv4Addr, &'static str) {
+    let name = ZONES[usize::from(zone) - 1];
+    (Ipv4Addr::new(127, 20, zone, host), name)
+}
+
+fn service_at(machine: (u8, u8)) -> &'static str {
+    match machine {
         (1, 23) | (2, 22) | (3, 22) => "maps",
         _ => "desk",
-    };
-    for machine in entries {
+    }
+}
+
+/// Starts the machines and servers of the site: 5 entry machines and 10 servers in 3 zones. Returns the addresses of
+/// the entry machines once all are ready and no process counts as just started.
+fn start_all(site: &mut Site, routes: &[(SocketAddrV4, &str)]) -> Result<Vec<Ipv4Addr>, String> {
+    let until = Instant::now() + Duration::from_secs(20);
+    site.put_config(1, 5_000, routes);
+    for machine in ENTRIES {
         let (ip, zone) = at(machine);
         site.start_process(ip, zone, None)?;
     }
-    let mut servers = Vec::new();
-    for machine in sides {
+    for machine in SIDES {
         let (ip, zone) = at(machine);
-        site.start_process(ip, zone, Some(service(machine)))?;
-        servers.push(site.start_server(ip, zone, service(machine))?);
+        site.start_process(ip, zone, Some(service_at(machine)))?;
+        site.start_server(ip, zone, service_at(machine))?;
     }
-    for machine in sides.into_iter().chain(entries) {
+    for machine in SIDES.into_iter().chain(ENTRIES) {
         site.await_ready(at(machine).0, until)?;
     }
-    // The fleet is at rest, and no process counts as just started.
     thread::sleep(Duration::from_secs(12));
+    Ok(ENTRIES.iter().map(|machine| at(*machine).0).collect())
+}
+
+/// Removes all entry machines for good, and adds as many at new addresses of the same zones.
+fn replace_entries(site: &mut Site, daemons: &mut Vec<Ipv4Addr>) -> Result<(), String> {
+    for ip in daemons.drain(..) {
+        site.lose(ip);
+    }
+    thread::sleep(REPLACEMENT_DELAY);
+    for (zone, host) in ENTRIES {
+        let (ip, zone) = at((zone, host + 5));
+        site.start_process(ip, zone, None)?;
+        daemons.push(ip);
+    }
+    Ok(())
+}
+
+/// RECOVER: all entry machines are lost at once, and new ones with the same role start at new addresses. Of the
+/// requests that are sent later than `recover_s` after their start, a quarter or more must be served.
+pub fn replaced_balancers(program: &str, record: &str, trouble: bool) -> Result<bool, String> {
+    let mut site = Site::start(program, record)?;
+    let route = SocketAddrV4::new(Ipv4Addr::new(127, 30, 0, 1), 8443);
+    let maps = SocketAddrV4::new(Ipv4Addr::new(127, 30, 0, 2), 8443);
+    let mut daemons = start_all(&mut site, &[(route, "desk"), (maps, "maps")])?;
     let mut caller = site.caller(Ipv4Addr::new(127, 20, 9, 1))?;
-    let mut daemons: Vec<Ipv4Addr> = entries.iter().map(|machine| at(*machine).0).collect();
     let before = serve(&mut caller, &daemons, route, "before");
     site.record.add(&format!(
         "before the loss, {before} of {REQUESTS} requests are served"
@@ -187,16 +208,7 @@
         return Err("the deployment does not serve before the disruption".to_owned());
     }
     if trouble {
-        for ip in &daemons {
-            site.lose(*ip);
-        }
-        thread::sleep(REPLACEMENT_DELAY);
-        daemons.clear();
-        for (zone, host) in entries {
-            let (ip, zone) = at((zone, host + 5));
-            site.start_process(ip, zone, None)?;
-            daemons.push(ip);
-        }
+        replace_entries(&mut site, &mut daemons)?;
     }
     // Further rounds show whether it only takes longer.
     let started = Instant::now();
@@ -211,18 +223,10 @@
         ));
         served.push(count);
     }
-    let acks: Vec<u64> = servers
-        .iter()
-        .map(|server| server.acks.load(Ordering::SeqCst))
-        .collect();
-    site.record.add(&format!(
-        "status reports that the agents acknowledged, by server: {acks:?}"
-    ));
     let words = [
         "removal_held",
         "removal_resumed",
         "reported_ready",
-        "seed_lookup",
         "state=Dead",
     ];
     site.record
@@ -231,6 +235,62 @@
     Ok(4 * total < served.len() * REQUESTS)
 }
 
+/// FLOW: as in [`replaced_balancers`], and a server is added soon after. Callers go on with the flows that they had
+/// opened before; their servers live and are calm. A reset on such a flow that its server has not sent breaks the rule
+/// once the new machines have run for `contact_ms`.
+pub fn reset_flows(program: &str, record: &str, trouble: bool) -> Result<bool, String> {
+    let mut site = Site::start(program, record)?;
+    let route = SocketAddrV4::new(Ipv4Addr::new(127, 30, 0, 1), 8443);
+    let maps = SocketAddrV4::new(Ipv4Addr::new(127, 30, 0, 2), 8443);
+    let mut daemons = start_all(&mut site, &[(route, "desk"), (maps, "maps")])?;
+    let mut caller = site.caller(Ipv4Addr::new(127, 20, 9, 1))?;
+    let mut flows = Vec::new();
+    for number in 0..REQUESTS {
+        let (balancer, id) = (daemons[number % daemons.len()], format!("first-{number}"));
+        let opened = caller.open(balancer, route, &id);
+        let mut flow = opened.map_err(|outcome| format!("no flow before the loss: {outcome:?}"))?;
+        let outcome = caller.request_on(&mut flow, balancer, &id);
+        if !matches!(outcome, Outcome::Answered(_)) {
+            return Err(format!("no answer before the loss: {outcome:?}"));
+        }
+        flows.push(flow);
+    }
+    if trouble {
+        replace_entries(&mut site, &mut daemons)?;
+    }
+    let started = Instant::now();
+    thread::sleep(Duration::from_millis(500));
+    let (ip, zone) = at((1, 24));
+    site.start_process(ip, zone, Some("desk"))?;
+    site.start_server(ip, zone, "desk")?;
+    let at = started + CONTACT + Duration::from_millis(500);
+    thread::sleep(at.saturating_duration_since(Instant::now()));
+    let mut broken = 0;
+    for (number, flow) in flows.iter_mut().enumerate() {
+        // Routers may hand the packets of a flow to another daemon than before.
+        let balancer = daemons[(number + 1) % daemons.len()];
+        let outcome = caller.request_on(flow, balancer, &format!("second-{number}"));
+        if outcome == Outcome::Reset {
+            broken += 1;
+            let after = started.elapsed().as_millis();
+            site.record.add(&format!(
+                "FLOW broken: flow {number} is reset {after} ms after the start of the new machines, and its server lives"
+            ));
+        }
+    }
+    site.record
+        .add(&format!("{broken} of {REQUESTS} open flows are reset"));
+    let words = [
+        "removal_held",
+        "reported_ready",
+        "flow_proved_lost",
+        "event=flow_reset",
+    ];
+    site.record
+        .add(&format!("from the logs:\n{}", site.logged(&words)));
+    Ok(broken > 0)
+}
+
 /// Sends requests in turn through balancers, as the routers do with the flows of a zone whose daemons are all used.
 /// Each is tried again twice on a new flow, as a caller does after a flow that never opened. Returns the number that
 /// is served.
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -20,6 +20,7 @@
     let result = match name.as_str() {
         "silent-channels" => case::silent_channels(program, record, trouble),
         "replaced-balancers" => case::replaced_balancers(program, record, trouble),
+        "reset-flows" => case::reset_flows(program, record, trouble),
         _ => Err(format!("no case {name}")),
     };
     match result {
--- a/review/standin-3/site.rs
+++ b/review/standin-3/site.rs
@@ -24,6 +24,9 @@
 const BOUNCED: u8 = 2;
 const HEADER_BYTES: usize = 36;
 
+/// Distance from a caller's last acknowledgement number within which a reset ends its flow.
+const RESET_WINDOW: u32 = 76_800;
+
 /// Time between two status reports of a server, as in the site file.
 const HEARTBEAT_MS: u64 = 770;
 
@@ -321,7 +324,7 @@
         record: &Record,
         stop: &AtomicBool,
     ) {
-        let mut flows: HashMap<(u32, u16, u32, u16), u32> = HashMap::new();
+        let mut flows: HashMap<(u32, u16, u32, u16), ServerFlow> = HashMap::new();
         let mut buffer = [0; 2048];
         let _ = socket.set_read_timeout(Some(Duration::from_millis(200)));
         while !stop.load(Ordering::SeqCst) {
@@ -334,12 +337,13 @@
             };
             let flow = (segment.src, segment.sport, segment.dst, segment.dport);
             if segment.flags & SYN != 0 {
-                let initial = *flows.entry(flow).or_insert_with(|| random() as u32);
+                let new = ServerFlow::new(random() as u32);
+                let initial = flows.entry(flow).or_insert(new).initial;
                 let answer = segment.answer(SYN | ACK, initial, segment.seq.wrapping_add(1));
                 let _ = socket.send_to(&answer.write(b""), outbound);
                 continue;
             }
-            let Some(initial) = flows.get(&flow).copied() else {
+            let Some(known) = flows.get_mut(&flow) else {
                 let mut bounced = packet.to_vec();
                 bounced[30] |= BOUNCED;
                 bounced[31..36].fill(0);
@@ -360,16 +364,23 @@
                 ));
             }
             drop(run);
-            let answer = segment.answer(
-                ACK,
-                initial.wrapping_add(1),
-                segment.seq.wrapping_add(data.len() as u32),
-            );
             let body = format!(
                 "HTTP/1.1 200 OK\r\nX-Berylvalve-Request-Id: {id}\r\nX-Berylvalve-Server-Stamp: {}\r\n\
                  Content-Length: 0\r\n\r\n",
                 self.service
             );
+            // A request that was sent again gets the same answer.
+            let sequence = match known.answered {
+                Some((request, sequence)) if request == segment.seq => sequence,
+                _ => {
+                    let sequence = known.next;
+                    known.next = sequence.wrapping_add(body.len() as u32);
+                    known.answered = Some((segment.seq, sequence));
+                    sequence
+                }
+            };
+            let end = segment.seq.wrapping_add(data.len() as u32);
+            let answer = segment.answer(ACK, sequence, end);
             let _ = socket.send_to(&answer.write(body.as_bytes()), outbound);
         }
     }
@@ -400,13 +411,34 @@
     }
 }
 
-/// What became of a request on a flow of its own.
+/// A flow at its server.
+struct ServerFlow {
+    initial: u32,
+    /// Sequence number of the next answer.
+    next: u32,
+    /// Sequence numbers of the last request and of its answer.
+    answered: Option<(u32, u32)>,
+}
+
+impl ServerFlow {
+    fn new(initial: u32) -> Self {
+        Self {
+            initial,
+            next: initial.wrapping_add(1),
+            answered: None,
+        }
+    }
+}
+
+/// What became of a request.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Outcome {
     /// The server of this service answered.
     Answered(String),
     /// The system reset the flow before it was open.
     Refused,
+    /// A reset ended the open flow.
+    Reset,
     /// Nothing came in time.
     Silent,
 }
@@ -424,6 +456,19 @@
     /// Opens a flow to a route through a balancer and sends a request on it. The router of the platform hands
     /// the packets of a flow to one balancer.
     pub fn request(&mut self, balancer: Ipv4Addr, route: SocketAddrV4, id: &str) -> Outcome {
+        match self.open(balancer, route, id) {
+            Ok(mut flow) => self.request_on(&mut flow, balancer, id),
+            Err(outcome) => outcome,
+        }
+    }
+
+    /// Opens a flow to a route through a balancer.
+    pub fn open(
+        &mut self,
+        balancer: Ipv4Addr,
+        route: SocketAddrV4,
+        id: &str,
+    ) -> Result<Segment, Outcome> {
         let port = self.next_port;
         self.next_port += 1;
         let balancer = SocketAddrV4::new(balancer, self.ports.datagram);
@@ -437,43 +482,63 @@
             flags: SYN,
         };
         self.record.add(&format!(
-            "request {id} to {route} is sent through {balancer}"
+            "a flow for request {id} to {route} is opened through {balancer}"
         ));
         let start = Instant::now();
-        let mut opened = None;
         for (copy, end_ms) in [(0, 200), (1, 600), (2, 1_400)] {
             let _ = self
                 .socket
                 .send_to(&Segment { ack: copy, ..syn }.write(b""), balancer);
             match self.receive(&syn, start + Duration::from_millis(end_ms)) {
                 Some((segment, _)) if segment.flags & RST != 0 => {
-                    return self.ends(id, Outcome::Refused)
+                    return Err(self.ends(id, Outcome::Refused));
                 }
-                Some((segment, _)) if segment.flags & SYN != 0 => opened = Some(segment),
-                _ => continue,
+                Some((segment, _)) if segment.flags & SYN != 0 => {
+                    return Ok(Segment {
+                        seq: syn.seq.wrapping_add(1),
+                        ack: segment.seq.wrapping_add(1),
+                        flags: ACK,
+                        ..syn
+                    });
+                }
+                _ => {}
             }
-            break;
         }
-        let Some(opened) = opened else {
-            return self.ends(id, Outcome::Silent);
-        };
+        Err(self.ends(id, Outcome::Silent))
+    }
+
+    /// Sends a request on an open flow through a balancer, and sends it again until it is answered.
+    pub fn request_on(&mut self, flow: &mut Segment, balancer: Ipv4Addr, id: &str) -> Outcome {
+        let balancer = SocketAddrV4::new(balancer, self.ports.datagram);
+        self.record.add(&format!(
+            "request {id} is sent through {balancer} on flow {}",
+            flow.sport
+        ));
         let data = format!(
             "POST /work HTTP/1.1\r\nX-Berylvalve-Request-Id: {id}\r\nContent-Length: 0\r\n\r\n"
         );
-        let request = Segment {
-            seq: syn.seq.wrapping_add(1),
-            ack: opened.seq.wrapping_add(1),
-            flags: ACK,
-            ..syn
-        };
+        let start = Instant::now();
         for end_ms in [200, 600, 1_400, 3_000] {
-            let _ = self
-                .socket
-                .send_to(&request.write(data.as_bytes()), balancer);
-            let until = start + Duration::from_millis(end_ms + 300);
-            while let Some((_, data)) = self.receive(&syn, until) {
-                let text = String::from_utf8_lossy(&data).into_owned();
+            let _ = self.socket.send_to(&flow.write(data.as_bytes()), balancer);
+            while let Some((segment, answer)) =
+                self.receive(flow, start + Duration::from_millis(end_ms))
+            {
+                // A caller ignores a reset that doesn't fit its last acknowledgement number.
+                let distance = segment
+                    .seq
+                    .wrapping_sub(flow.ack)
+                    .cast_signed()
+                    .unsigned_abs();
+                if segment.flags & RST != 0 && distance <= RESET_WINDOW {
+                    return self.ends(id, Outcome::Reset);
+                }
+                let text = String::from_utf8_lossy(&answer).into_owned();
+                if segment.seq != flow.ack || request_id(&answer) != id {
+                    continue;
+                }
                 if let Some((_, rest)) = text.split_once("Server-Stamp: ") {
+                    flow.seq = flow.seq.wrapping_add(data.len() as u32);
+                    flow.ack = flow.ack.wrapping_add(answer.len() as u32);
                     let service = rest.lines().next().unwrap_or("").to_owned();
                     return self.ends(id, Outcome::Answered(service));
                 }
@@ -507,7 +572,7 @@
 
 /// The header of a packet, without `len`, `sum` and the fields that the ends of a flow don't use.
 #[derive(Clone, Copy)]
-struct Segment {
+pub struct Segment {
     src: u32,
     sport: u16,
     dst: u32,
