--- a/review/standin-3/case.rs
+++ b/review/standin-3/case.rs
@@ -20,6 +20,12 @@
 /// Time from the loss of a machine to the start of the one that replaces it.
 const REPLACEMENT_DELAY: Duration = Duration::from_secs(2);
 
+/// Time for which an entry machine has no power.
+const OUTAGE: Duration = Duration::from_millis(4_400);
+
+/// Outages of each machine before its loss.
+const OUTAGES: usize = 3;
+
 /// Requests of one round.
 const REQUESTS: usize = 12;
 
@@ -306,3 +312,94 @@
     }
     served
 }
+
+/// CONFIG: two entry machines of a zone have lost power for some seconds each, and are later lost for good. The third
+/// one goes on. Requests through it that are sent later than `config_apply_ms` after the ack of a config must go where
+/// that config sends them.
+pub fn unnoticed_loss(program: &str, record: &str, trouble: bool) -> Result<bool, String> {
+    let mut site = Site::start(program, record)?;
+    let until = Instant::now() + Duration::from_secs(20);
+    let route = SocketAddrV4::new(Ipv4Addr::new(127, 30, 0, 1), 8443);
+    let services = ["desk", "maps"];
+    site.put_config(1, 5_000, &[(route, services[0])]);
+    let entries: Vec<Ipv4Addr> = (10..13)
+        .map(|host| Ipv4Addr::new(127, 20, 1, host))
+        .collect();
+    for ip in &entries {
+        site.start_process(*ip, ZONES[0], None)?;
+    }
+    for (zone, service) in (1..).zip(services) {
+        site.start_process(side(zone), ZONES[usize::from(zone) - 1], Some(service))?;
+        site.start_server(side(zone), ZONES[usize::from(zone) - 1], service)?;
+    }
+    for ip in entries.iter().copied().chain([side(1), side(2)]) {
+        site.await_ready(ip, until)?;
+    }
+    // Seeds that are no longer renewed are gone after 10 s.
+    thread::sleep(Duration::from_secs(14));
+    let keys = site.store.keys("berylvalve/");
+    let is_seed = |ip: &Ipv4Addr| keys.iter().any(|key| key.contains(&format!("/{ip}:")));
+    let (lost, kept): (Vec<Ipv4Addr>, Vec<Ipv4Addr>) = entries.iter().partition(|ip| is_seed(ip));
+    site.record
+        .add(&format!("in the store as seeds: {lost:?}; not: {kept:?}"));
+    let [rest] = kept[..] else {
+        return Err("expected two of three balancers as seeds".to_owned());
+    };
+    let mut caller = site.caller(Ipv4Addr::new(127, 20, 9, 1))?;
+    if trouble {
+        for _ in 0..OUTAGES {
+            for ip in &lost {
+                site.lose(*ip);
+                thread::sleep(OUTAGE);
+                site.start_process(*ip, ZONES[0], None)?;
+                thread::sleep(Duration::from_secs(3));
+            }
+        }
+        thread::sleep(Duration::from_secs(2));
+        for ip in &lost {
+            site.lose(*ip);
+        }
+    }
+    let lost_at = Instant::now();
+    thread::sleep(CONTACT + Duration::from_millis(500));
+    let mut broken = false;
+    for change in 0..2 {
+        // Right after a read of the store, the next one is farthest away.
+        let reads = site.store.count_calls("kv-range?prefix=op/config");
+        let until = Instant::now() + Duration::from_secs(11);
+        while trouble
+            && site.store.count_calls("kv-range?prefix=op/config") == reads
+            && Instant::now() < until
+        {
+            thread::sleep(Duration::from_millis(20));
+        }
+        let service = services[(change + 1) % 2];
+        site.put_config(2 + change as u64, 5_000, &[(route, service)]);
+        let acked = Instant::now();
+        thread::sleep(CONFIG_APPLY + Duration::from_millis(200));
+        while acked.elapsed() < Duration::from_secs(9) {
+            let sent = acked.elapsed().as_millis();
+            let id = format!("change-{change}-{sent}");
+            let outcome = caller.request(rest, route, &id);
+            if matches!(&outcome, Outcome::Answered(by) if by != service) {
+                broken = true;
+                let after = lost_at.elapsed().as_millis();
+                site.record.add(&format!(
+                    "CONFIG broken: sent {sent} ms after the ack of config {}, {after} ms after the loss, and run by \
+                     the service of the config before: {outcome:?}",
+                    2 + change
+                ));
+            }
+            thread::sleep(Duration::from_millis(500));
+        }
+    }
+    let words = [
+        "routes_applied",
+        "state=Suspect",
+        "state=Dead",
+        "probe_failed",
+    ];
+    site.record
+        .add(&format!("from the logs:\n{}", site.logged(&words)));
+    Ok(broken)
+}
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -21,6 +21,7 @@
         "silent-channels" => case::silent_channels(program, record, trouble),
         "replaced-balancers" => case::replaced_balancers(program, record, trouble),
         "reset-flows" => case::reset_flows(program, record, trouble),
+        "unnoticed-loss" => case::unnoticed_loss(program, record, trouble),
         _ => Err(format!("no case {name}")),
     };
     match result {
--- a/review/standin-3/platform.rs
+++ b/review/standin-3/platform.rs
@@ -83,6 +83,25 @@
         self.changed.notify_all();
     }
 
+    /// Returns the keys under a prefix.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        let mut contents = self.contents.lock().unwrap();
+        self.expire(&mut contents);
+        let keys = contents.items.keys();
+        keys.filter(|key| key.starts_with(prefix))
+            .cloned()
+            .collect()
+    }
+
+    /// Returns the number of calls so far whose line holds a word.
+    pub fn count_calls(&self, word: &str) -> usize {
+        let calls = self.calls.lock().unwrap();
+        calls
+            .iter()
+            .filter(|(_, _, call)| call.contains(word))
+            .count()
+    }
+
     fn is_silent(&self, number: u64) -> bool {
         number < self.silent_below.load(Ordering::SeqCst)
     }
--- a/review/standin-3/site.rs
+++ b/review/standin-3/site.rs
@@ -165,7 +165,10 @@
         );
         let file = self.folder.join(format!("{name}.json"));
         fs::write(&file, settings).map_err(|error| error.to_string())?;
-        let log = fs::File::create(self.folder.join(format!("{name}.log")))
+        let log = fs::File::options()
+            .create(true)
+            .append(true)
+            .open(self.folder.join(format!("{name}.log")))
             .map_err(|error| error.to_string())?;
         let child = Command::new(&self.program)
             .arg(role)
@@ -184,14 +187,13 @@
     /// Ends the process on a machine without a signal that it could handle, as a loss of power does.
     pub fn lose(&mut self, ip: Ipv4Addr) {
         let end = format!("-{ip}");
-        for (name, child) in self
-            .children
-            .iter_mut()
-            .filter(|(name, _)| name.ends_with(&end))
-        {
-            let _ = child.kill();
-            let _ = child.wait();
-            self.record.add(&format!("{name} loses power for good"));
+        let running = |child: &mut Child| matches!(child.try_wait(), Ok(None));
+        for (name, child) in &mut self.children {
+            if name.ends_with(&end) && running(child) {
+                let _ = child.kill();
+                let _ = child.wait();
+                self.record.add(&format!("{name} loses power"));
+            }
         }
     }
 
